--- a/cometvale/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-"""cometvale: decides, inside each front, which core server a call set-up goes to, or that it is refused."""
-from cometvale.decide import Controller
-
-__all__ = ["Controller"]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,6 @@
 """A front with named servers, driven by hand."""
-from cometvale import Controller
-from cometvale import interface as i
+from willowhitch import Controller
+from willowhitch import interface as i
 
 CLASSES = (i.CallClass("plain", aim=1500.0, worth=1.0, late_share=0.25, hold=8000.0),
            i.CallClass("dear", aim=1500.0, worth=4.0, late_share=0.25, hold=8000.0))
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cometvale.benchlink import main
+from willowhitch.benchlink import main
 
 INFO = {
     "family": "trunks", "fleet_size": 2, "strange": {"key": 1},
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -2,8 +2,8 @@
 import pytest
 from helpers import CLASSES, beats, call, ended, entry, front, lines, press, sends, settings, stands
 
-from cometvale import Controller
-from cometvale import interface as i
+from willowhitch import Controller
+from willowhitch import interface as i
 
 
 def test_unheard_server_is_open_and_destination_comes_first():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,11 +1,11 @@
 """The module is read aloud after an outage: its size is limited."""
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "cometvale" / "decide.py"
+MODULE = Path(__file__).parent.parent / "willowhitch" / "policy.py"
 
 
 def test_module_size():
     lines = MODULE.read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
-    assert "cometvale/interface.py" in lines[0]
+    assert "willowhitch/interface.py" in lines[0]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 import pytest
 from helpers import call, ended, entry, front, lines, sends, settings, stands
 
-from cometvale import Controller
-from cometvale import interface as i
+from willowhitch import Controller
+from willowhitch import interface as i
 
 
 def test_call_without_any_server_gets_one_answer_in_time():
--- /dev/null
+++ b/willowhitch/__main__.py
@@ -0,0 +1,159 @@
+"""One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+import orjson
+from loguru import logger
+from twisted.internet import reactor
+from twisted.logger import globalLogBeginner
+
+from willowhitch.core.switch import Switch
+from willowhitch.core.wheel import Wheel
+from willowhitch.net.board import Board
+from willowhitch.net.engine import EngineLinks
+from willowhitch.net.sip import SipFront
+from willowhitch.settings import settings_of
+
+STILL_COMING = 0.75  # s after SIGTERM in which set-ups may still arrive
+ANSWERED_BY = 3.3  # s after SIGTERM by which all is answered: SIGKILL may come at 3.7 s
+
+
+class BadConfiguration(Exception):
+    """A configuration that cannot be served."""
+
+
+def address(text: Any) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def configuration() -> dict[str, Any]:
+    path = os.environ.get("BALANCER_CONFIG", "")
+    if not path:
+        raise BadConfiguration("BALANCER_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            config = orjson.loads(file.read())
+        if not isinstance(config, dict):
+            raise ValueError("not an object")
+    except (OSError, ValueError) as e:
+        raise BadConfiguration(f"{path}: {e}") from None
+    config.setdefault("name", os.environ.get("BALANCER_NAME", "softswitch"))
+    config.setdefault("listen", os.environ.get("BALANCER_LISTEN", ""))
+    return config
+
+
+def monotonic_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+class Softswitch:
+    """The parts of one softswitch and the ticks that drive its wheel."""
+
+    def __init__(self, config: dict[str, Any]) -> None:
+        self.settings = settings_of(config["settings"])
+        self.listen = address(config["listen"])
+        offset = monotonic_ms() - time.time() * 1000.0
+
+        def to_clock(born_ms: int) -> float:
+            return born_ms + offset if born_ms else 0.0
+
+        self.wheel = Wheel(self.settings.tick, monotonic_ms)
+        self.engines = EngineLinks(reactor, self.settings)
+        self.switch = Switch(self.settings, int(str(config.get("seed") or "0"), 16), self.wheel, self.engines)
+        self.engines.attach(self.switch)
+        self.sip = SipFront(str(config["name"]))
+        self.sip.attach(self.switch)
+        self.board = Board(reactor, address(config["board"]), self.switch, self.engines, to_clock)
+        self.known = config.get("known") or {}
+        self.due = 0.0
+        self.ending_at: float | None = None
+
+    def start(self) -> None:
+        self.switch.start()
+        self.board.known(self.known)
+        self.board.start()
+        self.port = reactor.listenTCP(self.listen[1], self.sip, backlog=512, interface=self.listen[0])
+        self.due = self.wheel.read()
+        self._tick()
+        logger.info("softswitch {} serves at {}:{}", self.sip.name, *self.listen)
+
+    def _tick(self) -> None:
+        """One timer of the reactor drives all others. After a standstill the sockets are read first: what
+        came in meanwhile came before the timers that are overdue, and must not look late."""
+        now, tick = self.wheel.read(), self.settings.tick
+        if now - self.due > 2 * tick:
+            self.switch.count["ticks late"] += 1
+            reactor.callLater(0, self.wheel.turn)
+        else:
+            self.wheel.turn()
+        self.due = max(self.due + tick, now)
+        reactor.callLater(max(0.0, self.due - monotonic_ms()) / 1000.0, self._tick)
+
+    def counters(self) -> None:
+        now = {"open": self.switch.open, "known": len(self.switch.calls)}
+        logger.info("counters {}", orjson.dumps(now | dict(self.switch.count)).decode())
+
+    def drain(self) -> None:
+        if self.ending_at is not None:
+            return
+        logger.info("asked to stop: answering what is open")
+        self.sip.draining, self.ending_at = True, self.wheel.now
+        self._end_when_done()
+
+    def _end_when_done(self) -> None:
+        since = (self.wheel.now - self.ending_at) / 1000.0
+        done = not self.switch.calls and since >= STILL_COMING
+        if done or since >= ANSWERED_BY:
+            self.switch.refuse_rest()
+            self.switch.cut_rest()
+            reactor.callLater(0.1, reactor.stop)  # what was written last still goes out
+        else:
+            self.wheel.at(self.wheel.now + 20.0, self._end_when_done)
+
+
+def say_faults(event: dict[str, Any]) -> None:
+    """A fault in a callback of the reactor is one line in the log, no crash."""
+    failure = event.get("log_failure")
+    if failure is not None:
+        where = failure.getTraceback().strip().splitlines()[-2:]
+        logger.error("fault: {!r} at {}", failure.value, where[0].strip())
+
+
+def main() -> int:
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False,
+               level=os.environ.get("WILLOWHITCH_LOG", "INFO"))
+    try:
+        config = configuration()
+        try:
+            softswitch = Softswitch(config)
+            softswitch.start()
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
+            raise BadConfiguration(f"configuration: {type(e).__name__}: {e}") from None
+        except Exception as e:
+            raise BadConfiguration(str(e)) from None
+    except BadConfiguration as e:
+        print(f"willowhitch: {e}", file=sys.stderr)
+        return 2
+    globalLogBeginner.beginLoggingTo([say_faults], redirectStandardIO=False, discardBuffer=True)
+    reactor.addSystemEventTrigger("before", "shutdown", softswitch.counters)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(softswitch.drain))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(softswitch.drain))
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(softswitch.counters))
+    gc.collect()
+    gc.freeze()  # what is here now stays: a full collection need not look at it, and pauses stay short
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cometvale/benchlink.py
+++ b/willowhitch/benchlink.py
@@ -4,14 +4,16 @@
 """
 from __future__ import annotations
 
-import json
 import sys
 from collections.abc import Callable
 from functools import partial
 from typing import Any, TextIO
 
-from cometvale import interface as i
-from cometvale.decide import Controller
+import orjson
+
+from willowhitch import interface as i
+from willowhitch.policy import Controller
+from willowhitch.settings import settings_of
 
 OUTCOMES = {
     1: i.Outcome.OK, 2: i.Outcome.ERROR, 3: i.Outcome.FULL, 4: i.Outcome.TIMEOUT,
@@ -22,7 +24,6 @@
     "patch": i.ListKind.CHANGES, "whole": i.ListKind.WHOLE,
     "stale_copy": i.ListKind.STALE, "broken": i.ListKind.FAILED,
 }
-FIELDS = {"spare": "free", "total": "size", "waiting": "queue", "avg_ms": "latency_ms", "allowed": "qps"}
 NUMBER_BUSY = 4
 PROCESSOR_FULL = 3  # in the low four bits of an answer's `reason`; the rest is a wait in ms
 
@@ -31,41 +32,6 @@
     """A line of the wire that cannot be right."""
 
 
-def settings_of(info: dict[str, Any]) -> i.Settings:
-    fam, limits, rules = info.get("family_info") or {}, info.get("limits") or {}, info.get("rules") or {}
-    stats = info.get("stats") or {}
-    pools = (fam.get("skilled_pools") or []) if fam.get("network_form") == "groups" else []
-    holding = fam.get("holding") or []
-    classes = tuple(
-        i.CallClass(
-            name=lane["name"], aim=lane["aim"], worth=lane.get("credit", 1.0),
-            hold=holding[n] if n < len(holding) else 0.0, late_share=lane.get("late_value", 0.0),
-            repeatable=lane.get("idempotency", "read_like") == "read_like",
-            cells=tuple(pools[n]) if n < len(pools) and pools[n] is not None else None,
-        )
-        for n, lane in enumerate(info["lanes"])
-    )
-    return i.Settings(
-        classes=classes,
-        fleet_size=info.get("fleet_size", 1),
-        own_cell=fam.get("own_number", -1),
-        report_fields=tuple(FIELDS.get(f, f) for f in stats.get("fields") or ()),
-        may_cancel=bool(limits.get("may_cancel")),
-        may_tell=bool(limits.get("peers")),
-        may_advise=bool(limits.get("retry_after")),
-        max_advice=limits.get("max_retry_after", 0.0),
-        max_attempts=limits.get("send_cap", 1),
-        list_pushed=info.get("registry_mode", "automatic") == "automatic",
-        release=fam.get("clear_wait", 0.0),
-        repeat_after=fam.get("repeat", 0.0),
-        cold=rules.get("cold", 0.0),
-        cold_from=rules.get("cold_from", 1.0),
-        overload_factor=rules.get("overload_factor", 1.0),
-        overload_for=rules.get("overload_for", 1000.0),
-        tick=info.get("tick", 1.0),
-    )
-
-
 def _report(m: dict[str, Any]) -> tuple[float, ...]:
     return tuple(float(x) for x in m.get("telemetry") or ())
 
@@ -120,7 +86,7 @@
     def line(self, text: str) -> list[str]:
         """Takes one line of the wire, gives the lines to write."""
         try:
-            message = json.loads(text)
+            message = orjson.loads(text)
         except ValueError as e:
             raise WireError(f"not valid JSON: {e}") from None
         if not isinstance(message, dict) or not isinstance(message.get("verb"), str):
@@ -140,7 +106,7 @@
         except (TypeError, ValueError, AttributeError) as e:
             raise WireError(f"{verb}: {e}") from None
         # The module runs outside the guard above: a fault of its own is not the line's.
-        return [json.dumps({"front": message["front"]} | ACTIONS[type(a)](a)) for a in ask()]
+        return [orjson.dumps({"front": message["front"]} | ACTIONS[type(a)](a)).decode() for a in ask()]
 
     def _event(self, verb: str, m: dict[str, Any]) -> Callable[[], list[i.Action]]:
         """Reads the line in full; what is given back then lets the front decide."""
@@ -178,7 +144,7 @@
         try:
             said = link.line(text)
         except WireError as e:
-            print(f"cometvale: line {number}: {e}", file=sys.stderr)
+            print(f"willowhitch: line {number}: {e}", file=sys.stderr)
             return 2
         if said:
             sink.write("\n".join(said) + "\n")
--- /dev/null
+++ b/willowhitch/core/switch.py
@@ -0,0 +1,359 @@
+"""The switch: feeds events to the decision module and carries out its actions, whatever wire they came by.
+
+A front hands set-ups in and is told of their answers through `Caller`; engines are reached through `Engines`.
+Every time is in milliseconds on the wheel's clock.
+"""
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Protocol
+
+from loguru import logger
+
+from willowhitch import interface as i
+from willowhitch.core.wheel import Wheel
+from willowhitch.policy import Controller
+
+MARGIN = 40.0  # the module is told so much less patience than the caller has: its answer must still travel
+GUARD = 15.0  # an answer still missing so long after the module's deadline is given by the switch itself
+RELEASE_SLACK = 60.0  # added to the release wait: limits on sockets are 50 ms longer, and ticks are coarse
+MOST_CALLS = 20_000  # calls known at once; one more is turned away
+
+NORMAL, CUT = 16, 41  # causes of a release
+FULL, MOOT, FAULTS = 34, 102, (17, 47)
+
+
+class Verdict(Enum):
+    """How a call that does not stand was answered."""
+
+    REFUSED = "refused"  # trying again is harmless
+    FAILED = "failed"  # an attempt may have run
+    REPEATED = "repeated"  # this id is known already; the first set-up goes on
+    TABLE_FULL = "table_full"  # no room for one more call
+
+
+class Caller(Protocol):
+    """What a front is told of the calls that it handed in."""
+
+    def stands(self, call: str, description: bytes) -> None: ...
+
+    def turned_away(self, call: str, verdict: Verdict, stay_away: float) -> None: ...
+
+    def released(self, call: str, cause: int) -> None: ...
+
+
+class Engines(Protocol):
+    """What the switch asks of its quote engines. Answers come back by the switch's own methods."""
+
+    def set_up(self, server: str, call: Call, left: float) -> None: ...
+
+    def give_up(self, server: str, call: str) -> None: ...
+
+    def release(self, server: str, call: str, cause: int) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """A set-up as a front hands it in."""
+
+    call: str  # 16 hex digits
+    klass: str
+    number: str  # the number called
+    patience: float  # ms that the caller waits, from now
+    description: bytes = b""
+    dest: int = -1
+    redial: bool = False
+    width: float = 1.0
+
+
+@dataclass(slots=True)
+class Call:
+    order: Order
+    caller: Caller
+    came: float
+    deadline: float  # when the caller stops waiting
+    attempt: int = -1  # number of the last attempt
+    server: str | None = None  # where an attempt is out, or where the call stands
+    sent: float = 0.0
+    ready: float = 0.0  # no send before this (release rule)
+    stands: bool = False
+    stood: float = 0.0  # since when
+
+
+class Switch:
+    def __init__(self, settings: i.Settings, seed: int, wheel: Wheel, engines: Engines) -> None:
+        self.set = replace(settings, release=settings.release + RELEASE_SLACK if settings.release else 0.0)
+        self.wheel, self.engines = wheel, engines
+        self.controller = Controller(self.set, seed)
+        self.calls: dict[str, Call] = {}
+        self.open = 0  # calls that are owed an answer
+        self.states: dict[str, i.State] = {}
+        self.started: dict[str, float] = {}
+        self.count: Counter[str] = Counter()
+        self.on_duration = None  # called with (what, ms): set-up times and lengths of calls, for telemetry
+        self._events: deque[i.Event] = deque()
+        self._busy = False
+
+    def start(self) -> None:
+        self._carry_out(self.controller.start(self.wheel.now))
+
+    # from the fronts
+
+    def set_up(self, order: Order, caller: Caller) -> Verdict | None:
+        """Takes a call in. None: its one answer comes through the caller; else it was turned away."""
+        self.count["set-ups"] += 1
+        if order.call in self.calls:
+            self.count["repeated"] += 1
+            return Verdict.REPEATED
+        if len(self.calls) >= MOST_CALLS:
+            self.count["table full"] += 1
+            return Verdict.TABLE_FULL
+        now, grace = self.wheel.now, max(0.0, order.patience - MARGIN)
+        self.calls[order.call] = Call(order, caller, now, now + order.patience)
+        self.open += 1
+        self.wheel.at(now + grace + GUARD, self._overdue, order.call)
+        self._feed(i.SetUp(order.call, order.klass, order.dest, grace, order.redial, False, order.width))
+        return None
+
+    def give_up(self, call_id: str) -> bool:
+        """The caller stopped waiting. No answer is owed then; False: the call is not known."""
+        call = self.calls.get(call_id)
+        if call is None:
+            self.count["unknown given up"] += 1
+            return False
+        if call.stands:  # the answer crossed it: the caller does not want the call any more
+            self.release(call_id, NORMAL)
+            call.caller.released(call_id, NORMAL)
+            return True
+        self.count["given up"] += 1
+        self._forget(call_id)
+        self._feed(i.CallerGone(call_id))
+        self._call_off(call, i.Outcome.CANCELLED)
+        return True
+
+    def release(self, call_id: str, cause: int = NORMAL) -> bool:
+        """The caller ends a call, standing or still being set up; False: the call is not known."""
+        call = self.calls.get(call_id)
+        if call is None:
+            self.count["unknown released"] += 1
+            return False
+        if not call.stands:
+            return self.give_up(call_id)
+        self.count["released by callers"] += 1
+        self._forget(call_id)
+        self.engines.release(call.server, call_id, cause)
+        self._over(call, i.Outcome.CANCELLED)
+        return True
+
+    # from the quote engines
+
+    def answered(self, server: str, call_id: str, description: bytes) -> None:
+        call = self.calls.get(call_id)
+        if call is None or call.server != server:
+            # Guards against an answer that crossed our giving up: the engine must not hold lines for it.
+            self.count["late answers"] += 1
+            self.engines.release(server, call_id, NORMAL)
+            return
+        if call.stands:
+            self.count["repeated answers"] += 1
+            return
+        now = self.wheel.now
+        call.stands, call.stood = True, now
+        self.open -= 1
+        self.count["stood"] += 1
+        self._measure("set-up", now - call.came)
+        call.caller.stands(call_id, description)
+        self._feed(i.Stands(call_id, call.attempt, server, now - call.sent))
+
+    def cleared(self, server: str, call_id: str, cause: int, note: str = "", report: tuple = ()) -> None:
+        """The engine turned an attempt away, or released a call that stood."""
+        call = self.calls.get(call_id)
+        if call is None or call.server != server:
+            self.count["late releases"] += 1  # such as the second copy on the next connection
+            return
+        if call.stands:
+            outcome = i.Outcome.OK if cause == NORMAL else i.Outcome.RESET
+            self.count["ended" if outcome is i.Outcome.OK else "cut"] += 1
+            self._forget(call_id)
+            call.caller.released(call_id, cause)
+            self._over(call, outcome, report)
+            return
+        if cause == FULL:
+            outcome = i.Outcome.FULL
+        elif cause == MOOT:
+            outcome = i.Outcome.MOOT
+        else:
+            outcome = i.Outcome.ERROR if cause in FAULTS else i.Outcome.RESET
+        self._attempt_ended(call, outcome, note, report)
+
+    def unreachable(self, server: str, call_id: str) -> None:
+        """No connection came up: nothing of the attempt has run."""
+        self._if_out(server, call_id, i.Outcome.CONNECT_FAILED)
+
+    def broken(self, server: str, call_id: str) -> None:
+        """The connection of an open attempt ended: the attempt may have run."""
+        self._if_out(server, call_id, i.Outcome.RESET)
+
+    def died(self, server: str, before: float | None = None) -> None:
+        """The engine is down or silent for too long: calls that stand there (since before a time) are cut."""
+        for call_id, call in list(self.calls.items()):
+            if call.stands and call.server == server and (before is None or call.stood < before):
+                self.cleared(server, call_id, CUT)
+
+    def sampled(self, server: str, passed: bool, report: tuple[float, ...]) -> None:
+        self._feed(i.Sampled(server, i.Outcome.OK if passed else i.Outcome.ERROR, report))
+
+    def busy_at(self, server: str) -> bool:
+        return any(call.server == server for call in self.calls.values())
+
+    # from the notice board
+
+    def news(self, kind: i.ListKind, entries: tuple[i.Entry, ...]) -> None:
+        self.count["notices"] += 1
+        if kind is not i.ListKind.CHANGES:
+            named = {e.server for e in entries}
+            for server in self.states:
+                if server not in named:
+                    self.states[server] = i.State.GONE
+        for e in entries:
+            if self.started.get(e.server, e.started) != e.started:
+                self.died(e.server, e.started)  # a new process: the calls of the old one are cut
+            self.states[e.server], self.started[e.server] = e.state, e.started
+        self._feed(i.ListNews(kind, entries))
+        for e in entries:
+            if e.state is i.State.GONE:
+                self.died(e.server)
+
+    # actions of the module
+
+    def _feed(self, event: i.Event) -> None:
+        """Events reach the module one by one in order of arrival, also those that its own actions cause."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self.controller.handle(self.wheel.now, event)
+                except Exception as e:  # the switch's own deadlines answer what the module forgets
+                    self.count["module faults"] += 1
+                    logger.error("decision module: {!r} at {}", e, type(event).__name__)
+                    continue
+                self._carry_out(actions)
+        finally:
+            self._busy = False
+
+    def _carry_out(self, actions: Iterable[i.Action]) -> None:
+        for a in actions:
+            match a:
+                case i.Attempt():
+                    self._attempt(a)
+                case i.Refuse():
+                    self._turn_away(a.call, Verdict.REFUSED, a.stay_away)
+                case i.Fail():
+                    self._turn_away(a.call, Verdict.FAILED, 0.0)
+                case i.Cancel():
+                    call = self.calls.get(a.call)
+                    if call and call.server and not call.stands and call.attempt == a.attempt:
+                        self.engines.give_up(call.server, a.call)
+                        self._attempt_ended(call, i.Outcome.CANCELLED)
+                case i.WakeAt():
+                    self.wheel.at(a.at, self._feed, i.Wake(a.token))
+                case i.Log():
+                    logger.info("module: {}", a.text)
+
+    def _attempt(self, a: i.Attempt) -> None:
+        call, now = self.calls.get(a.call), self.wheel.now
+        if call is None or call.stands or call.server is not None:
+            self.count["guard: not owed or already out"] += 1
+            return
+        call.attempt += 1
+        call.server, call.sent = a.server, now
+        if (self.states.get(a.server) is not i.State.READY or now < call.ready
+                or call.attempt >= self.set.max_attempts):
+            # Guards the rules on drains, release and attempts, should the module ever miss one.
+            self.count["guard: moot"] += 1
+            self._attempt_ended(call, i.Outcome.MOOT)
+            return
+        self.count["attempts"] += 1
+        if a.timeout > 0:
+            self.wheel.at(now + a.timeout, self._timed_out, a.call, call.attempt)
+        self.engines.set_up(a.server, call, max(1.0, call.deadline - now))
+
+    def _timed_out(self, call_id: str, attempt: int) -> None:
+        call = self.calls.get(call_id)
+        if call and call.server and not call.stands and call.attempt == attempt:
+            self.engines.give_up(call.server, call_id)
+            self._attempt_ended(call, i.Outcome.TIMEOUT)
+
+    def _attempt_ended(self, call: Call, outcome: i.Outcome, note: str = "", report: tuple = ()) -> None:
+        """An attempt is over and the call is still owed its answer."""
+        now, server = self.wheel.now, call.server
+        self.count[f"attempt {outcome.value}"] += 1
+        call.server = None
+        if outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
+            call.ready = now + self.set.release
+        self._feed(i.Ended(call.order.call, call.attempt, server, outcome, now - call.sent, False,
+                           note == "cpu_full", note == "number_busy", 0.0, report))
+
+    def _if_out(self, server: str, call_id: str, outcome: i.Outcome) -> None:
+        call = self.calls.get(call_id)
+        if call and call.server == server and not call.stands:
+            self._attempt_ended(call, outcome)
+
+    def _turn_away(self, call_id: str, verdict: Verdict, stay_away: float) -> None:
+        call = self.calls.get(call_id)
+        if call is None or call.stands:
+            return
+        self.count[verdict.value] += 1
+        self._forget(call_id)
+        call.caller.turned_away(call_id, verdict, stay_away)
+        self._call_off(call, i.Outcome.TIMEOUT)
+
+    def _overdue(self, call_id: str) -> None:
+        """Guards the answer in time, whatever the module does."""
+        call = self.calls.get(call_id)
+        if call and not call.stands:
+            self.count["guard: overdue"] += 1
+            self._turn_away(call_id, Verdict.FAILED, 0.0)
+            self._feed(i.CallerGone(call_id))
+
+    def refuse_rest(self) -> None:
+        """At the end of a planned stop: what is still owed an answer gets one."""
+        for call_id, call in list(self.calls.items()):
+            if not call.stands:
+                self._turn_away(call_id, Verdict.REFUSED, self.set.max_advice)
+                self._feed(i.CallerGone(call_id))
+
+    def cut_rest(self) -> None:
+        """At the very end: calls that stand go down with the switch, and both sides are told so."""
+        for call_id, call in list(self.calls.items()):
+            if call.stands:
+                self.release(call_id, CUT)
+                call.caller.released(call_id, CUT)
+
+    def _forget(self, call_id: str) -> None:
+        call = self.calls.pop(call_id)
+        self.open -= not call.stands
+
+    def _call_off(self, call: Call, outcome: i.Outcome) -> None:
+        """The call has its answer, or needs none: an attempt still out is given up."""
+        if call.server is not None:
+            self.engines.give_up(call.server, call.order.call)
+            self._over(call, outcome)
+
+    def _over(self, call: Call, outcome: i.Outcome, report: tuple = ()) -> None:
+        now = self.wheel.now
+        if call.stands:
+            self._measure("call", now - call.stood)
+        self._feed(i.Ended(call.order.call, call.attempt, call.server, outcome, now - call.sent, True,
+                           report=report))
+
+    def _measure(self, what: str, ms: float) -> None:
+        if self.on_duration:
+            self.on_duration(what, ms)
--- a/cometvale/interface.py
+++ b/willowhitch/interface.py
@@ -1,4 +1,4 @@
-"""The interface of cometvale's decision module: its settings, events and actions.
+"""The interface of willowhitch's decision module: its settings, events and actions.
 
 All times and durations are milliseconds on the front's own clock, as floats.
 A *set-up* is a call that asks to stand; an *attempt* is one try of it at one core server.
@@ -69,6 +69,7 @@
     overload_factor: float = 1.0  # times its present capacity, for overload_for, push a cold server over
     overload_for: float = 1000.0  # ms
     tick: float = 1.0  # ms, the shortest gap between two batches of events
+    connect_timeout: float = 500.0  # ms until a connection that does not come up has failed
 
     def __post_init__(self) -> None:
         if not self.classes or len({c.name for c in self.classes}) != len(self.classes):
--- /dev/null
+++ b/willowhitch/net/engine.py
@@ -0,0 +1,276 @@
+"""The binary link to the quote engines: one connection to each, reopened promptly when it ends."""
+from __future__ import annotations
+
+from struct import error as StructError
+from struct import pack, unpack_from
+
+from loguru import logger
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import Int16StringReceiver
+
+from willowhitch import interface as i
+from willowhitch.core.switch import Call, Switch
+from willowhitch.settings import report_of
+
+SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED = 1, 6, 9, 12, 16, 43, 52, 53
+CLASS, LEFT, NUMBER, NOTE, REPORT, CAUSE, DESCRIPTION = 3, 5, 11, 17, 21, 31, 33
+GIVEN_UP = 16
+LONGEST = 16_384  # bytes of one message
+LATER = 4_096  # messages kept for a link that is not up
+BACKLOG = 1 << 20  # bytes that may wait to be written to an engine that does not read
+SWEEP = 500.0  # ms between two looks at the silent links
+TEST_AFTER, SILENT_AFTER = 2_500.0, 6_500.0  # ms of silence: a test is sent; calls that stand there are cut
+BACK_OFF, MOST_BACK_OFF = 100.0, 1_000.0  # ms between tries to open
+
+
+def message(kind: int, call: str, *parameters: tuple[int, bytes]) -> bytes:
+    said = b"".join(pack(">BH", code, len(value)) + value for code, value in parameters)
+    return pack(">B", kind) + bytes.fromhex(call) + said
+
+
+def read(data: bytes) -> tuple[int, str, dict[int, bytes]]:
+    """Type, call and parameters of a message; ValueError if it is not whole."""
+    if len(data) < 9:
+        raise ValueError("shorter than its head")
+    found, at = {}, 9
+    while at < len(data):
+        try:
+            code, size = unpack_from(">BH", data, at)
+        except StructError:
+            raise ValueError("parameter cut short") from None
+        at += 3 + size
+        if at > len(data):
+            raise ValueError("parameter longer than the message")
+        found[code] = data[at - size:at]
+    return data[0], data[1:9].hex(), found
+
+
+class EngineLine(Int16StringReceiver):
+    """One connection to a quote engine."""
+
+    MAX_LENGTH = LONGEST
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.link.up(self)
+
+    def connectionLost(self, reason: object = None) -> None:
+        self.link.down(self)
+
+    # A producer's three calls: the engine reads too slowly, reads again, or the connection is over.
+    def pauseProducing(self) -> None:
+        self.link.choked = True
+
+    def resumeProducing(self) -> None:
+        self.link.choked = False
+
+    def stopProducing(self) -> None:
+        pass
+
+    def stringReceived(self, data: bytes) -> None:
+        try:
+            kind, call, said = read(data)
+        except ValueError as e:
+            logger.warning("engine {}: bad message, connection closed: {}", self.link.server, e)
+            self.transport.abortConnection()
+            return
+        self.link.heard(kind, call, said)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        logger.warning("engine {}: message of {} bytes, connection closed", self.link.server, length)
+        self.transport.abortConnection()
+
+
+class Link(ClientFactory):
+    """What goes to one quote engine and comes from it, over connections that come and go."""
+
+    noisy = False
+
+    def __init__(self, engines: EngineLinks, server: str, address: tuple[str, int]) -> None:
+        self.engines, self.server, self.address = engines, server, address
+        self.switch = engines.switch
+        self.line: EngineLine | None = None
+        self.opening = self.choked = self.closing = False
+        self.backlog = 0  # bytes written since the engine was last seen to read
+        self.out: set[str] = set()  # set-ups written to the connection that is up
+        self.later: dict[str, bytes] = {}  # set-ups and releases for the next connection
+        self.last = self.switch.wheel.now  # when the engine last gave any sign
+        self.tested = 0.0
+        self.back_off = BACK_OFF
+
+    def open(self) -> None:
+        if self.line is None and not self.opening and not self.closing:
+            self.opening = True
+            self.engines.connect(self)
+
+    def buildProtocol(self, addr: object) -> EngineLine:
+        return EngineLine(self)
+
+    def up(self, line: EngineLine) -> None:
+        if self.closing:
+            line.transport.abortConnection()
+            return
+        self.line, self.opening, self.choked, self.back_off, self.backlog = line, False, False, BACK_OFF, 0
+        self.last = self.switch.wheel.now
+        later, self.later = self.later, {}
+        for call, data in later.items():
+            self._write(call, data)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.opening = False
+        waiting, self.later = self.later, {}
+        for call, data in waiting.items():
+            if data[0] == SET_UP:
+                self.switch.unreachable(self.server, call)
+        if reason.check(Refused):
+            # Nobody listens there: the process is gone, and what stood there with it.
+            self.switch.died(self.server)
+        self.later |= {call: data for call, data in waiting.items() if data[0] == RELEASE}
+        self._again()
+
+    def down(self, line: EngineLine) -> None:
+        if line is not self.line:
+            return
+        self.line, out, self.out = None, self.out, set()
+        self.switch.count["engine connections lost"] += 1
+        for call in out:
+            self.switch.broken(self.server, call)
+        if self.engines.wanted(self.server):
+            self.open()  # at once: releases that we missed come on the next connection
+
+    def _again(self) -> None:
+        if not self.closing and self.engines.wanted(self.server):
+            self.switch.wheel.at(self.switch.wheel.now + self.back_off, self.open)
+            self.back_off = min(2 * self.back_off, MOST_BACK_OFF)
+
+    def write(self, call: str, data: bytes) -> None:
+        if self.line is not None:
+            self._write(call, data)
+        elif len(self.later) < LATER:
+            self.later[call] = data
+            self.open()
+        elif data[0] == SET_UP:
+            self.switch.unreachable(self.server, call)
+
+    def _write(self, call: str, data: bytes) -> None:
+        if data[0] == SET_UP:
+            self.out.add(call)
+        elif data[0] == RELEASE:
+            self.out.discard(call)
+        self.backlog = self.backlog + len(data) if self.choked else 0
+        if self.backlog > BACKLOG:
+            logger.warning("engine {}: does not read, connection closed", self.server)
+            self.line.transport.abortConnection()
+            return
+        self.line.sendString(data)
+
+    def withdraw(self, call: str) -> bool:
+        """Takes back a set-up that was never written."""
+        kept = self.later.get(call)
+        if kept is not None and kept[0] == SET_UP:
+            del self.later[call]
+            return True
+        return False
+
+    def heard(self, kind: int, call: str, said: dict[int, bytes]) -> None:
+        self.last = self.switch.wheel.now
+        report = self.engines.report(said[REPORT]) if REPORT in said else ()
+        if kind == ANSWER:
+            self.out.discard(call)
+            self.switch.answered(self.server, call, said.get(DESCRIPTION, b""))
+        elif kind == RELEASE:
+            self.out.discard(call)
+            cause = said.get(CAUSE, b"")
+            self._write(call, message(HEARD, call))
+            self.switch.cleared(self.server, call, cause[0] if cause else 0,
+                                said.get(NOTE, b"").decode("latin-1"), report)
+        elif kind == STATE or kind == TESTED:
+            cause = said.get(CAUSE, b"\1")
+            self.switch.sampled(self.server, kind == STATE or cause[:1] == b"\1", report)
+        else:
+            self.switch.count["engine messages that mean nothing"] += kind not in (PROGRESS, HEARD)
+
+    def sweep(self, now: float) -> None:
+        """A silent engine is tested, and given up in time for its calls to be released."""
+        quiet = now - self.last
+        if quiet < TEST_AFTER or not self.switch.busy_at(self.server):
+            return
+        if quiet >= SILENT_AFTER:
+            logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, quiet)
+            self.last = now
+            self.switch.died(self.server)
+            if self.line is not None:
+                self.line.transport.abortConnection()
+        elif self.line is not None and now - self.tested >= 2 * SWEEP:
+            self.tested = now
+            self.switch.count["tests sent"] += 1
+            self._write("", message(TEST, "00" * 8, (CAUSE, b"\0")))
+
+    def close(self) -> None:
+        self.closing = True
+        if self.line is not None:
+            self.line.transport.loseConnection()
+
+
+class EngineLinks:
+    """All quote engines of the list. Fulfils `core.switch.Engines`."""
+
+    def __init__(self, reactor: object, settings: i.Settings) -> None:
+        self.reactor, self.set = reactor, settings
+        self.switch: Switch
+        self.links: dict[str, Link] = {}
+
+    def attach(self, switch: Switch) -> None:
+        self.switch = switch
+        switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
+
+    def connect(self, link: Link) -> None:
+        self.reactor.connectTCP(*link.address, link, timeout=self.set.connect_timeout / 1000)
+
+    def report(self, text: bytes) -> tuple[float, ...]:
+        return report_of(self.set, text.decode("latin-1"))
+
+    def wanted(self, server: str) -> bool:
+        return self.switch.states.get(server) is i.State.READY or self.switch.busy_at(server)
+
+    def known(self, server: str, address: tuple[str, int]) -> None:
+        """An engine of the list; called before the switch has the news."""
+        link = self.links.get(server)
+        if link is None or link.address != address:
+            if link is not None:
+                link.close()
+            link = self.links[server] = Link(self, server, address)
+        link.open()
+
+    def set_up(self, server: str, call: Call, left: float) -> None:
+        link, order = self.links.get(server), call.order
+        if link is None:
+            self.switch.unreachable(server, order.call)
+            return
+        link.write(order.call, message(
+            SET_UP, order.call, (CLASS, order.klass.encode()), (LEFT, b"%d" % left),
+            (NUMBER, order.number.encode()), (DESCRIPTION, order.description)))
+
+    def give_up(self, server: str, call: str) -> None:
+        link = self.links.get(server)
+        if link and not link.withdraw(call):
+            self.release(server, call, GIVEN_UP)
+
+    def release(self, server: str, call: str, cause: int) -> None:
+        link = self.links.get(server)
+        if link:
+            link.write(call, message(RELEASE, call, (CAUSE, bytes((cause & 255,)))))
+
+    def _sweep(self) -> None:
+        now = self.switch.wheel.now
+        self.switch.wheel.at(now + SWEEP, self._sweep)
+        for server, link in list(self.links.items()):
+            link.sweep(now)
+            if self.switch.states.get(server) is i.State.GONE and not self.switch.busy_at(server):
+                link.close()
+                del self.links[server]
--- a/cometvale/decide.py
+++ b/willowhitch/policy.py
@@ -1,4 +1,4 @@
-"""Which core server a set-up goes to, or that it is refused. Types: cometvale/interface.py.
+"""Which core server a set-up goes to, or that it is refused. Types: willowhitch/interface.py.
 
 A gate per core server is open while one more set-up would finish within its aim (docs/design.md).
 Times are milliseconds. handle(now, event) -> actions; nothing here reads a clock or does I/O.
@@ -8,7 +8,7 @@
 from math import exp, floor, sqrt
 from random import Random
 
-from cometvale import interface as i
+from willowhitch import interface as i
 
 SMOOTH = 1000.0  # an answer's delay is smoothed, and ages, over about this long (the design's second)
 LONGEST = 4.0  # a server heard more rarely is remembered longer, up to this many times that
