Pass over held calls that would find every gate shut, without a full try

Lines at fault: _serve's loop and _try's in_time. A call whose kind has met only shut gates in the same pass, and whose time is not up, can only be held on: it is now kept without computing that.

--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -92,6 +92,7 @@
         self.at: Gate | None = None  # where its attempt is out
         self.sends, self.ready = 0, now  # attempts made; not to be sent before: the release wait
         self.may_have_run = self.cancelling = False
+        self.kind, self.end = (klass.name, self.value, event.dest), LONG_AGO  # end: given up by then
 
 
 class Controller:
@@ -156,10 +157,8 @@
 
     def _set_up(self, now: float, event: i.SetUp) -> None:
         klass = self.classes.get(event.klass)
-        if event.call in self.calls:
-            return
-        if klass is None:
-            return self.acts.append(i.Refuse(event.call))
+        if event.call in self.calls or klass is None:
+            return None if event.call in self.calls else self.acts.append(i.Refuse(event.call))
         call = self.calls[event.call] = Call(now, event, klass)
         if not event.redial:
             most = self.patience[klass.name] = max(event.grace, self.patience.get(klass.name, 0.0))
@@ -309,9 +308,10 @@
         """Sends what may go, most worth first; refuses what can no longer stand within its aim."""
         self.held_top, self.served_at, shut = -1.0, now, set()
         for call in sorted(self.held.values(), key=lambda c: (-c.value, -c.came)):
-            kind = (call.klass.name, call.value, call.event.dest)
-            if now >= call.ready and not self._try(now, call, kind in shut):
-                shut.add(kind)
+            if call.kind in shut and call.ready <= now < call.end:  # as _try would find, without its work
+                self.held_top = max(self.held_top, call.value)
+            elif now >= call.ready and not self._try(now, call, call.kind in shut):
+                shut.add(call.kind)
 
     def _try(self, now: float, call: Call, shut: bool = False) -> bool:
         """Sends the call, or ends it if it has no attempt or time left; False: no gate was open to it."""
@@ -319,10 +319,10 @@
             self._give_up(call)
             return True
         gate = None if shut or now < call.ready else self._choose(now, call)
-        in_time = call.came + call.klass.aim - self._limit(call)
+        call.end = min(call.deadline - 2 * BEAT, call.came + call.klass.aim - self._limit(call))
         if gate is not None:
             self._send(now, call, gate)
-        elif now >= call.ready and now >= min(call.deadline - 2 * BEAT, in_time):
+        elif now >= call.ready and now >= call.end:
             self._give_up(call)  # held while every gate is shut: waiting here costs the servers no repeats
         elif now >= call.ready:
             self.held_top = max(self.held_top, call.value)
@@ -365,9 +365,8 @@
     def _send(self, now: float, call: Call, gate: Gate) -> None:
         gate.spent += 1
         gate.out[(call.id, call.sends)] = now
-        call.at = gate
+        call.at, call.sends = gate, call.sends + 1
         del self.held[call.id]
-        call.sends += 1
         self.acts.append(i.Attempt(call.id, gate.server))
 
     def _give_up(self, call: Call) -> None:
