--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 import time
+import tomllib
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -16,10 +18,12 @@
 from willowhitch.core.switch import Switch
 from willowhitch.core.wheel import Wheel
 from willowhitch.net.board import Board
+from willowhitch.net.control import ControlFront, ControlSettings
 from willowhitch.net.engine import EngineLinks
 from willowhitch.net.sip import SipFront
 from willowhitch.settings import settings_of
 
+CONTROL = Path(__file__).resolve().parent.parent / "deploy" / "control.toml"  # or WILLOWHITCH_CONTROL
 STILL_COMING = 0.75  # s after SIGTERM in which set-ups may still arrive
 ANSWERED_BY = 3.3  # s after SIGTERM by which all is answered: SIGKILL may come at 3.7 s
 
@@ -51,6 +55,16 @@
     return config
 
 
+def control_settings() -> ControlSettings:
+    path = Path(os.environ.get("WILLOWHITCH_CONTROL") or CONTROL)
+    if not path.exists() and path == CONTROL:
+        return ControlSettings()
+    try:
+        return ControlSettings.of(tomllib.loads(path.read_text()))
+    except (OSError, ValueError, TypeError) as e:
+        raise BadConfiguration(f"{path}: {e}") from None
+
+
 def monotonic_ms() -> float:
     return time.monotonic() * 1000.0
 
@@ -72,6 +86,8 @@
         self.engines.attach(self.switch)
         self.sip = SipFront(str(config["name"]))
         self.sip.attach(self.switch)
+        self.control = ControlFront(control_settings())
+        self.control.attach(self.switch)
         self.board = Board(reactor, address(config["board"]), self.switch, self.engines, to_clock)
         self.known = config.get("known") or {}
         self.due = 0.0
@@ -82,6 +98,10 @@
         self.board.known(self.known)
         self.board.start()
         self.port = reactor.listenTCP(self.listen[1], self.sip, backlog=512, interface=self.listen[0])
+        if self.control.set.listen:
+            host, port = address(self.control.set.listen)
+            reactor.listenTCP(port, self.control, interface=host)
+            logger.info("call-control API at {}:{}", host, port)
         self.due = self.wheel.read()
         self._tick()
         logger.info("softswitch {} serves at {}:{}", self.sip.name, *self.listen)
@@ -139,6 +159,8 @@
             softswitch.start()
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
             raise BadConfiguration(f"configuration: {type(e).__name__}: {e}") from None
+        except BadConfiguration:
+            raise
         except Exception as e:
             raise BadConfiguration(str(e)) from None
     except BadConfiguration as e:
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import re
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -22,6 +23,9 @@
 RELEASE_SLACK = 60.0  # added to the release wait: limits on sockets are 50 ms longer, and ticks are coarse
 MOST_CALLS = 20_000  # calls known at once; one more is turned away
 
+LONGEST = 16_200  # bytes of a set-up's texts: with their heads they fit a message of 16 KiB
+CALL, NUMBER = re.compile(r"[0-9a-f]{16}\Z"), re.compile(r"[^\s@]+\Z")
+
 NORMAL, CUT = 16, 41  # causes of a release
 FULL, MOOT, FAULTS = 34, 102, (17, 47)
 
@@ -33,6 +37,8 @@
     FAILED = "failed"  # an attempt may have run
     REPEATED = "repeated"  # this id is known already; the first set-up goes on
     TABLE_FULL = "table_full"  # no room for one more call
+    GIVEN_UP = "given_up"  # its caller no longer waits
+    UNKNOWN = "unknown"  # what was asked names no call that this caller has here
 
 
 class Caller(Protocol):
@@ -68,6 +74,16 @@
     redial: bool = False
     width: float = 1.0
 
+    def __post_init__(self) -> None:
+        if not CALL.match(self.call):
+            raise ValueError("the id of a call is 16 hex digits")
+        if not NUMBER.match(self.number):
+            raise ValueError("no number called")
+        if not 0 <= self.patience <= 3_600_000 or not 0 < self.width < 1e6 or abs(self.dest) > 1e6:
+            raise ValueError("patience, width or dest out of range")
+        if len(self.description) + len(self.number) + len(self.klass) > LONGEST:
+            raise ValueError("longer than a message may be")
+
 
 @dataclass(slots=True)
 class Call:
@@ -118,14 +134,14 @@
         self._feed(i.SetUp(order.call, order.klass, order.dest, grace, order.redial, False, order.width))
         return None
 
-    def give_up(self, call_id: str) -> bool:
-        """The caller stopped waiting. No answer is owed then; False: the call is not known."""
+    def give_up(self, call_id: str, by: Caller) -> bool:
+        """The caller stopped waiting. No answer is owed then; False: it has no such call."""
         call = self.calls.get(call_id)
-        if call is None:
+        if call is None or call.caller is not by:
             self.count["unknown given up"] += 1
             return False
         if call.stands:  # the answer crossed it: the caller does not want the call any more
-            self.release(call_id, NORMAL)
+            self.release(call_id, NORMAL, by)
             call.caller.released(call_id, NORMAL)
             return True
         self.count["given up"] += 1
@@ -134,14 +150,14 @@
         self._call_off(call, i.Outcome.CANCELLED)
         return True
 
-    def release(self, call_id: str, cause: int = NORMAL) -> bool:
-        """The caller ends a call, standing or still being set up; False: the call is not known."""
+    def release(self, call_id: str, cause: int, by: Caller) -> bool:
+        """The caller ends a call, standing or still being set up; False: it has no such call."""
         call = self.calls.get(call_id)
-        if call is None:
+        if call is None or call.caller is not by:
             self.count["unknown released"] += 1
             return False
         if not call.stands:
-            return self.give_up(call_id)
+            return self.give_up(call_id, by)
         self.count["released by callers"] += 1
         self._forget(call_id)
         self.engines.release(call.server, call_id, cause)
@@ -334,7 +350,7 @@
         """At the very end: calls that stand go down with the switch, and both sides are told so."""
         for call_id, call in list(self.calls.items()):
             if call.stands:
-                self.release(call_id, CUT)
+                self.release(call_id, CUT, call.caller)
                 call.caller.released(call_id, CUT)
 
     def _forget(self, call_id: str) -> None:
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -15,7 +15,6 @@
 MOST_UNSAID = 4_096  # releases kept for the next connection of a caller
 UNSAID_FOR = 8_000.0  # ms
 CHOKED_FOR = 5_000.0  # ms that a caller may leave its answers unread
-CALL = re.compile(r"[0-9a-f]{16}\Z", re.I)
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 CAUSE = re.compile(r"cause\s*=\s*(\d+)", re.I)
 ECHOED = ("via", "from", "to", "call-id", "cseq")
@@ -24,7 +23,12 @@
 REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 481: "Call Does Not Exist",
            482: "Loop Detected", 487: "Request Terminated", 500: "Server Failure",
            503: "Service Unavailable", 513: "Message Too Large"}
-CODES = {Verdict.REFUSED: 503, Verdict.FAILED: 500, Verdict.REPEATED: 482, Verdict.TABLE_FULL: 503}
+CODES = {Verdict.REFUSED: 503, Verdict.FAILED: 500, Verdict.REPEATED: 482, Verdict.TABLE_FULL: 503,
+         Verdict.GIVEN_UP: 487, Verdict.UNKNOWN: 481}
+
+
+def call_of(headers: dict[str, str]) -> str:
+    return headers.get("call-id", "").lower()
 
 
 def order_of(address: str, headers: dict[str, str], body: bytes) -> Order:
@@ -32,14 +36,11 @@
     number = NUMBER.match(address)
     if not number:
         raise ValueError("no number called")
-    call, patience = headers.get("call-id", ""), float(headers.get("x-patience", "nan"))
-    if not CALL.match(call):
-        raise ValueError("Call-ID is not 16 hex digits")
-    if not 0 <= patience <= 3_600_000:
-        raise ValueError("X-Patience is no time")
+    patience = float(headers.get("x-patience", "nan"))
     facts = dict(part.split(":", 1) for part in headers.get("x-facts", "").split(";") if ":" in part)
-    return Order(call, headers.get("subject", ""), number[1], patience, body, int(facts.get("dest", -1)),
-                 headers.get("x-retry", "") not in ("", "0"), float(facts.get("width", 1)))
+    return Order(call_of(headers), headers.get("subject", ""), number[1], patience, body,
+                 int(facts.get("dest", -1)), headers.get("x-retry", "") not in ("", "0"),
+                 float(facts.get("width", 1)))
 
 
 class SipLine(LineReceiver):
@@ -189,7 +190,7 @@
         self.lines.pop(line, None)
         for call in list(line.calls):
             self.asked_by.pop(call, None)
-            self.switch.give_up(call)
+            self.switch.give_up(call, self)
 
     # what callers ask
 
@@ -205,7 +206,7 @@
     def _invite(self, line, address, headers, vias, body) -> None:
         try:
             order = order_of(address, headers, body)
-        except ValueError as e:
+        except (ValueError, OverflowError) as e:
             self.switch.count["bad messages"] += 1
             logger.warning("caller: set-up that can't be read, answered 400: {}", e)
             line.answer(400, headers, vias)
@@ -225,13 +226,13 @@
             self.stood_on[order.call] = (line, order.number)
 
     def _cancel(self, line, address, headers, vias, body) -> None:
-        call = headers.get("call-id", "")
+        call = call_of(headers)
         line.answer(200, headers, vias)
         asked = self.asked_by.pop(call, None)
         if asked:
             asked[0].calls.discard(call)
             self.stood_on.pop(call, None)
-        self.switch.give_up(call)
+        self.switch.give_up(call, self)
 
     def _bye(self, line: SipLine, call: str, number: str, cause: int) -> None:
         self.switch.count["releases sent to callers"] += 1
@@ -239,10 +240,10 @@
                     "CSeq: 2 BYE", f"Reason: Q.850;cause={cause}"])
 
     def _bye_heard(self, line, address, headers, vias, body) -> None:
-        call, cause = headers.get("call-id", ""), CAUSE.search(headers.get("reason", ""))
+        call, cause = call_of(headers), CAUSE.search(headers.get("reason", ""))
         line.answer(200, headers, vias)
         self.unsaid.pop(call, None)
-        self.switch.release(call, int(cause[1]) if cause and len(cause[1]) < 4 else NORMAL)
+        self.switch.release(call, int(cause[1]) if cause and len(cause[1]) < 4 else NORMAL, self)
         self._forget(call)
 
     def _options(self, line, address, headers, vias, body) -> None:
