--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -17,6 +17,7 @@
 BEAT = 25.0  # held calls are looked at every two of these, open ones every four
 PRESSED = 10.0  # a server found pressed gets no more than a share from each front for so many SMOOTH
 FAULTY = 1.5  # faults that shut a gate but for trials: about every other set-up failing
+PASS = 0.02  # ms from one look at all held calls to the next, for each of them: many cost a full core
 STALL = 100.0  # a wake later than this shows that this front itself stood still
 LOW, HIGH = 0.08, 0.15  # share of the aim that the least and the most worthy call may wait at a server
 MOVE = 0.15  # share of the aim kept for the answer of an attempt that is sent elsewhere after silence
@@ -136,7 +137,7 @@
                 self._list(now, event)
             case i.Sampled():
                 self._report(now, event.server, event.report, unasked=True)
-        if not isinstance(event, i.SetUp) and self.held and now > self.served_at:
+        if self.held and now > self.served_at + PASS * len(self.held) and not isinstance(event, i.SetUp):
             self._serve(now)
         if self.calls and self.beat_due is None:
             self.beat_due = now + (2 if self.held else 4) * BEAT
