--- a/tests/stage.py
+++ b/tests/stage.py
@@ -170,7 +170,7 @@
 
 
 class Stage:
-    def __init__(self, engines=2, settings=None, control="", config=None):
+    def __init__(self, engines=2, settings=None, control="", config=None, env=None):
         self.doors = {f"e{n}": listener() for n in range(engines)} | {"b": listener()}
         self.parties, self.hook, self.dir = {}, None, tempfile.TemporaryDirectory()
         spare = [listener(), listener()]
@@ -188,9 +188,9 @@
         toml = Path(self.dir.name, "control.toml")
         toml.write_text(f'listen = "{written(self.web)}"\n{control}')
         self.log = open(Path(self.dir.name, "log"), "w+")
-        env = os.environ | {"BALANCER_CONFIG": str(self.config), "WILLOWHITCH_CONTROL": str(toml)}
-        self.program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=env,
-                                        stderr=self.log)
+        given = os.environ | {"BALANCER_CONFIG": str(self.config), "WILLOWHITCH_CONTROL": str(toml)}
+        self.program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT,
+                                        env=given | (env or {}), stderr=self.log)
 
     def __enter__(self):
         self.play("c9 send OPTIONS\nc9 expect 200 OK.*OPTIONS\nc9 close")
--- /dev/null
+++ b/tests/test_product.py
@@ -0,0 +1,189 @@
+"""Telemetry against a stand-in collector; the agent and its command line against real softswitches."""
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+from threading import Thread
+
+from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import ExportMetricsServiceRequest
+from stage import ROOT, Stage
+
+from willowhitch import cli
+
+
+class Collector(HTTPServer):
+    """Keeps what it was sent. `slow`: it takes the request and is silent."""
+
+    def __init__(self, slow=0.0):
+        got, self.got = [], []
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers["Content-Length"]))
+                time.sleep(slow)
+                got.append((self.path, ExportMetricsServiceRequest.FromString(body)))
+                self.send_response(200)
+                self.end_headers()
+
+            def log_message(self, *_):
+                pass
+
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.got = got
+        Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.server_address[1]}"
+
+    def latest(self):
+        """Metrics of the newest export, by name."""
+        _, request = self.got[-1]
+        return {m.name: m for r in request.resource_metrics for s in r.scope_metrics for m in s.metrics}
+
+
+CALL = """
+    c0 send INVITE {n}
+    e0 expect SET_UP
+    e0 send ANSWER {n} 33=d
+    c0 expect 200 OK
+    e0 send RELEASE {n} 31=16
+    c0 expect ^BYE
+    """
+
+
+def telemetry(endpoint):
+    return {"OTEL_EXPORTER_OTLP_ENDPOINT": endpoint, "OTEL_METRIC_EXPORT_INTERVAL": "200"}
+
+
+class Telemetry(unittest.TestCase):
+    def test_counters_and_durations_reach_a_collector(self):
+        collector = Collector()
+        with Stage(env=telemetry(collector.url)) as s:
+            for n in (1, 2, 3):
+                s.play(CALL.format(n=n))
+            s.play("p send SIGTERM\np expect 0")
+        collector.shutdown()
+        told = collector.latest()
+        counts = {p.attributes[0].value.string_value: p.as_int
+                  for p in told["willowhitch.events"].sum.data_points}
+        assert collector.got[-1][0] == "/v1/metrics"
+        assert (counts["set-ups"], counts["stood"], counts["ended"]) == (3, 3, 3)
+        for what in ("set-up", "call"):
+            (point,) = told[f"willowhitch.{what}.duration"].histogram.data_points
+            assert point.count == 3 and 0 <= point.sum < 5000
+        name = collector.got[-1][1].resource_metrics[0].resource.attributes
+        assert {a.key: a.value.string_value for a in name}["service.instance.id"] == "n0"
+
+    def test_a_collector_that_is_down_or_hangs_holds_nothing_up(self):
+        hangs = Collector(slow=30.0)
+        for endpoint in ("http://127.0.0.1:9", hangs.url):
+            with self.subTest(endpoint), Stage(env=telemetry(endpoint)) as s:
+                until, n, worst = time.monotonic() + 2.5, 0, 0.0
+                while time.monotonic() < until:
+                    n, began = n + 1, time.monotonic()
+                    s.play(CALL.format(n=n))
+                    worst = max(worst, time.monotonic() - began)
+                assert n > 50 and worst < 0.5, (n, worst)
+                assert s.said().count("telemetry") <= 1, s.said()  # one line a minute
+                s.play("p send SIGTERM")
+                assert s.program.wait(10) == 0
+
+    def test_off_unless_configured_and_a_bad_address_is_one_plain_line(self):
+        with Stage() as s:
+            maps = Path(f"/proc/{s.program.pid}/maps").read_text()
+            assert "opentelemetry" not in maps and len(os.listdir(f"/proc/{s.program.pid}/task")) == 1
+        stage = Stage(env=telemetry("nowhere"))
+        assert stage.program.wait(10) == 2 and stage.said().count("\n") == 1, stage.said()
+        stage.__exit__()
+
+
+class Supervision(unittest.TestCase):
+    """An agent with two softswitches, spoken to by the command line's own functions."""
+
+    def setUp(self):
+        self.stages = [Stage(), Stage()]
+        for stage in self.stages:  # their configurations and stand-ins serve; the agent starts the programs
+            stage.program.kill()
+            stage.program.wait()
+        self.dir = tempfile.TemporaryDirectory()
+        self.socket = str(Path(self.dir.name, "agent.sock"))
+        self.file = Path(self.dir.name, "agent.toml")
+        self.file.write_text('socket = "agent.sock"\n' + "".join(
+            f'[[instance]]\nname = "n{k}"\nconfig = "{s.config}"\n' for k, s in enumerate(self.stages)))
+        self.log = open(Path(self.dir.name, "log"), "w+")
+        self.agent = subprocess.Popen([sys.executable, "-m", "willowhitch.cli", "agent", str(self.file)],
+                                      cwd=ROOT, stderr=self.log)
+
+    def tearDown(self):
+        if self.agent.poll() is None:
+            self.agent.send_signal(signal.SIGTERM)
+            self.agent.wait(20)
+        for stage in self.stages:
+            stage.__exit__()
+        self.log.close()
+        self.dir.cleanup()
+
+    def until(self, wanted, seconds=12.0):
+        """Asks for the status until it fits."""
+        end, last = time.monotonic() + seconds, None
+        while time.monotonic() < end:
+            try:
+                last = {i["name"]: i for i in cli.ask(self.socket, "status", None)["instances"]}
+                if wanted(last):
+                    return last
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.05)
+        raise AssertionError(f"{last}\n{Path(self.log.name).read_text()}")
+
+    def serving(self, *ks):
+        for k in ks:
+            self.stages[k].parties.clear()
+            self.stages[k].program = self.agent
+            self.stages[k].play("c0 send OPTIONS\nc0 expect 200 OK")
+
+    def test_starts_restarts_with_back_off_drains_and_ends(self):
+        first = self.until(lambda s: all(i["state"] == "running" for i in s.values()))
+        self.serving(0, 1)
+        os.kill(first["n0"]["pid"], signal.SIGKILL)  # a crash: started again after a wait
+        self.until(lambda s: s["n0"]["state"] == "waiting")
+        again = self.until(lambda s: s["n0"]["state"] == "running")
+        assert again["n0"]["pid"] != first["n0"]["pid"] and again["n1"]["pid"] == first["n1"]["pid"]
+        self.serving(0)
+        assert cli.main(["restart", "n1", "--socket", self.socket]) == 0
+        self.until(lambda s: s["n1"]["state"] == "draining")
+        new = self.until(lambda s: s["n1"]["state"] == "running")
+        assert new["n1"]["pid"] != first["n1"]["pid"] and new["n1"]["starts"] == 2
+        assert cli.main(["drain", "n0", "--socket", self.socket]) == 0
+        self.until(lambda s: s["n0"]["state"] == "drained" and s["n0"]["pid"] is None)
+        assert cli.main(["status", "--socket", self.socket]) == 0
+        assert cli.main(["drain", "n9", "--socket", self.socket]) == 1
+        self.agent.send_signal(signal.SIGTERM)
+        assert self.agent.wait(20) == 0
+        assert cli.main(["status", "--socket", self.socket]) == 1
+        log = Path(self.log.name).read_text()
+        assert "n0 ended: " in log and "draining all" in log and "Traceback" not in log
+
+    def test_the_wait_doubles_for_one_that_ends_at_once(self):
+        self.stages[0].config.write_text("{}")
+        began = time.monotonic()
+        self.until(lambda s: s["n0"]["starts"] >= 3)
+        assert time.monotonic() - began > 1.4  # half a second, then one
+        self.until(lambda s: s["n1"]["state"] == "running")
+
+    def test_a_bad_file_or_a_bad_message_is_one_plain_line(self):
+        for text in ("", 'socket = "s"', 'socket = "s"\n[[instance]]\nname = "a"',
+                     'socket = "s"\n[[instance]]\nname="a"\nconfig="c"\nstrange=1'):
+            bad = Path(self.dir.name, "bad.toml")
+            bad.write_text(text)
+            ran = subprocess.run([sys.executable, "-m", "willowhitch.cli", "agent", str(bad)], cwd=ROOT,
+                                 capture_output=True, text=True, timeout=20)
+            assert ran.returncode == 2 and ran.stderr.count("\n") == 1, ran.stderr
+        self.until(lambda s: True)
+        assert "error" in cli.ask(self.socket, "dance", None)
