Count a caller's patience from before a standstill of ours, not from our reading

Checked: no connection was closed and no module fault logged, the guards' timers run 25 ms before the end, and callers' patience is about 2.7 s, so what was lost at 10.2 s had come at about 7.5 s, when first attempts lagged (99th percentile 185 ms). Line at fault: Switch.set_up took a set-up to have come when it was read. One that waits unread through a standstill of ours, 100 ms or more, was answered that much too late. Probe: the program stopped for 400 ms by SIGSTOP while a set-up of 900 ms comes; answered in time after the change, by reckoning 360 ms late before it. The wheel now tells how long what is read next may have waited, and the switch takes that off the patience. Also: the agent sees its softswitches end (it had left out the reactor's handler of SIGCHLD).

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -97,6 +97,18 @@
         assert b.heard("give_up") == [("give_up", A, ONE)]
 
 
+def test_a_set_up_that_waited_unread_is_answered_by_its_callers_clock():
+    # guards against answers that were late by the standstill in which the set-up waited
+    b = Bench()
+    b.run(100.0)
+    sent, b.now = b.now, b.now + 400.0
+    b.wheel.read()
+    b.call(patience=1000.0)
+    b.wheel.turn()
+    b.run(sent + 1000.0 - b.now - 5.0)
+    assert b.heard("turned_away") == [("turned_away", ONE, Verdict.FAILED)]
+
+
 def test_a_call_that_cannot_be_sent_is_refused_with_advice_not_held_to_its_end():
     b = Bench(max_attempts=1)
     b.call()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -85,6 +85,13 @@
                 assert time.monotonic() - began < 3.0
             assert time.monotonic() - began > 0.35  # 300 ms in these settings, and 50 more
 
+    def test_patience_counts_from_the_last_byte_though_the_program_stood_still(self):
+        with Stage() as s:
+            s.play("c0 send OPTIONS\nc0 expect 200\np send SIGSTOP\nc0 send INVITE 1 X-Patience=900")
+            began = time.monotonic()
+            s.play("c0 wait 400\np send SIGCONT\nc0 expect SIP/2.0 5")
+            assert time.monotonic() - began < 0.9
+
     def test_a_repeated_set_up_is_not_sent_twice(self):
         self.play("""
             c0 send INVITE 1
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -174,6 +174,7 @@
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(softswitch.drain))
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(softswitch.counters))
     gc.collect()
+    gc.set_threshold(10_000, 20, 20)
     gc.freeze()  # what is here now stays: a full collection need not look at it, and pauses stay short
     reactor.run(installSignalHandlers=False)
     if softswitch.telemetry:
--- a/willowhitch/agent.py
+++ b/willowhitch/agent.py
@@ -186,8 +186,12 @@
         reactor.listenUNIX(socket, agent, mode=0o600)
     except Exception as e:
         raise BadFile(f"{socket}: {e}") from None
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(agent.end))
-    reactor.callWhenRunning(agent.start)
-    reactor.run(installSignalHandlers=False)
+
+    def begin() -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: reactor.callFromThread(agent.end))
+        agent.start()
+
+    reactor.callWhenRunning(begin)
+    reactor.run()  # its own handler of SIGCHLD sees softswitches end
     return 0
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -127,8 +127,11 @@
         if len(self.calls) >= MOST_CALLS:
             self.count["table full"] += 1
             return Verdict.TABLE_FULL
-        now, grace = self.wheel.now, max(0.0, order.patience - MARGIN)
-        self.calls[order.call] = Call(order, caller, now, now + order.patience)
+        # The caller waits from its last byte on, not from our reading it: after a standstill, set-ups that
+        # had waited unread were answered too late. Each is taken to have come as early as it can have.
+        now, patience = self.wheel.now, max(0.0, order.patience - self.wheel.lag)
+        grace = max(0.0, patience - MARGIN)
+        self.calls[order.call] = Call(order, caller, now, now + patience)
         self.open += 1
         self.wheel.at(now + grace + GUARD, self._overdue, order.call)
         self._feed(i.SetUp(order.call, order.klass, order.dest, grace, order.redial, False, order.width))
--- a/willowhitch/core/wheel.py
+++ b/willowhitch/core/wheel.py
@@ -15,7 +15,7 @@
 
     def __init__(self, tick: float, time: Callable[[], float]) -> None:
         self.tick, self._time = tick, time
-        self.now = time()
+        self.now, self.lag = time(), 0.0  # lag: how long before `now` something may have come in unseen
         self._done = int(self.now // tick)  # number of the last tick that was carried out
         self._slots: list[list[tuple[int, Callable[..., Any], tuple[Any, ...]]]] = [[] for _ in range(SLOTS)]
 
@@ -25,8 +25,12 @@
         self._slots[due % SLOTS].append((due, what, args))
 
     def read(self) -> float:
-        """Reads the clock; what comes in from now on bears this time."""
-        self.now = max(self.now, self._time())
+        """Reads the clock; what comes in from now on bears this time.
+
+        Read late, it tells of a standstill: what is taken in next may have waited since the last reading.
+        """
+        before, self.now = self.now, max(self.now, self._time())
+        self.lag = max(0.0, self.now - before - self.tick)
         return self.now
 
     def turn(self) -> None:
