--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -162,6 +162,18 @@
             s.play("w1 send watch 1\nw1 expect stands")
             sock.close()
 
+    def test_a_planned_stop_answers_and_says_goodbye(self):
+        with Stage() as s:
+            s.play("""
+                w0 send place 1 patience_ms=20000
+                w0 expect setting_up
+                e0 expect SET_UP {1}
+                p send SIGTERM
+                w0 expect "code":"refused","later_ms":2000
+                w0 expect closed 1001
+                p expect 0
+                """)
+
     def test_each_outcome_of_the_core_has_one_code(self):
         assert set(control.CODES) == set(sip.CODES) == set(Verdict)
         assert len(set(control.CODES.values())) == len(Verdict)
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -123,7 +123,10 @@
     def tearDown(self):
         if self.agent.poll() is None:
             self.agent.send_signal(signal.SIGTERM)
-            self.agent.wait(20)
+            try:
+                self.agent.wait(20)
+            finally:
+                self.agent.kill()
         for stage in self.stages:
             stage.__exit__()
         self.log.close()
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -137,6 +137,7 @@
         if done or since >= ANSWERED_BY:
             self.switch.refuse_rest()
             self.switch.cut_rest()
+            self.control.stop()
             reactor.callLater(0.1, reactor.stop)  # what was written last still goes out
         else:
             self.wheel.at(self.wheel.now + 20.0, self._end_when_done)
--- a/willowhitch/net/control.py
+++ b/willowhitch/net/control.py
@@ -344,6 +344,11 @@
     def released(self, call: str, cause: int) -> None:
         self._tell(call, {"event": "released", "cause": cause}, last=True)
 
+    def stop(self) -> None:
+        """The program ends: clients are told so."""
+        for socket in list(self.sockets):
+            socket.end(1001, "the softswitch stops")
+
     def _sweep(self) -> None:
         now = self.switch.wheel.now
         self.switch.wheel.at(now + 1000.0, self._sweep)
