Look at all of few held calls every tick, and keep the first of equals first

Lines at fault: the sort of equal arrival times turned their order round, and calls whose time was over waited for the next beat even when few were held. Now the first of equals goes first, as before the stacks, and up to a hundred held calls are all looked at every tick.

--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -300,10 +300,11 @@
 
     def _serve(self, now: float) -> None:
         """Sends what may go, most worth first; refuses what can no longer stand within its aim."""
-        self.held_top, self.served_at, sweep = -1.0, now, now >= self.swept_at + BEAT
-        back, self.resting = self.resting, []
-        if sweep:  # only now and then all of them: a thousand calls can be held for a second
-            self.swept_at, self.stacks, back = now, {}, sorted(self.held.values(), key=lambda c: c.came)
+        self.held_top, self.served_at, back, self.resting = -1.0, now, self.resting, []
+        sweep = now >= self.swept_at + min(BEAT, len(self.held) / 20)
+        if sweep:  # of a thousand held calls, all only once a beat; of few at every tick
+            self.swept_at, self.stacks = now, {}
+            back = sorted(reversed(self.held.values()), key=lambda c: c.came)
         for call in back:
             self._stack(now, call)
         kinds = [kind for kind, stack in self.stacks.items() if stack]
@@ -360,12 +361,10 @@
             gate = direct if direct in tries else self.random.choice(tries)
             gate.trial_at = now
             return gate
-        if direct in opened:
-            return direct
-        if opened:
-            two = self.random.sample(opened, min(2, len(opened)))
-            return min(two, key=lambda g: (len(g.out), g.wait(now)))
-        return None
+        if direct in opened or not opened:
+            return direct if opened else None
+        two = self.random.sample(opened, min(2, len(opened)))
+        return min(two, key=lambda g: (len(g.out), g.wait(now)))
 
     def _send(self, now: float, call: Call, gate: Gate) -> None:
         gate.spent += 1
