Count an error against an engine only if the call then stands elsewhere

The logs hold 'fails or is silent: trials only' many times a second for every engine.

Cause: engines answer 'error' to calls that they can't use. policy.py:_learn counted each as a fault of the engine, and 1.5 faults shut its gate but for a trial a second, so 274 calls of bad clients shut all gates for all others. Each such call was also sent up to six times.

Changed: an error is noted at the call. If the call stands elsewhere, those that called it an error are at fault; else the call is. It is not sent again to an engine that called it an error, and is refused at the second error, or at the first with no other engine. Also: gates of engines that are gone are dropped but for the last eight; they grew with every engine that ever took another's place.

--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -92,6 +92,7 @@
         self.sends, self.ready = 0, now  # attempts made; not to be sent before: the release wait
         self.may_have_run = self.cancelling = False
         self.kind, self.end = (klass.name, self.value, event.dest), LONG_AGO  # end: given up by then
+        self.erred: list[Gate] = []  # servers that called it an error: theirs only if it stands elsewhere
 
 
 class Controller:
@@ -178,12 +179,14 @@
             sent = gate.out.pop((event.call, event.attempt), None)
             if outcome:
                 self._report(now, event.server, event.report)
-            before = gate.faults
             self._learn(now, gate, event, outcome, sent)
-            if before < FAULTY <= gate.faults:
-                self.acts.append(i.Log(f"{gate.server} fails or is silent: trials only"))
         self._freed(now, event, outcome)
 
+    def _fault(self, gate: Gate) -> None:
+        gate.faults += 1
+        if FAULTY <= gate.faults < FAULTY + 1:
+            self.acts.append(i.Log(f"{gate.server} fails or is silent: trials only"))
+
     def _learn(self, now: float, gate: Gate, event: i.Stands | i.Ended, outcome: i.Outcome | None,
                sent: float | None) -> None:
         """What an answer tells of its server; `sent` is None for a call that stood before."""
@@ -196,7 +199,7 @@
         elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED):
             if sent is not None and gate.heard < sent:
                 gate.observe(now, max(gate.delay, now - sent))
-                gate.faults += 1
+                self._fault(gate)
         elif outcome is not i.Outcome.MOOT:
             gate.gap += (now - gate.heard - gate.gap) / 5 if gate.heard > LONG_AGO else 0.0
             gate.heard = now
@@ -207,31 +210,31 @@
             delay = now - sent
             self.quickest = min(self.quickest or delay, delay)
             gate.passed = max(gate.passed, sent)
-            if outcome is i.Outcome.ERROR:
-                gate.faults += not event.callee  # it looks quick when it fails at once, and would draw calls
-            elif outcome is i.Outcome.FULL and event.busy:
+            if outcome is i.Outcome.FULL and event.busy:
                 gate.observe(now, max(delay, self.worst))
                 gate.delay, gate.ahead = max(gate.delay, self.worst), 0.0  # full: a wait beyond every aim
                 gate.shut_until = now + event.told_wait
-            elif outcome is not i.Outcome.FULL:
+            elif outcome is i.Outcome.FULL:
+                gate.free = 0.0
+            elif outcome is not i.Outcome.ERROR:
                 gate.faults /= 2
                 if not self.lag or delay > gate.wait(now):  # in a heap of old news the delay is not known
                     gate.observe(now, delay)
-            else:
-                gate.free = 0.0
 
     def _freed(self, now: float, event: i.Stands | i.Ended, outcome: i.Outcome | None) -> None:
         """An attempt is over, or its call stands: what becomes of the call."""
         call = self.calls.get(event.call)
         if call is None or call.at is None or event.attempt != call.sends - 1:
             return
+        for gate in call.erred if outcome is None else ():  # the call was good: it was they that failed
+            self._fault(gate)  # a server that fails at once looks quick, and would draw calls
         if outcome is None or event.closed:
             return self._forget(event.call)
+        call.erred += [call.at] if outcome is i.Outcome.ERROR and not event.callee else []
         call.at, call.cancelling = None, False
         if outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
             call.ready = now + self.set.release  # fifth rule
-        if outcome not in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT):
-            call.may_have_run = True
+        call.may_have_run |= outcome not in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT)
         self.held[call.id] = call
         self._try(now, call)
         self._stack(now, call)
@@ -263,16 +266,17 @@
             if event.kind is not i.ListKind.CHANGES and gate.server not in named:
                 gate.state = i.State.GONE
         for entry in event.entries:
-            gate = self.gates.get(entry.server)
+            old = gate = self.gates.get(entry.server)
             fresh = gate is None or gate.started != entry.started
             if gate is None or (fresh and entry.started):
-                old, gate = gate, Gate(entry)
+                gate = self.gates[entry.server] = Gate(entry)
                 if old:
                     gate.out, gate.size, gate.free, gate.most = old.out, old.size, old.free, old.most
-                self.gates[entry.server] = gate
             gate.state, gate.cell, gate.started = entry.state, entry.cell, entry.started
             if fresh and entry.started and now - entry.started < self.set.cold:
                 self._cold(entry.started, gate)
+        for server in [s for s, g in self.gates.items() if g.state is i.State.GONE and not g.out][:-8]:
+            del self.gates[server]  # the last few stay: what their cells bore tells of who took their place
 
     def _report(self, now: float, server: str, report: tuple[float, ...], unasked: bool = False) -> None:
         gate, told = self.gates.get(server), dict(zip(self.set.report_fields, report, strict=False))
@@ -282,8 +286,7 @@
         if size >= 0 and free >= 0:
             taken, since = gate.size - gate.free, min(now - gate.lines_at, self.hold)
             if taken > 0 and unasked and gate.state is i.State.READY and len(self._kin(gate)) == 1:
-                # far more gone than end by themselves: it went down, and comes back cold
-                if free - gate.free > 3 * (taken * since / self.hold + sqrt(taken)):
+                if free - gate.free > 3 * (taken * since / self.hold + sqrt(taken)):  # so many: it was down
                     self._cold(now, gate)
             gate.size, gate.free, gate.lines_at = size, free, now
             gate.most = max(size - free, gate.most * exp(-since / (2 * self.hold)))
@@ -324,7 +327,8 @@
 
     def _try(self, now: float, call: Call, shut: bool = False) -> bool:
         """Sends the call, or ends it if it has no attempt or time left; False: no gate was open to it."""
-        if call.sends >= self.set.max_attempts or (call.may_have_run and not call.klass.repeatable):
+        barred = call.erred and (len(call.erred) > 1 or not self._eligible(call))  # by itself, it seems
+        if barred or call.sends >= self.set.max_attempts or call.may_have_run and not call.klass.repeatable:
             self._give_up(call)
             return True
         gate = None if shut or now < call.ready else self._choose(now, call)
@@ -346,7 +350,7 @@
     def _eligible(self, call: Call) -> list[Gate]:
         cells, own, dest = call.klass.cells, self.set.own_cell, call.event.dest
         return [g for g in self.gates.values()
-                if g.state is i.State.READY and (cells is None or g.cell in cells)
+                if g.state is i.State.READY and (cells is None or g.cell in cells) and g not in call.erred
                 and (g.cell != own or own < 0) and (g.cell == dest or not call.event.transit)]
 
     def _choose(self, now: float, call: Call) -> Gate | None:
@@ -363,8 +367,7 @@
             return gate
         if direct in opened or not opened:
             return direct if opened else None
-        two = self.random.sample(opened, min(2, len(opened)))
-        return min(two, key=lambda g: (len(g.out), g.wait(now)))
+        return min(self.random.sample(opened, min(2, len(opened))), key=lambda g: (len(g.out), g.wait(now)))
 
     def _send(self, now: float, call: Call, gate: Gate) -> None:
         gate.spent += 1
@@ -375,8 +378,8 @@
 
     def _give_up(self, call: Call, late: bool = False) -> None:
         fails = late or call.may_have_run and not call.klass.repeatable
-        advice = self.set.max_advice if self.set.may_advise else 0.0
-        self.acts.append(i.Fail(call.id) if fails else i.Refuse(call.id, advice))
+        act = i.Fail(call.id) if fails else i.Refuse(call.id, self.set.max_advice * self.set.may_advise)
+        self.acts.append(act)
         self._forget(call.id)
 
     def _forget(self, call_id: str) -> None:
@@ -434,8 +437,7 @@
             gate.paced = False
             return True
         rate = (gate.size - gate.free) / self.hold + gate.free / SMOOTH if short else 1e9
-        if pressed:
-            rate = min(rate, HEADROOM * max(gate.best / 1000, bears))
+        rate = min(rate, HEADROOM * max(gate.best / 1000, bears)) if pressed else rate
         lapse = 2 / (share * max(rate, 1e-9))
         if gate.cold_since is not None:
             # All fronts together send within overload_for what becomes due in that time and the lapse.
