End a link at a spoilt answer, and take no engine for cold because a link broke

The logs hold 'taken for cold', 'fails or is silent' and 'silent for 6872 ms, its calls are cut' (four calls released though they stood). Ruled out: CPU, memory (23 of 80 MB), descriptors (17), engines that refuse.

Causes: - net/engine.py: a length made of noise had Int16StringReceiver wait for up to 16 KiB, and all answers behind it with it, until the silence of 6.5 s cut the calls that stood. After abortConnection it also read on in the same buffer, behind the spoilt message. - net/engine.py: an answer without its description, unknown types and doubled parameters were taken as good. - policy.py:_learn: each call on a broken link was a fault of its own, and 1.5 of them took the engine for cold, which paced it for up to 14 s. - core/switch.py: an answer under an unknown id had a release written for that id.

Changed: a spoilt, oversized, lacking or cut-short message (0.3 s for its rest) ends the link's use at once; its set-ups go to the switch as broken, which repeats or fails them. Reopening backs off (50 to 400 ms) after a connection of under a second, however much there is to send; else it is at once. All that breaks in one moment is one fault, and only failed connects take an engine for cold (the list and the lines told still do). An answer for no call of ours is dropped. Standing calls hold no description, and the switch forgets engines that are gone.

--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -172,15 +172,16 @@
     def answered(self, server: str, call_id: str, description: bytes) -> None:
         call = self.calls.get(call_id)
         if call is None or call.server != server:
-            # Guards against an answer that crossed our giving up: the engine must not hold lines for it.
+            # It crossed our giving up, which frees its lines; or it is a second copy, or of no call of ours.
+            # Guards against an engine that has us write a release for whatever id it thinks up.
             self.count["late answers"] += 1
-            self.engines.release(server, call_id, NORMAL)
             return
         if call.stands:
             self.count["repeated answers"] += 1
             return
         now = self.wheel.now
         call.stands, call.stood = True, now
+        call.order = replace(call.order, description=b"")  # thousands of standing calls must not hold theirs
         self.open -= 1
         self.count["stood"] += 1
         self._measure("set-up", now - call.came)
@@ -225,6 +226,11 @@
     def sampled(self, server: str, passed: bool, report: tuple[float, ...]) -> None:
         self._feed(i.Sampled(server, i.Outcome.OK if passed else i.Outcome.ERROR, report))
 
+    def drop(self, server: str) -> None:
+        """The engine is gone and no call is left there. Guards against a list that grows with ids seen."""
+        self.states.pop(server, None)
+        self.started.pop(server, None)
+
     def busy_at(self, server: str) -> bool:
         return any(call.server == server for call in self.calls.values())
 
@@ -240,7 +246,8 @@
         for e in entries:
             if self.started.get(e.server, e.started) != e.started:
                 self.died(e.server, e.started)  # a new process: the calls of the old one are cut
-            self.states[e.server], self.started[e.server] = e.state, e.started
+            if e.state is not i.State.GONE or e.server in self.states:
+                self.states[e.server], self.started[e.server] = e.state, e.started
         self._feed(i.ListNews(kind, entries))
         for e in entries:
             if e.state is i.State.GONE:
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -19,9 +19,13 @@
 LONGEST = 16_384  # bytes of one message
 LATER = 4_096  # messages kept for a link that is not up
 BACKLOG = 1 << 20  # bytes that may wait to be written to an engine that does not read
-SWEEP = 500.0  # ms between two looks at the silent links
+SWEEP = 100.0  # ms between two looks at the links
+CUT_SHORT = 300.0  # ms that the rest of a message may take
+STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
 TEST_AFTER, SILENT_AFTER = 2_500.0, 6_500.0  # ms of silence: a test is sent; calls that stand there are cut
-BACK_OFF, MOST_BACK_OFF = 100.0, 1_000.0  # ms between tries to open
+TEST_EVERY = 1_000.0  # ms
+BACK_OFF, MOST_BACK_OFF = 50.0, 400.0  # ms between tries to open
+MEANT = {PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED}
 
 
 def message(kind: int, call: str, *parameters: tuple[int, bytes]) -> bytes:
@@ -42,8 +46,17 @@
         at += 3 + size
         if at > len(data):
             raise ValueError("parameter longer than the message")
+        if code in found:
+            raise ValueError("parameter given twice")
         found[code] = data[at - size:at]
-    return data[0], data[1:9].hex(), found
+    kind = data[0]
+    if kind not in MEANT:
+        raise ValueError("type not known")
+    if kind == ANSWER and DESCRIPTION not in found or len(found.get(CAUSE, b" ")) != 1:
+        raise ValueError("answer without description, or cause of no byte")
+    if kind == RELEASE and CAUSE not in found:
+        raise ValueError("release without cause")
+    return kind, data[1:9].hex(), found
 
 
 class EngineLine(Int16StringReceiver):
@@ -53,12 +66,34 @@
 
     def __init__(self, link: Link) -> None:
         self.link = link
+        self.spoilt = False
+        self.waits: float | None = None  # since when a message is not whole
+        self.since = link.switch.wheel.now
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.link.up(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        if self.spoilt:
+            return
+        super().dataReceived(data)
+        if not self.recvd:
+            self.waits = None
+        elif self.waits is None:
+            self.waits = self.link.switch.wheel.now
+
+    def spoil(self, why: str) -> None:
+        """Guards against what stands behind a spoilt message: where the next one begins is not known, so
+        nothing more is read, and every set-up open here is the switch's to repeat or to fail, at once."""
+        if not self.spoilt:
+            self.spoilt = True
+            self.link.switch.count["engine links spoilt"] += 1
+            logger.warning("engine {}: {}, connection closed", self.link.server, why)
+            self.transport.abortConnection()
+            self.link.down(self)
+
     def connectionLost(self, reason: object = None) -> None:
         self.link.down(self)
 
@@ -73,17 +108,17 @@
         pass
 
     def stringReceived(self, data: bytes) -> None:
+        if self.spoilt:
+            return
+        self.waits = None
         try:
             kind, call, said = read(data)
         except ValueError as e:
-            logger.warning("engine {}: bad message, connection closed: {}", self.link.server, e)
-            self.transport.abortConnection()
-            return
+            return self.spoil(f"bad message ({e})")
         self.link.heard(kind, call, said)
 
     def lengthLimitExceeded(self, length: int) -> None:
-        logger.warning("engine {}: message of {} bytes, connection closed", self.link.server, length)
-        self.transport.abortConnection()
+        self.spoil(f"message of {length} bytes")
 
 
 class Link(ClientFactory):
@@ -95,18 +130,26 @@
         self.engines, self.server, self.address = engines, server, address
         self.switch = engines.switch
         self.line: EngineLine | None = None
-        self.opening = self.choked = self.closing = False
+        self.opening = self.choked = self.closing = self.waiting = False
         self.backlog = 0  # bytes written since the engine was last seen to read
         self.out: set[str] = set()  # set-ups written to the connection that is up
         self.later: dict[str, bytes] = {}  # set-ups and releases for the next connection
         self.last = self.switch.wheel.now  # when the engine last gave any sign
-        self.tested = 0.0
+        self.tested = self.not_before = 0.0
         self.back_off = BACK_OFF
 
     def open(self) -> None:
-        if self.line is None and not self.opening and not self.closing:
-            self.opening = True
-            self.engines.connect(self)
+        if self.line is not None or self.opening or self.closing or self.waiting:
+            return
+        if self.switch.wheel.now < self.not_before:  # however much there is to send
+            self.waiting = True
+            return self.switch.wheel.at(self.not_before, self._open_now)
+        self.opening = True
+        self.engines.connect(self)
+
+    def _open_now(self) -> None:
+        self.waiting = False
+        self.open()
 
     def buildProtocol(self, addr: object) -> EngineLine:
         return EngineLine(self)
@@ -115,7 +158,7 @@
         if self.closing:
             line.transport.abortConnection()
             return
-        self.line, self.opening, self.choked, self.back_off, self.backlog = line, False, False, BACK_OFF, 0
+        self.line, self.opening, self.choked, self.backlog = line, False, False, 0
         self.last = self.switch.wheel.now
         later, self.later = self.later, {}
         for call, data in later.items():
@@ -140,13 +183,17 @@
         self.switch.count["engine connections lost"] += 1
         for call in out:
             self.switch.broken(self.server, call)
-        if self.engines.wanted(self.server):
+        if self.switch.wheel.now - line.since < STEADY_AFTER:
+            self._again()  # guards against a loop with an engine that hangs up on each new connection
+        elif self.engines.wanted(self.server):
+            self.back_off = BACK_OFF
             self.open()  # at once: releases that we missed come on the next connection
 
     def _again(self) -> None:
-        if not self.closing and self.engines.wanted(self.server):
-            self.switch.wheel.at(self.switch.wheel.now + self.back_off, self.open)
-            self.back_off = min(2 * self.back_off, MOST_BACK_OFF)
+        self.not_before = self.switch.wheel.now + self.back_off
+        self.back_off = min(2 * self.back_off, MOST_BACK_OFF)
+        if self.engines.wanted(self.server):
+            self.open()
 
     def write(self, call: str, data: bytes) -> None:
         if self.line is not None:
@@ -197,6 +244,8 @@
 
     def sweep(self, now: float) -> None:
         """A silent engine is tested, and given up in time for its calls to be released."""
+        if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
+            return self.line.spoil("message cut short")
         quiet = now - self.last
         if quiet < TEST_AFTER or not self.switch.busy_at(self.server):
             return
@@ -206,7 +255,7 @@
             self.switch.died(self.server)
             if self.line is not None:
                 self.line.transport.abortConnection()
-        elif self.line is not None and now - self.tested >= 2 * SWEEP:
+        elif self.line is not None and now - self.tested >= TEST_EVERY:
             self.tested = now
             self.switch.count["tests sent"] += 1
             self._write("", message(TEST, "00" * 8, (CAUSE, b"\0")))
@@ -274,3 +323,4 @@
             if self.switch.states.get(server) is i.State.GONE and not self.switch.busy_at(server):
                 link.close()
                 del self.links[server]
+                self.switch.drop(server)
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -41,7 +41,7 @@
         self.best = 0.0  # most set-ups a second that it told it could take, slowly forgotten
         self.heard, self.gap = LONG_AGO, 0.0  # when it last gave any sign, and how often it does
         self.passed = LONG_AGO  # when the newest set-up that has been answered was sent
-        self.faults = 0.0  # one more with each fault, halved by each set-up that stands
+        self.faults, self.broke = 0.0, LONG_AGO  # one more with each fault, halved by each that stands
         self.shut_until = self.trial_at = LONG_AGO  # a wait that a full processor told; the last trial
         self.pressed_until, self.standing = LONG_AGO, 0  # own calls that stand there
         self.paced, self.phase, self.phase_at, self.spent = False, 0.0, 0.0, 0  # this front's turns at it
@@ -177,8 +177,7 @@
         gate, outcome = self.gates.get(event.server), getattr(event, "outcome", None)  # None: it stands
         if gate:
             sent = gate.out.pop((event.call, event.attempt), None)
-            if outcome:
-                self._report(now, event.server, event.report)
+            self._report(now, event.server, getattr(event, "report", ()))
             self._learn(now, gate, event, outcome, sent)
         self._freed(now, event, outcome)
 
@@ -192,9 +191,10 @@
         """What an answer tells of its server; `sent` is None for a call that stood before."""
         gate.standing = max(0, gate.standing + (outcome is None) - (sent is None))
         if outcome in (i.Outcome.RESET, i.Outcome.CONNECT_FAILED):
-            gate.faults += gate.state is i.State.READY  # it may come back cold, before the list says so
-            if gate.faults >= FAULTY:
-                self._cold(now, gate)
+            gate.faults += gate.state is i.State.READY and gate.broke < now  # a broken link fails all on it
+            gate.broke = now
+            if gate.faults >= FAULTY and outcome is i.Outcome.CONNECT_FAILED:
+                self._cold(now, gate)  # its process is gone: it may come back before the list says so
                 gate.faults = 0.0  # its turns are trial enough
         elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED):
             if sent is not None and gate.heard < sent:
