Close silent and idle callers, shed them when descriptors are short, and read figures strictly

Memory (24 MB of 64) and CPU (0.35 s in the worst second) were ruled out; a probe that wrote down what bad clients send showed connections by hundreds with nothing said, 200 to 400 set-ups under one id on one connection, dest 99, -9 and nan, width 999, a patience of 22 digits, bodies of 60 MB.

Causes: net/sip.py kept every connection up to a fixed 600, whatever the configuration's limit, so engines that took another's place could not be connected to. It swallowed a set-up under an open id of another connection or with another description. order_of read figures by float() and int(), which take nan, 1_0 and far digits, and let through numbers and classes that, once written in UTF-8, are longer than an engine reads. closed() left entries in stood_on.

Changed: room for callers is the configured descriptors less 48 or an eighth. A connection must ask something within 2 s; idle ones are closed after 6 s while more than a quarter of the room is idle; past the room, the longest silent goes first, then the longest idle. 16 bad messages or 64 refusals in a row end a connection, and what is open there is answered first. 64 set-ups may be open on a connection where nothing stood yet. A body too long is refused at its head. An id that is open is answered 482 at once. CANCEL and BYE of unknown calls are answered 481. Calls known and descriptions held are bounded by memory_mb. The WebSocket front sheds too. A release prefers a connection on which a call stood. Log lines are bounded by place in the code.

--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -3,6 +3,7 @@
 
 import gc
 import os
+import resource
 import signal
 import sys
 import time
@@ -16,15 +17,17 @@
 from twisted.logger import globalLogBeginner
 
 from willowhitch import telemetry
-from willowhitch.core.switch import Switch
+from willowhitch.core.switch import MOST_CALLS, MOST_HELD, Switch
 from willowhitch.core.wheel import Wheel
 from willowhitch.net.board import Board
 from willowhitch.net.control import ControlFront, ControlSettings
 from willowhitch.net.engine import EngineLinks
 from willowhitch.net.sip import SipFront
+from willowhitch.quiet import Quiet
 from willowhitch.settings import settings_of
 
 CONTROL = Path(__file__).resolve().parent.parent / "deploy" / "control.toml"  # or WILLOWHITCH_CONTROL
+CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
 STILL_COMING = 0.75  # s after SIGTERM in which set-ups may still arrive
 FIXED = ("name", "listen", "settings")  # what a reload can't change
 ANSWERED_BY = 3.3  # s after SIGTERM by which all is answered: SIGKILL may come at 3.7 s
@@ -86,9 +89,15 @@
         self.engines = EngineLinks(reactor, self.settings)
         self.switch = Switch(self.settings, int(str(config.get("seed") or "0"), 16), self.wheel, self.engines)
         self.engines.attach(self.switch)
-        self.sip = SipFront(str(config["name"]))
+        limits = config.get("limits") or {}
+        sockets = int(limits.get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        # Some descriptors are kept for engines, the board and the program itself.
+        room = max(16, min(1_000, sockets - max(48, sockets // 8)))
+        self.switch.most_calls = min(MOST_CALLS, CALLS_PER_MB * int(limits.get("memory_mb") or 1_000))
+        self.switch.most_held = min(MOST_HELD, int(limits.get("memory_mb") or 1_000) << 17)
+        self.control = ControlFront(control_settings(), room // 4)
+        self.sip = SipFront(str(config["name"]), room - room // 4 if self.control.set.listen else room)
         self.sip.attach(self.switch)
-        self.control = ControlFront(control_settings())
         self.control.attach(self.switch)
         self.board = Board(reactor, address(config["board"]), self.switch, self.engines, to_clock)
         self.known = config.get("known") or {}
@@ -101,7 +110,7 @@
         self.switch.start()
         self.board.known(self.known)
         self.board.start()
-        self.port = reactor.listenTCP(self.listen[1], self.sip, backlog=512, interface=self.listen[0])
+        self.sip.port = reactor.listenTCP(self.listen[1], self.sip, backlog=512, interface=self.listen[0])
         if self.control.set.listen:
             host, port = address(self.control.set.listen)
             reactor.listenTCP(port, self.control, interface=host)
@@ -174,7 +183,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it serves: what it reads then is new anyway
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False,
-               level=os.environ.get("WILLOWHITCH_LOG", "INFO"))
+               level=os.environ.get("WILLOWHITCH_LOG", "INFO"), filter=Quiet())
     try:
         config = configuration()
         try:
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -22,9 +22,12 @@
 GUARD = 15.0  # an answer still missing so long after the module's deadline is given by the switch itself
 RELEASE_SLACK = 60.0  # added to the release wait: limits on sockets are 50 ms longer, and ticks are coarse
 MOST_CALLS = 20_000  # calls known at once; one more is turned away
+MOST_HELD = 8 << 20  # bytes of the descriptions of open set-ups
 
 LONGEST = 16_200  # bytes of a set-up's texts: with their heads they fit a message of 16 KiB
-CALL, NUMBER = re.compile(r"[0-9a-f]{16}\Z"), re.compile(r"[^\s@]+\Z")
+CALL, NUMBER = re.compile(r"[0-9a-f]{16}\Z"), re.compile(r"[0-9A-Za-z*#+._~-]{1,64}\Z")
+CLASS = re.compile(r"[!-~]{1,64}\Z")  # an engine closes the link, with all calls on it, at what it can't read
+MOST_PATIENCE, MOST_WIDTH, MOST_CELL = 600_000.0, 100.0, 65_535  # ms, lines, the highest cell
 
 NORMAL, CUT = 16, 41  # causes of a release
 FULL, MOOT, FAULTS = 34, 102, (17, 47)
@@ -79,8 +82,12 @@
             raise ValueError("the id of a call is 16 hex digits")
         if not NUMBER.match(self.number):
             raise ValueError("no number called")
-        if not 0 <= self.patience <= 3_600_000 or not 0 < self.width < 1e6 or abs(self.dest) > 1e6:
-            raise ValueError("patience, width or dest out of range")
+        if not CLASS.match(self.klass):
+            raise ValueError("no class")
+        if not 0 < self.patience <= MOST_PATIENCE or not 0 < self.width <= MOST_WIDTH:
+            raise ValueError("patience or width out of range")
+        if not -1 <= self.dest <= MOST_CELL:
+            raise ValueError("dest out of range")
         if len(self.description) + len(self.number) + len(self.klass) > LONGEST:
             raise ValueError("longer than a message may be")
 
@@ -106,6 +113,7 @@
         self.controller = Controller(self.set, seed)
         self.calls: dict[str, Call] = {}
         self.open = 0  # calls that are owed an answer
+        self.held, self.most_calls, self.most_held = 0, MOST_CALLS, MOST_HELD  # held: bytes of theirs
         self.states: dict[str, i.State] = {}
         self.started: dict[str, float] = {}
         self.count: Counter[str] = Counter()
@@ -124,7 +132,7 @@
         if order.call in self.calls:
             self.count["repeated"] += 1
             return Verdict.REPEATED
-        if len(self.calls) >= MOST_CALLS:
+        if len(self.calls) >= self.most_calls or self.held + len(order.description) > self.most_held:
             self.count["table full"] += 1
             return Verdict.TABLE_FULL
         # The caller waits from its last byte on, not from our reading it: after a standstill, set-ups that
@@ -133,6 +141,7 @@
         grace = max(0.0, patience - MARGIN)
         self.calls[order.call] = Call(order, caller, now, now + patience)
         self.open += 1
+        self.held += len(order.description)
         self.wheel.at(now + grace + GUARD, self._overdue, order.call)
         self._feed(i.SetUp(order.call, order.klass, order.dest, grace, order.redial, False, order.width))
         return None
@@ -181,6 +190,7 @@
             return
         now = self.wheel.now
         call.stands, call.stood = True, now
+        self.held -= len(call.order.description)
         call.order = replace(call.order, description=b"")  # thousands of standing calls must not hold theirs
         self.open -= 1
         self.count["stood"] += 1
@@ -366,6 +376,7 @@
     def _forget(self, call_id: str) -> None:
         call = self.calls.pop(call_id)
         self.open -= not call.stands
+        self.held -= len(call.order.description)
 
     def _call_off(self, call: Call, outcome: i.Outcome) -> None:
         """The call has its answer, or needs none: an attempt still out is given up."""
--- a/willowhitch/net/control.py
+++ b/willowhitch/net/control.py
@@ -29,7 +29,7 @@
 LONGEST = 24_576  # characters of one message: 16 KiB of description, written in base64
 MOST_UNREAD = 262_144  # bytes that may wait for a client that doesn't read
 MOST_ENDED = 2_048  # ended calls whose last event is kept for who watches later
-HANDSHAKE, PING_EVERY, SILENT_AFTER = 5_000.0, 20_000.0, 50_000.0  # ms
+HANDSHAKE, PING_EVERY, SILENT_AFTER = 2_000.0, 20_000.0, 50_000.0  # ms
 # One code for each outcome of the core, and those of the wire itself.
 CODES = {verdict: verdict.value for verdict in Verdict}
 BAD_JSON, BAD_MESSAGE, BAD_VERSION = "bad_json", "bad_message", "bad_version"
@@ -73,6 +73,13 @@
     return value
 
 
+def whole_of(said: dict[str, Any], name: str, default: int) -> int:
+    value = number_of(said, name, default)
+    if value != int(value):
+        raise ValueError(f"{name} is no whole number")
+    return int(value)
+
+
 def text_of(said: dict[str, Any], name: str, default: str | None = None) -> str:
     value = said.get(name, default)
     if not isinstance(value, str):
@@ -87,7 +94,7 @@
     except binascii.Error:
         raise ValueError("description_b64 is not base64") from None
     return Order(text_of(said, "id").lower(), text_of(said, "class"), text_of(said, "number"),
-                 number_of(said, "patience_ms"), description, int(number_of(said, "dest", -1)),
+                 number_of(said, "patience_ms"), description, whole_of(said, "dest", -1),
                  said.get("retry") is True, number_of(said, "width", 1))
 
 
@@ -206,11 +213,11 @@
 
     noisy = False
 
-    def __init__(self, settings: ControlSettings) -> None:
-        self.set = settings
+    def __init__(self, settings: ControlSettings, most: int = 1_000) -> None:
+        self.set, self.most = settings, min(2 * settings.most_sockets, most)  # connections, greeted or not
         self.switch: Switch
         self.sockets: dict[ControlSocket, None] = {}
-        self.greeting: set[ControlSocket] = set()
+        self.greeting: dict[ControlSocket, None] = {}
         self.calls: dict[str, Placed] = {}
         self.ended: OrderedDict[str, dict[str, Any]] = OrderedDict()
 
@@ -219,16 +226,23 @@
         switch.wheel.at(switch.wheel.now + 1000.0, self._sweep)
 
     def buildProtocol(self, addr: object) -> ControlSocket | None:
-        if len(self.sockets) + len(self.greeting) >= 2 * self.set.most_sockets:
-            return None
+        # A socket that was greeted stands in both until the next sweep.
+        if len(self.greeting.keys() | self.sockets.keys()) >= self.most:
+            victim = next((s for s in self.greeting if not s.ready and not s.over), None)
+            if victim is None:
+                self.switch.count["control sockets turned away"] += 1
+                return None
+            victim.over = True  # who connects and says nothing goes first, the longest there
+            self.greeting.pop(victim)
+            victim.transport.abortConnection()
         socket = ControlSocket(self)
-        self.greeting.add(socket)
+        self.greeting[socket] = None
         return socket
 
     def closed(self, socket: ControlSocket) -> None:
         """Its set-ups are given up; its calls that stand go on, for who comes back and watches them."""
         self.sockets.pop(socket, None)
-        self.greeting.discard(socket)
+        self.greeting.pop(socket, None)
         for call in list(socket.opened):
             self._end_set_up(call, Verdict.GIVEN_UP)
         for call in list(socket.watched):
@@ -281,7 +295,7 @@
             socket.error(CODES[Verdict.UNKNOWN], "no call of this id was placed here", call)
 
     def _release(self, socket: ControlSocket, call: str, said: dict[str, Any]) -> None:
-        cause = int(number_of(said, "cause", NORMAL))
+        cause = whole_of(said, "cause", NORMAL)
         if not 0 <= cause <= 127:
             raise ValueError("cause is 0 to 127")
         placed = self.calls.get(call)
@@ -354,7 +368,7 @@
         self.switch.wheel.at(now + 1000.0, self._sweep)
         for socket in list(self.greeting):
             if socket.ready or socket.over:
-                self.greeting.discard(socket)
+                self.greeting.pop(socket)
             elif now - socket.since > HANDSHAKE:
                 socket.transport.abortConnection()
         for socket in list(self.sockets):
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -3,6 +3,7 @@
 
 import re
 from collections import OrderedDict
+from typing import Any
 
 from loguru import logger
 from twisted.internet.protocol import Factory
@@ -11,17 +12,27 @@
 from willowhitch.core.switch import NORMAL, Order, Switch, Verdict
 
 LONGEST = 16_384  # bytes of one message
-MOST_CONNECTIONS = 600
+MOST_OPEN, FIRST_OPEN = 1_024, 64  # set-ups open on one connection; before the first one there stood
+MOST_STRIKES = 16.0  # bad messages in a row, or four times as many refusals, that end a connection
+ACCEPTS = 8  # connections taken in at once, and 20 more at the most
+SWEEP = 250.0  # ms between two looks at the connections
+FIRST_BY = 2_000.0  # ms from connecting to a first request that is answered, or is owed an answer
+IDLE_FOR = 6_000.0  # ms that a connection with no set-up open is kept; callers themselves close after 4 s
+KEPT = 0.25  # share of the connections up to which idle ones are kept all the same: releases need one
+WHOLE_BY = 5_000.0  # ms that one message may take
+CLOSED_BY = 1_000.0  # ms that a close may take
 MOST_UNSAID = 4_096  # releases kept for the next connection of a caller
 UNSAID_FOR = 8_000.0  # ms
 CHOKED_FOR = 5_000.0  # ms that a caller may leave its answers unread
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
+FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes nan, 1_0, 1e99 and far digits too
 CAUSE = re.compile(r"cause\s*=\s*(\d+)", re.I)
+ONCE = ("content-length", "call-id", "cseq", "subject", "x-patience", "x-facts")
 ECHOED = ("via", "from", "to", "call-id", "cseq")
 SHORT = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length", "s": "subject"}
 NAMES = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
 REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 481: "Call Does Not Exist",
-           482: "Loop Detected", 487: "Request Terminated", 500: "Server Failure",
+           482: "Loop Detected", 487: "Request Terminated", 500: "Server Failure", 408: "Request Timeout",
            503: "Service Unavailable", 513: "Message Too Large"}
 CODES = {Verdict.REFUSED: 503, Verdict.FAILED: 500, Verdict.REPEATED: 482, Verdict.TABLE_FULL: 503,
          Verdict.GIVEN_UP: 487, Verdict.UNKNOWN: 481}
@@ -31,16 +42,27 @@
     return headers.get("call-id", "").lower()
 
 
+def figure(text: str, name: str) -> float:
+    if not FIGURE.match(text):
+        raise ValueError(f"{name} is no figure")
+    return float(text)
+
+
 def order_of(address: str, headers: dict[str, str], body: bytes) -> Order:
     """The set-up that an INVITE asks for; ValueError with a plain text if it can't be read."""
     number = NUMBER.match(address)
     if not number:
         raise ValueError("no number called")
-    patience = float(headers.get("x-patience", "nan"))
-    facts = dict(part.split(":", 1) for part in headers.get("x-facts", "").split(";") if ":" in part)
+    patience, facts = figure(headers.get("x-patience", ""), "X-Patience"), {}
+    for part in headers.get("x-facts", "").split(";"):
+        name, _, value = part.partition(":")
+        if part.strip():
+            facts[name.strip()] = figure(value.strip(), "X-Facts")
+    dest = facts.get("dest", -1.0)
+    if dest != int(dest):
+        raise ValueError("dest is no whole number")
     return Order(call_of(headers), headers.get("subject", ""), number[1], patience, body,
-                 int(facts.get("dest", -1)), headers.get("x-retry", "") not in ("", "0"),
-                 float(facts.get("width", 1)))
+                 int(dest), headers.get("x-retry", "") not in ("", "0"), facts.get("width", 1.0))
 
 
 class SipLine(LineReceiver):
@@ -53,9 +75,14 @@
         self.front = front
         self.calls: set[str] = set()  # set-ups taken on this connection that are owed an answer
         self.choked_at: float | None = None
+        self.began: float | None = None  # since when a message is not whole
+        self.closed_at: float | None = None  # when we began to close it
+        self.strikes = 0.0
+        self.stood = False  # whether a call stood here: no newcomer any more
         self._begin()
 
     def _begin(self) -> None:
+        self.began = None
         self.first, self.headers, self.length, self.size, self.body = "", {}, 0, 0, []
         self.vias: list[str] = []
 
@@ -79,24 +106,27 @@
     def stopProducing(self) -> None:
         pass
 
-    def _bad(self, why: str) -> None:
+    def _bad(self, why: str, code: int = 400) -> None:
+        """Where the next message begins is not known: it is told so, and nothing more is read."""
         self.front.switch.count["bad messages"] += 1
         logger.warning("caller: bad message, connection closed: {}", why)
-        self.clearLineBuffer()
-        self.transport.loseConnection()
+        if self.first and not self.first.startswith("SIP/"):
+            self.answer(code, self.headers, self.vias)
+        self.front.shut(self)
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self._bad("a line without end")
 
     def lineReceived(self, line: bytes) -> None:
-        if self.transport.disconnecting:
+        if self.closed_at is not None:
             return
         self.size += len(line) + 2
         if self.size > LONGEST:
-            return self._bad("longer than 16 KiB")
+            return self._bad("longer than 16 KiB", 513)
         text = line.decode("latin-1")
         if not self.first:
             self.first = text.strip()  # empty lines between messages are skipped
+            self.began = self.front.switch.wheel.now if self.first else None
             return
         if not text:
             return self._head_done()
@@ -107,28 +137,32 @@
         name = SHORT.get(name, name)
         if name == "via":
             self.vias.append(value)
-        self.headers.setdefault(name, value)
+        if self.headers.setdefault(name, value) != value and name in ONCE:
+            return self._bad("a header twice")
 
     def _head_done(self) -> None:
-        length = self.headers.get("content-length", "0")
-        if not length.isascii() or not length.isdigit() or len(length) > 9:
+        length = self.headers.get("content-length", "")
+        if not length.isascii() or not length.isdigit() or len(length) > 30:
             return self._bad("Content-Length is no number")
         self.length = int(length)
         if self.size + self.length > LONGEST:
-            return self._bad("longer than 16 KiB")
+            return self._bad("longer than 16 KiB", 513)  # told before its body is read, not after
         if self.length:
             self.setRawMode()
         else:
             self._whole(b"")
 
     def rawDataReceived(self, data: bytes) -> None:
+        if self.closed_at is not None:
+            return
         self.body.append(data)
         have = sum(map(len, self.body))
         if have >= self.length:
             whole = b"".join(self.body)
             rest, body = whole[self.length:], whole[:self.length]
             self._whole(body)
-            self.setLineMode(rest)
+            if self.closed_at is None:
+                self.setLineMode(rest)
 
     def _whole(self, body: bytes) -> None:
         first, headers, vias = self.first, self.headers, self.vias
@@ -147,6 +181,12 @@
         if later > 0:
             lines.append(f"X-Later-Ms: {later:.0f}")
         self.write(lines, body)
+        if code >= 400:
+            # Guards against a caller that sends the same again as soon as it is turned away.
+            self.strikes += 0.25 if code == 503 else 1.0
+            if self.strikes >= MOST_STRIKES and self.closed_at is None:
+                self.front.switch.count["connections ended for misuse"] += 1
+                self.front.shut(self)
 
     def write(self, lines: list[str], body: bytes = b"") -> None:
         head = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode("latin-1")
@@ -158,39 +198,73 @@
 
     noisy = False
 
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self, name: str, most: int = 600) -> None:
+        self.name, self.most = name, most  # most connections at once
         self.switch: Switch
+        self.port: Any = None  # where they connect
         self.draining = False
         self.lines: dict[SipLine, None] = {}
-        self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str]]] = {}  # open set-ups
+        # Each connection with no set-up open is in one of these two, the longest there first.
+        self.new: dict[SipLine, float] = {}  # nothing was answered there yet: since when
+        self.idle: dict[SipLine, float] = {}  # since when
+        self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
         self.stood_on: dict[str, tuple[SipLine, str]] = {}  # calls that stand: their connection and number
         self.unsaid: OrderedDict[str, tuple[float, str, int]] = OrderedDict()  # releases with no connection
 
     def attach(self, switch: Switch) -> None:
         self.switch = switch
-        switch.wheel.at(switch.wheel.now + 1000.0, self._sweep)
+        switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
 
     def buildProtocol(self, addr: object) -> SipLine | None:
-        if len(self.lines) >= MOST_CONNECTIONS:
-            self.switch.count["connections turned away"] += 1
-            return None
+        if self.port is not None:
+            self.port.numberAccepts = ACCEPTS  # else a flood is taken in whole before any of it can be closed
+        if len(self.lines) >= self.most:
+            # Guards the descriptors: those who connect and say nothing go first, the longest there.
+            victim = next(iter(self.new), None) or next(iter(self.idle), None)
+            if victim is None:
+                self.switch.count["connections turned away"] += 1
+                return None
+            self.switch.count["connections shed"] += 1
+            self.shut(victim)
         return SipLine(self)
 
     # connections
 
     def opened(self, line: SipLine) -> None:
         self.lines[line] = None
+        self.new[line] = self.switch.wheel.now
         self.switch.count["caller connections"] += 1
         unsaid, self.unsaid = self.unsaid, OrderedDict()
         for call, (_, number, cause) in unsaid.items():
             self._bye(line, call, number, cause)
 
+    def rests(self, line: SipLine) -> None:
+        """It was answered, or is owed an answer: no newcomer. Idle, if no set-up is open there any more."""
+        self.new.pop(line, None)
+        self.idle.pop(line, None)
+        if not line.calls and line in self.lines:
+            self.idle[line] = self.switch.wheel.now
+
+    def shut(self, line: SipLine) -> None:
+        """Closes a connection. What is still owed an answer there gets one: closing must lose no call."""
+        if line.closed_at is not None:
+            return
+        line.closed_at = self.switch.wheel.now
+        for call in list(line.calls):
+            self._answer(call, CODES[Verdict.FAILED])
+            self.switch.give_up(call, self)
+        self.new.pop(line, None)
+        self.idle.pop(line, None)
+        line.clearLineBuffer()
+        line.transport.loseConnection()
+
     def closed(self, line: SipLine) -> None:
-        self.lines.pop(line, None)
+        for kept in (self.lines, self.new, self.idle):
+            kept.pop(line, None)
         for call in list(line.calls):
             self.asked_by.pop(call, None)
             self.switch.give_up(call, self)
+        line.calls.clear()
 
     # what callers ask
 
@@ -202,6 +276,8 @@
             act(self, line, address, headers, vias, body)
         else:
             line.answer(405, headers, vias)
+        if act not in UNANSWERED:
+            self.rests(line)
 
     def _invite(self, line, address, headers, vias, body) -> None:
         try:
@@ -211,28 +287,32 @@
             logger.warning("caller: set-up that can't be read, answered 400: {}", e)
             line.answer(400, headers, vias)
             return
-        if order.call in self.asked_by:
-            return  # the same set-up again: its answer is on the way
-        if order.call in self.switch.calls:
+        open_ = self.switch.calls.get(order.call)
+        if open_ is not None:
+            asked = self.asked_by.get(order.call)
+            if asked and asked[0] is line and open_.order.description == body:
+                line.strikes += 0.25
+                return  # the same set-up again: its answer is on the way
             line.answer(CODES[Verdict.REPEATED], headers, vias)
             return
-        self.asked_by[order.call] = (line, headers, vias)
+        if len(line.calls) >= (MOST_OPEN if line.stood else FIRST_OPEN):
+            self.switch.count["too many on a connection"] += 1
+            line.answer(503, headers, vias, b"", self.switch.set.max_advice)
+            return
+        self.asked_by[order.call] = (line, headers, vias, order.number)
         line.calls.add(order.call)
-        self.stood_on.pop(order.call, None)
+        self.rests(line)
         verdict = self.switch.set_up(order, self)
         if verdict is not None:
             self.turned_away(order.call, verdict, 0.0)
-        elif order.call in self.asked_by or order.call in self.switch.calls:
-            self.stood_on[order.call] = (line, order.number)
 
     def _cancel(self, line, address, headers, vias, body) -> None:
         call = call_of(headers)
-        line.answer(200, headers, vias)
+        line.answer(200 if self.switch.give_up(call, self) else 481, headers, vias)
         asked = self.asked_by.pop(call, None)
         if asked:
             asked[0].calls.discard(call)
-            self.stood_on.pop(call, None)
-        self.switch.give_up(call, self)
+            self.rests(asked[0])
 
     def _bye(self, line: SipLine, call: str, number: str, cause: int) -> None:
         self.switch.count["releases sent to callers"] += 1
@@ -241,9 +321,9 @@
 
     def _bye_heard(self, line, address, headers, vias, body) -> None:
         call, cause = call_of(headers), CAUSE.search(headers.get("reason", ""))
-        line.answer(200, headers, vias)
-        self.unsaid.pop(call, None)
-        self.switch.release(call, int(cause[1]) if cause and len(cause[1]) < 4 else NORMAL, self)
+        known = self.unsaid.pop(call, None) is not None
+        known |= self.switch.release(call, int(cause[1]) if cause and len(cause[1]) < 4 else NORMAL, self)
+        line.answer(200 if known else 481, headers, vias)
         self._forget(call)
 
     def _options(self, line, address, headers, vias, body) -> None:
@@ -257,29 +337,37 @@
         asked = self.asked_by.pop(call, None)
         if asked:
             asked[0].calls.discard(call)
+            self.rests(asked[0])
 
     # what the switch tells
 
     def _answer(self, call: str, code: int, body: bytes = b"", later: float = 0.0) -> None:
         asked = self.asked_by.pop(call, None)
         if asked:
-            line, headers, vias = asked
+            line, headers, vias, _ = asked
             line.calls.discard(call)
             self.switch.count[f"answered {code}"] += 1
+            if line.closed_at is None:
+                self.rests(line)
             line.answer(code, headers, vias, body, later)
 
     def stands(self, call: str, description: bytes) -> None:
+        asked = self.asked_by.get(call)
+        if asked:
+            self.stood_on[call] = (asked[0], asked[3])
+            asked[0].strikes, asked[0].stood = 0.0, True
         self._answer(call, 200, description)
 
     def turned_away(self, call: str, verdict: Verdict, stay_away: float) -> None:
         self._answer(call, CODES[verdict], b"", stay_away)
-        self.stood_on.pop(call, None)
 
     def released(self, call: str, cause: int) -> None:
         """Any connection of a caller may carry it; with none open it goes out on the next one."""
         line, number = self.stood_on.pop(call, (None, "call"))
-        if line not in self.lines:
-            line = next(reversed(self.lines), None)
+        if line not in self.lines or line.closed_at is not None:
+            able = [other for other in self.lines if other.closed_at is None]
+            # One that is known for a caller's, if there is any: a newcomer may be whoever.
+            line = next((other for other in able if other.stood), able[-1] if able else None)
         if line is not None:
             self._bye(line, call, number, cause)
             return
@@ -289,16 +377,29 @@
 
     def _sweep(self) -> None:
         now = self.switch.wheel.now
-        self.switch.wheel.at(now + 1000.0, self._sweep)
+        self.switch.wheel.at(now + SWEEP, self._sweep)
         while self.unsaid and now - next(iter(self.unsaid.values()))[0] > UNSAID_FOR:
             self.unsaid.popitem(last=False)
             self.switch.count["releases never sent"] += 1
+        for what, kept, most, few in (("silent", self.new, FIRST_BY, 0.0),
+                                      ("idle", self.idle, IDLE_FOR, KEPT * self.most)):
+            while len(kept) > few and now - next(iter(kept.values())) > most:
+                line = next(iter(kept))
+                self.switch.count[f"connections closed as {what}"] += 1
+                if line.began is not None and line.first:
+                    line.answer(408, line.headers, line.vias)
+                self.shut(line)
         for line in list(self.lines):
             if line.choked_at is not None and now - line.choked_at > CHOKED_FOR:
                 unread = now - line.choked_at
                 logger.warning("caller: answers unread for {:.0f} ms, connection closed", unread)
                 line.transport.abortConnection()
+            elif line.closed_at is not None and now - line.closed_at > CLOSED_BY:
+                line.transport.abortConnection()  # a close waits for what was written to be read
+            elif line.closed_at is None and line.began is not None and now - line.began > WHOLE_BY:
+                line._bad("not whole in time", 408)
 
 
 METHODS = {"INVITE": SipFront._invite, "CANCEL": SipFront._cancel, "BYE": SipFront._bye_heard,
            "OPTIONS": SipFront._options, "ACK": SipFront._nothing, "NOTIFY": SipFront._nothing}
+UNANSWERED = (SipFront._nothing, SipFront._invite)  # ACK and the like; an INVITE's answer comes by itself
