Renew a link that stays open and brings nothing, and close no connection for refusals

Then it also cut the calls standing at an engine that was well.

Changed: only what no good caller sends is a strike (unreadable, unknown class, an open id). A link with something at stake is tested after 1.3 s of silence and renewed after 2 s; standing calls are cut only when the engine itself gave no sign on any link for 6.5 s.

--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -153,11 +153,21 @@
         with Stage() as s:
             s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK")
             began = time.monotonic()
+            del s.doors["e0"]  # new connections come up, and nothing comes on them either
             s.play("e0 expect TEST")
             while (came := s.next("c0", 1.0)) is None:
                 assert time.monotonic() - began < 8.0
             assert came.startswith("BYE") and "cause=41" in came
 
+    def test_a_link_that_stays_open_and_brings_nothing_is_renewed_and_its_calls_go_on(self):
+        with Stage(engines=1) as s:
+            s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK\n"
+                   "c0 send INVITE 2 X-Patience=9000\ne0 expect SET_UP {2}")
+            began = time.monotonic()
+            s.play("e0 expect TEST\ne0 expect end\ne0 wait 50\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\n"
+                   "c0 expect 200 OK\nc0 expect nothing 50")
+            assert time.monotonic() - began < 3.0
+
     def test_a_caller_that_hangs_up_gives_its_set_up_up(self):
         self.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 close\ne0 expect RELEASE {1} 31=16")
 
@@ -271,6 +281,12 @@
             e0 expect nothing 50
             """)
 
+    def test_refusals_and_crossing_ends_close_no_callers_connection(self):
+        with Stage(engines=1, settings={"limits": {"send_cap": 1}}) as s:
+            for n in range(1, 81):
+                s.play(f"c0 send INVITE {n} X-Patience=900\ne0 expect SET_UP\ne0 send RELEASE {n} 31=102\n"
+                       f"c0 expect SIP/2.0 503\nc0 send CANCEL {n}\nc0 expect 481")
+
     def test_the_same_again_as_soon_as_it_is_turned_away_ends_the_connection(self):
         for again, most in (("INVITE 1 X-Patience=soon", 17), ("INVITE 1 Subject=strange", 65)):
             with self.subTest(again), Stage() as s:
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -111,6 +111,7 @@
         self.set = replace(settings, release=settings.release + RELEASE_SLACK if settings.release else 0.0)
         self.wheel, self.engines = wheel, engines
         self.controller = Controller(self.set, seed)
+        self.classes = frozenset(c.name for c in settings.classes)
         self.calls: dict[str, Call] = {}
         self.open = 0  # calls that are owed an answer
         self.held, self.most_calls, self.most_held = 0, MOST_CALLS, MOST_HELD  # held: bytes of theirs
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -22,8 +22,9 @@
 SWEEP = 100.0  # ms between two looks at the links
 CUT_SHORT = 300.0  # ms that the rest of a message may take
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
-TEST_AFTER, SILENT_AFTER = 2_500.0, 6_500.0  # ms of silence: a test is sent; calls that stand there are cut
-TEST_EVERY = 1_000.0  # ms
+# Ms of silence of a link (engines tell their state about once a second): it is tested; it is given up for a
+# new one; the engine, also silent on that, is given up and the calls that stand there are cut.
+TEST_AFTER, RENEW_AFTER, SILENT_AFTER = 1_300.0, 2_000.0, 6_500.0
 BACK_OFF, MOST_BACK_OFF = 50.0, 400.0  # ms between tries to open
 MEANT = {PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED}
 
@@ -134,7 +135,7 @@
         self.backlog = 0  # bytes written since the engine was last seen to read
         self.out: set[str] = set()  # set-ups written to the connection that is up
         self.later: dict[str, bytes] = {}  # set-ups and releases for the next connection
-        self.last = self.switch.wheel.now  # when the engine last gave any sign
+        self.last = self.heard_at = self.switch.wheel.now  # when this link, or the engine, last gave a sign
         self.tested = self.not_before = 0.0
         self.back_off = BACK_OFF
 
@@ -225,7 +226,7 @@
         return False
 
     def heard(self, kind: int, call: str, said: dict[int, bytes]) -> None:
-        self.last = self.switch.wheel.now
+        self.last = self.heard_at = self.switch.wheel.now
         report = self.engines.report(said[REPORT]) if REPORT in said else ()
         if kind == ANSWER:
             self.out.discard(call)
@@ -246,16 +247,19 @@
         """A silent engine is tested, and given up in time for its calls to be released."""
         if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
             return self.line.spoil("message cut short")
-        quiet = now - self.last
-        if quiet < TEST_AFTER or not self.switch.busy_at(self.server):
+        if now - self.last < TEST_AFTER or not (self.out or self.switch.busy_at(self.server)):
             return
-        if quiet >= SILENT_AFTER:
-            logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, quiet)
-            self.last = now
+        silent = now - self.heard_at
+        if silent >= SILENT_AFTER:
+            logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, silent)
+            self.last = self.heard_at = now
             self.switch.died(self.server)
             if self.line is not None:
                 self.line.transport.abortConnection()
-        elif self.line is not None and now - self.tested >= TEST_EVERY:
+        elif self.line is not None and now - self.last >= RENEW_AFTER:
+            # Guards against a link that stays open and brings nothing: it took engines out for many seconds.
+            self.line.spoil("silent though tested")
+        elif self.line is not None and self.tested <= self.last:
             self.tested = now
             self.switch.count["tests sent"] += 1
             self._write("", message(TEST, "00" * 8, (CAUSE, b"\0")))
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -13,7 +13,7 @@
 
 LONGEST = 16_384  # bytes of one message
 MOST_OPEN, FIRST_OPEN = 1_024, 64  # set-ups open on one connection; before the first one there stood
-MOST_STRIKES = 16.0  # bad messages in a row, or four times as many refusals, that end a connection
+MOST_STRIKES = 16.0  # unusable messages, or four times as many of no class, with no call standing between
 ACCEPTS = 8  # connections taken in at once, and 20 more at the most
 SWEEP = 250.0  # ms between two looks at the connections
 FIRST_BY = 2_000.0  # ms from connecting to a first request that is answered, or is owed an answer
@@ -181,12 +181,15 @@
         if later > 0:
             lines.append(f"X-Later-Ms: {later:.0f}")
         self.write(lines, body)
-        if code >= 400:
-            # Guards against a caller that sends the same again as soon as it is turned away.
-            self.strikes += 0.25 if code == 503 else 1.0
-            if self.strikes >= MOST_STRIKES and self.closed_at is None:
-                self.front.switch.count["connections ended for misuse"] += 1
-                self.front.shut(self)
+
+    def strike(self, weight: float = 1.0) -> None:
+        """Guards against a caller that sends the same nonsense again as soon as it is turned away. What no
+        good caller sends counts alone: closing loses set-ups that are on their way, and refusals, crossing
+        CANCELs and BYEs are daily bread."""
+        self.strikes += weight
+        if self.strikes >= MOST_STRIKES and self.closed_at is None:
+            self.front.switch.count["connections ended for misuse"] += 1
+            self.front.shut(self)
 
     def write(self, lines: list[str], body: bytes = b"") -> None:
         head = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode("latin-1")
@@ -276,6 +279,7 @@
             act(self, line, address, headers, vias, body)
         else:
             line.answer(405, headers, vias)
+            line.strike()
         if act not in UNANSWERED:
             self.rests(line)
 
@@ -286,14 +290,16 @@
             self.switch.count["bad messages"] += 1
             logger.warning("caller: set-up that can't be read, answered 400: {}", e)
             line.answer(400, headers, vias)
+            line.strike()
             return
         open_ = self.switch.calls.get(order.call)
         if open_ is not None:
             asked = self.asked_by.get(order.call)
             if asked and asked[0] is line and open_.order.description == body:
-                line.strikes += 0.25
+                line.strike(0.25)
                 return  # the same set-up again: its answer is on the way
             line.answer(CODES[Verdict.REPEATED], headers, vias)
+            line.strike()
             return
         if len(line.calls) >= (MOST_OPEN if line.stood else FIRST_OPEN):
             self.switch.count["too many on a connection"] += 1
@@ -305,6 +311,8 @@
         verdict = self.switch.set_up(order, self)
         if verdict is not None:
             self.turned_away(order.call, verdict, 0.0)
+        if order.klass not in self.switch.classes:
+            line.strike(0.25)
 
     def _cancel(self, line, address, headers, vias, body) -> None:
         call = call_of(headers)
