Learn the beat of each engine's state, and renew a link that misses it

Changed: the beat at which an engine tells its state is seen per link; a link with something at stake that misses it is tested after 75 ms more, and renewed after one and a half beats and 150 ms. Until a beat was seen it stays at 1.3 s and 2.1 s.

--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -168,6 +168,14 @@
                    "c0 expect 200 OK\nc0 expect nothing 50")
             assert time.monotonic() - began < 3.0
 
+    def test_a_link_that_misses_the_beat_of_its_engines_state_is_renewed_soon(self):
+        with Stage(engines=1) as s:
+            s.play("e0 wait 50\n" + 15 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 300\n"
+                   + "c0 send INVITE 1\ne0 expect SET_UP {1}")
+            began = time.monotonic()
+            s.play("e0 expect TEST\ne0 expect end")
+            assert 0.2 < time.monotonic() - began < 1.0  # 2 s without it
+
     def test_a_caller_that_hangs_up_gives_its_set_up_up(self):
         self.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 close\ne0 expect RELEASE {1} 31=16")
 
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -22,9 +22,11 @@
 SWEEP = 100.0  # ms between two looks at the links
 CUT_SHORT = 300.0  # ms that the rest of a message may take
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
-# Ms of silence of a link (engines tell their state about once a second): it is tested; it is given up for a
-# new one; the engine, also silent on that, is given up and the calls that stand there are cut.
-TEST_AFTER, RENEW_AFTER, SILENT_AFTER = 1_300.0, 2_000.0, 6_500.0
+# Ms of silence of a link with something at stake. Engines tell their state at a beat of their own, which is
+# seen; a link that misses it is tested, and given up for a new one after one and a half. SILENT_AFTER: the
+# engine was silent on any link, and the calls that stand there are cut.
+TEST_SLACK = 75.0
+FIRST_BEAT, LEAST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 6_500.0
 BACK_OFF, MOST_BACK_OFF = 50.0, 400.0  # ms between tries to open
 MEANT = {PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED}
 
@@ -136,7 +138,8 @@
         self.out: set[str] = set()  # set-ups written to the connection that is up
         self.later: dict[str, bytes] = {}  # set-ups and releases for the next connection
         self.last = self.heard_at = self.switch.wheel.now  # when this link, or the engine, last gave a sign
-        self.tested = self.not_before = 0.0
+        self.tested = self.not_before = self.told = 0.0
+        self.beat = FIRST_BEAT  # how far apart it tells its state; told: when it last did, on this link
         self.back_off = BACK_OFF
 
     def open(self) -> None:
@@ -160,7 +163,7 @@
             line.transport.abortConnection()
             return
         self.line, self.opening, self.choked, self.backlog = line, False, False, 0
-        self.last = self.switch.wheel.now
+        self.last, self.told = self.switch.wheel.now, 0.0
         later, self.later = self.later, {}
         for call, data in later.items():
             self._write(call, data)
@@ -238,6 +241,10 @@
             self.switch.cleared(self.server, call, cause[0] if cause else 0,
                                 said.get(NOTE, b"").decode("latin-1"), report)
         elif kind == STATE or kind == TESTED:
+            if kind == STATE and self.told:
+                gap = min(max(self.last - self.told, LEAST_BEAT), FIRST_BEAT)
+                self.beat = max(gap, 0.9 * self.beat)
+            self.told = self.last if kind == STATE else self.told
             cause = said.get(CAUSE, b"\1")
             self.switch.sampled(self.server, kind == STATE or cause[:1] == b"\1", report)
         else:
@@ -247,7 +254,7 @@
         """A silent engine is tested, and given up in time for its calls to be released."""
         if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
             return self.line.spoil("message cut short")
-        if now - self.last < TEST_AFTER or not (self.out or self.switch.busy_at(self.server)):
+        if now - self.last < self.beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
             return
         silent = now - self.heard_at
         if silent >= SILENT_AFTER:
@@ -256,7 +263,7 @@
             self.switch.died(self.server)
             if self.line is not None:
                 self.line.transport.abortConnection()
-        elif self.line is not None and now - self.last >= RENEW_AFTER:
+        elif self.line is not None and now - self.last >= 1.5 * self.beat + 2 * TEST_SLACK:
             # Guards against a link that stays open and brings nothing: it took engines out for many seconds.
             self.line.spoil("silent though tested")
         elif self.line is not None and self.tested <= self.last:
