Look back over half the longest aim where that is less than a second

Ruled out: SIGHUP and restarts (refusals begin in the first seconds, before either), CPU (0.46 s in the worst second), links (none renewed).

Cause: policy.py smoothed, aged and remembered pressure over a fixed second (and ten), which is two aims there: a jam long over kept the gate shut, and its pacing went on for ten seconds more.

Changed: the span is a second or half the longest aim, whichever is less.

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -223,6 +223,17 @@
     assert sends(call(c, 2002.0, "next", dest=1)) == [i.Attempt("next", "b")]
 
 
+def test_where_aims_are_short_the_gate_looks_back_less_far():
+    # guards against a jam long over that keeps gates shut for several times the aim
+    quick = tuple(i.CallClass(c.name, aim=400.0, worth=c.worth, hold=c.hold) for c in settings().classes)
+    for classes, again in ((quick, 900.0), (settings().classes, 3000.0)):
+        c = front(("a",), classes=classes)
+        press(c, 100.0, "a", rounds=12, delay=classes[0].aim)
+        limit = 0.15 * classes[0].aim
+        assert not c.gates["a"].open(101.0, limit)
+        assert next(t for t in range(100, 9000, 10) if c.gates["a"].open(float(t), limit)) < again
+
+
 def test_after_a_jam_a_server_gets_this_fronts_share_only():
     c = front(("a",))
     gate = c.gates["a"]
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -15,7 +15,7 @@
 TRIAL_EVERY = 1000.0  # a shut gate lets one trial set-up pass this often (the design's second)
 TRIAL_SHARE = 0.2  # the trials of all fronts together, as a share of what the server bears
 BEAT = 25.0  # held calls are looked at every two of these, open ones every four
-PRESSED = 10.0  # a server found pressed gets no more than a share from each front for so many SMOOTH
+PRESSED = 10.0  # a server found pressed gets no more than a share from each front for so many spans
 FAULTY = 1.5  # faults that shut a gate but for trials: about every other set-up failing
 STALL = 100.0  # a wake later than this shows that this front itself stood still
 LOW, HIGH = 0.08, 0.15  # share of the aim that the least and the most worthy call may wait at a server
@@ -31,8 +31,8 @@
 class Gate:
     """What this front believes of one core server."""
 
-    def __init__(self, entry: i.Entry) -> None:
-        self.server, self.cell = entry.server, entry.cell
+    def __init__(self, entry: i.Entry, span: float) -> None:
+        self.server, self.cell, self.span = entry.server, entry.cell, span
         self.state, self.started, self.cold_since = entry.state, entry.started, None
         self.out: dict[tuple[str, int], float] = {}  # own attempts unanswered -> when sent, oldest first
         self.delay, self.known = 0.0, LONG_AGO  # smoothed answer delay of own set-ups, and of when it is
@@ -50,15 +50,15 @@
         self.bears, self.bears_at, self.slow = 0.0, LONG_AGO, 0.0  # set-ups per ms it bears; a few
 
     def observe(self, now: float, delay: float) -> None:
-        part = 1 - exp(-max(now - self.known, SMOOTH / 5) / SMOOTH)
+        part = 1 - exp(-max(now - self.known, self.span / 5) / self.span)
         self.delay += part * (delay - self.delay)
         self.ahead += part * (len(self.live()) - self.ahead)
         self.known, self.told = now, 0.0
-        self.pressed_until = now + PRESSED * SMOOTH if delay > self.slow else self.pressed_until
+        self.pressed_until = now + PRESSED * self.span if delay > self.slow else self.pressed_until
 
     def wait(self, now: float) -> float:
         """Estimated delay of one more set-up. It lasts until the server is likely to be heard again."""
-        live, memory = self.live(), min(max(SMOOTH, self.gap), LONGEST * SMOOTH)
+        live, memory = self.live(), min(max(self.span, self.gap), LONGEST * self.span)
         aged = self.delay * exp(-(now - self.known) / memory)
         aged *= (len(live) + 1) / (self.ahead + 1)  # all fronts are taken to do alike
         told = self.told * exp(-(now - self.told_at) / memory)
@@ -104,6 +104,7 @@
         worths = [c.worth for c in settings.classes]
         self.top, self.least = max(worths) or 1.0, min(worths)
         self.worst = max(c.aim for c in settings.classes)
+        self.span = min(SMOOTH, self.worst / 2)  # where aims are short, a second is too long to look back
         self.hold = sum(c.hold for c in settings.classes) / len(settings.classes) or self.worst
         self.gates: dict[str, Gate] = {}
         self.held: dict[str, Call] = {}  # calls with no attempt out, in order of arrival
@@ -176,9 +177,8 @@
     def _answered(self, now: float, event: i.Stands | i.Ended) -> None:
         gate, outcome = self.gates.get(event.server), getattr(event, "outcome", None)  # None: it stands
         if gate:
-            sent = gate.out.pop((event.call, event.attempt), None)
             self._report(now, event.server, getattr(event, "report", ()))
-            self._learn(now, gate, event, outcome, sent)
+            self._learn(now, gate, event, outcome, gate.out.pop((event.call, event.attempt), None))
         self._freed(now, event, outcome)
 
     def _fault(self, gate: Gate) -> None:
@@ -269,7 +269,7 @@
             old = gate = self.gates.get(entry.server)
             fresh = gate is None or gate.started != entry.started
             if gate is None or (fresh and entry.started):
-                gate = self.gates[entry.server] = Gate(entry)
+                gate = self.gates[entry.server] = Gate(entry, self.span)
                 if old:
                     gate.out, gate.size, gate.free, gate.most = old.out, old.size, old.free, old.most
             gate.state, gate.cell, gate.started = entry.state, entry.cell, entry.started
@@ -291,13 +291,13 @@
             gate.size, gate.free, gate.lines_at = size, free, now
             gate.most = max(size - free, gate.most * exp(-since / (2 * self.hold)))
         if qps >= 0:
-            gate.best = max(qps, gate.best * exp(-(now - max(gate.told_at, now - SMOOTH)) / (15 * SMOOTH)))
+            gate.best = max(qps, gate.best * exp((max(gate.told_at, now - self.span) - now) / 15 / self.span))
             if wait < 0 and gate.best > 0:
                 wait = self.worst * max(0.0, 1 - 2 * qps / gate.best)
                 wait = 1000.0 * queue / gate.best if queue >= 0 else wait
         if wait >= 0:
             gate.told, gate.told_at = wait, now
-            gate.pressed_until = now + PRESSED * SMOOTH if wait > gate.slow else gate.pressed_until
+            gate.pressed_until = now + PRESSED * self.span if wait > gate.slow else gate.pressed_until
 
     # decisions
 
@@ -394,7 +394,7 @@
 
     def _bears(self, now: float, gate: Gate) -> float:
         """Set-ups per ms that it bears when warm: what its cell was seen to bear, or as its warm like."""
-        if now - gate.bears_at > SMOOTH / 2:
+        if now - gate.bears_at > self.span / 2:
             warm = [g for g in self.gates.values()
                     if g.state is i.State.READY and g.cold_since is None and g.most > 0]
             fill = max(SPARSE, sum(g.most for g in warm) / max(1.0, sum(g.size for g in warm)))
@@ -405,7 +405,7 @@
 
     def _share(self, now: float) -> float:
         """This front's share of all calls, half by head, half by those standing: over all, one."""
-        if now - self.share_at > SMOOTH / 2:
+        if now - self.share_at > self.span / 2:
             cells = {g.cell: g.size - g.free for g in self.gates.values() if g.lines_at > LONG_AGO}
             taken, own = sum(cells.values()), sum(g.standing for g in self.gates.values())
             held, self.share_at = min(1.0, own / taken) if taken > 0 else 1 / self.set.fleet_size, now
@@ -429,14 +429,14 @@
     def _turn(self, now: float, gate: Gate) -> bool:
         """A server short of lines, pressed or cold gets from this front its share of what it can do."""
         bears, share = self._bears(now, gate), self._share(now)
-        if gate.cold_since is not None and now >= gate.cold_since + self.set.cold:
-            gate.pressed_until = max(gate.pressed_until, gate.cold_since + self.set.cold + PRESSED * SMOOTH)
+        if gate.cold_since is not None and now >= (warm := gate.cold_since + self.set.cold):
+            gate.pressed_until = max(gate.pressed_until, warm + PRESSED * self.span)
             gate.cold_since = None
         short, pressed = gate.free < self.set.fleet_size, now < gate.pressed_until
         if not (short or pressed or gate.cold_since is not None):
             gate.paced = False
             return True
-        rate = (gate.size - gate.free) / self.hold + gate.free / SMOOTH if short else 1e9
+        rate = (gate.size - gate.free) / self.hold + gate.free / self.span if short else 1e9
         rate = min(rate, HEADROOM * max(gate.best / 1000, bears)) if pressed else rate
         lapse = 2 / (share * max(rate, 1e-9))
         if gate.cold_since is not None:
