Let standing calls outlive a planned stop, and shed callers of calls last

Causes: - core/switch.py:cut_rest released all calls that stood when the program ended, though no connection owns a standing call and engines tell their releases anew on the next connection; the next process dropped those. - net/sip.py shed the oldest idle connection whoever's it was, and a newcomer milliseconds old before it.

Changed: SIP calls stand on when the program ends. For a minute after its start the next process passes an engine's release of a call it never knew to a caller, once, and a caller's BYE for one to the engines; so do calls of a process that was killed. Ids that ended meanwhile are kept, 4,096 at most. Connections on which a call stood are shed last, and a newcomer has 0.3 s to say what it wants.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,6 +12,8 @@
 class Bench:
     """Caller, engines and clock in one; `said` holds what the switch told any of them."""
 
+    survives = False
+
     def __init__(self, servers=(A, B), **changes):
         self.now, self.said = 1000.0, []
         self.wheel = Wheel(5.0, lambda: self.now)
@@ -198,6 +200,36 @@
         Order(**(dict(call=ONE, klass="x", number="77", patience=1.0) | bad))
 
 
+def test_calls_of_the_process_before_are_released_both_ways_once_and_for_a_while_only():
+    # guards against calls left standing for ever because the process that set them up was stopped or killed
+    b, heard = Bench(), []
+    b.switch.on_heir_release, b.survives = lambda *said: heard.append(said), True
+    b.call(1)
+    b.switch.answered(A, ONE, b"d")
+    for _ in range(2):
+        b.switch.cleared(A, ONE, 16)  # the second copy of our own call's
+        b.switch.cleared(B, f"{2:016x}", 41)
+    assert heard == [(f"{2:016x}", 41)] and len(b.heard("released")) == 1
+    assert b.switch.release(f"{3:016x}", 16, b) and not b.switch.release(f"{3:016x}", 16, b)
+    assert b.heard("release") == [("release", s, f"{3:016x}", 16) for s in (A, B)]
+    b.run(60_000.0)
+    b.switch.cleared(B, f"{4:016x}", 16)
+    assert len(heard) == 1 and not b.switch.release(f"{5:016x}", 16, b)
+    b.call(6)
+    b.switch.answered(A, f"{6:016x}", b"d")
+    b.switch.cleared(A, f"{6:016x}", 16)
+    assert not b.switch.over
+
+
+def test_a_planned_stop_leaves_calls_standing_that_the_next_process_carries_on():
+    b = Bench()
+    b.survives = True
+    b.call(1)
+    b.switch.answered(A, ONE, b"d")
+    b.switch.cut_rest()
+    assert not b.heard("released") and not b.heard("release")
+
+
 def test_the_end_of_a_planned_stop_leaves_nobody_without_an_answer():
     b = Bench()
     b.call(1)
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -24,6 +24,9 @@
 MOST_CALLS = 20_000  # calls known at once; one more is turned away
 MOST_HELD = 8 << 20  # bytes of the descriptions of open set-ups
 
+HEIR_FOR = 60_000.0  # ms after the start in which calls of the process before may still come to their end
+MOST_OVER = 4_096  # ids of calls that ended in that time
+
 LONGEST = 16_200  # bytes of a set-up's texts: with their heads they fit a message of 16 KiB
 CALL, NUMBER = re.compile(r"[0-9a-f]{16}\Z"), re.compile(r"[0-9A-Za-z*#+._~-]{1,64}\Z")
 CLASS = re.compile(r"[!-~]{1,64}\Z")  # an engine closes the link, with all calls on it, at what it can't read
@@ -47,6 +50,8 @@
 class Caller(Protocol):
     """What a front is told of the calls that it handed in."""
 
+    survives: bool  # whether its callers' calls go on under the next process: they know them by id alone
+
     def stands(self, call: str, description: bytes) -> None: ...
 
     def turned_away(self, call: str, verdict: Verdict, stay_away: float) -> None: ...
@@ -118,6 +123,9 @@
         self.states: dict[str, i.State] = {}
         self.started: dict[str, float] = {}
         self.count: Counter[str] = Counter()
+        self.on_heir_release = None  # called with (call, cause): an engine ended a call that we never knew
+        self.heir_until = wheel.now + HEIR_FOR
+        self.over: dict[str, None] = {}  # ids of our own calls that ended since the start: kept for HEIR_FOR
         self.on_duration = None  # called with (what, ms): set-up times and lengths of calls, for telemetry
         self._events: deque[i.Event] = deque()
         self._busy = False
@@ -166,6 +174,13 @@
     def release(self, call_id: str, cause: int, by: Caller) -> bool:
         """The caller ends a call, standing or still being set up; False: it has no such call."""
         call = self.calls.get(call_id)
+        if call is None and by.survives and self._heir(call_id):
+            self.count["heir releases"] += 1
+            self._ended(call_id)
+            for server, state in self.states.items():  # which of them has it, the process before us knew
+                if state is not i.State.GONE:
+                    self.engines.release(server, call_id, cause)
+            return True
         if call is None or call.caller is not by:
             self.count["unknown released"] += 1
             return False
@@ -202,6 +217,12 @@
     def cleared(self, server: str, call_id: str, cause: int, note: str = "", report: tuple = ()) -> None:
         """The engine turned an attempt away, or released a call that stood."""
         call = self.calls.get(call_id)
+        if call is None and self._heir(call_id):
+            # Guards the callers of the process before us, which stopped or died while their calls stood.
+            self.count["heir releases"] += 1
+            self._ended(call_id)
+            self.on_heir_release(call_id, cause)
+            return
         if call is None or call.server != server:
             self.count["late releases"] += 1  # such as the second copy on the next connection
             return
@@ -368,17 +389,31 @@
                 self._feed(i.CallerGone(call_id))
 
     def cut_rest(self) -> None:
-        """At the very end: calls that stand go down with the switch, and both sides are told so."""
+        """At the very end: calls that no next process can carry on go down with the switch, and both sides
+        are told so. The others stand at their engines, and their releases come to the next process."""
         for call_id, call in list(self.calls.items()):
-            if call.stands:
+            if call.stands and not call.caller.survives:
                 self.release(call_id, CUT, call.caller)
                 call.caller.released(call_id, CUT)
 
     def _forget(self, call_id: str) -> None:
         call = self.calls.pop(call_id)
+        self._ended(call_id)
         self.open -= not call.stands
         self.held -= len(call.order.description)
 
+    def _heir(self, call_id: str) -> bool:
+        """Whether it can be a call of the process before us."""
+        return (self.on_heir_release is not None and self.wheel.now < self.heir_until
+                and len(self.over) < MOST_OVER and call_id not in self.over)
+
+    def _ended(self, call_id: str) -> None:
+        if self.wheel.now >= self.heir_until or len(self.over) >= MOST_OVER:
+            self.heir_until = 0.0  # from now on an unknown id is a late copy
+            self.over.clear()
+        else:
+            self.over[call_id] = None
+
     def _call_off(self, call: Call, outcome: i.Outcome) -> None:
         """The call has its answer, or needs none: an attempt still out is given up."""
         if call.server is not None:
--- a/willowhitch/net/control.py
+++ b/willowhitch/net/control.py
@@ -212,6 +212,7 @@
     """All clients of the call-control API. Fulfils `core.switch.Caller`."""
 
     noisy = False
+    survives = False  # a desk tool watches its calls on this program's sockets
 
     def __init__(self, settings: ControlSettings, most: int = 1_000) -> None:
         self.set, self.most = settings, min(2 * settings.most_sockets, most)  # connections, greeted or not
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -16,6 +16,7 @@
 MOST_STRIKES = 16.0  # unusable messages, or four times as many of no class, with no call standing between
 ACCEPTS = 8  # connections taken in at once, and 20 more at the most
 SWEEP = 250.0  # ms between two looks at the connections
+MOMENT = 300.0  # ms in which a newcomer is not the first to go when descriptors are short
 FIRST_BY = 2_000.0  # ms from connecting to a first request that is answered, or is owed an answer
 IDLE_FOR = 6_000.0  # ms that a connection with no set-up open is kept; callers themselves close after 4 s
 KEPT = 0.25  # share of the connections up to which idle ones are kept all the same: releases need one
@@ -200,6 +201,7 @@
     """All callers' connections. Fulfils `core.switch.Caller`."""
 
     noisy = False
+    survives = True
 
     def __init__(self, name: str, most: int = 600) -> None:
         self.name, self.most = name, most  # most connections at once
@@ -207,23 +209,24 @@
         self.port: Any = None  # where they connect
         self.draining = False
         self.lines: dict[SipLine, None] = {}
-        # Each connection with no set-up open is in one of these two, the longest there first.
-        self.new: dict[SipLine, float] = {}  # nothing was answered there yet: since when
-        self.idle: dict[SipLine, float] = {}  # since when
+        # Each connection with no set-up open is in one of these, the longest there first, with since when.
+        self.new: dict[SipLine, float] = {}  # nothing was answered there yet
+        self.idle: dict[SipLine, float] = {}  # no call ever stood there
+        self.proven: dict[SipLine, float] = {}  # a call stood there
         self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
         self.stood_on: dict[str, tuple[SipLine, str]] = {}  # calls that stand: their connection and number
         self.unsaid: OrderedDict[str, tuple[float, str, int]] = OrderedDict()  # releases with no connection
 
     def attach(self, switch: Switch) -> None:
         self.switch = switch
+        switch.on_heir_release = self.released
         switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
 
     def buildProtocol(self, addr: object) -> SipLine | None:
         if self.port is not None:
             self.port.numberAccepts = ACCEPTS  # else a flood is taken in whole before any of it can be closed
         if len(self.lines) >= self.most:
-            # Guards the descriptors: those who connect and say nothing go first, the longest there.
-            victim = next(iter(self.new), None) or next(iter(self.idle), None)
+            victim = self._victim()
             if victim is None:
                 self.switch.count["connections turned away"] += 1
                 return None
@@ -233,6 +236,15 @@
 
     # connections
 
+    def _victim(self) -> SipLine | None:
+        """Guards the descriptors, and good callers from a crowd: those who connect and say nothing go first,
+        then those who asked something and stayed, the longest there. A newcomer has a moment to say what it
+        wants; callers of calls go last."""
+        first = next(iter(self.new), None)
+        if first is not None and self.switch.wheel.now - self.new[first] > MOMENT:
+            return first
+        return next((line for kept in (self.idle, self.new, self.proven) for line in kept), None)
+
     def opened(self, line: SipLine) -> None:
         self.lines[line] = None
         self.new[line] = self.switch.wheel.now
@@ -243,10 +255,10 @@
 
     def rests(self, line: SipLine) -> None:
         """It was answered, or is owed an answer: no newcomer. Idle, if no set-up is open there any more."""
-        self.new.pop(line, None)
-        self.idle.pop(line, None)
+        for kept in (self.new, self.idle, self.proven):
+            kept.pop(line, None)
         if not line.calls and line in self.lines:
-            self.idle[line] = self.switch.wheel.now
+            (self.proven if line.stood else self.idle)[line] = self.switch.wheel.now
 
     def shut(self, line: SipLine) -> None:
         """Closes a connection. What is still owed an answer there gets one: closing must lose no call."""
@@ -256,13 +268,13 @@
         for call in list(line.calls):
             self._answer(call, CODES[Verdict.FAILED])
             self.switch.give_up(call, self)
-        self.new.pop(line, None)
-        self.idle.pop(line, None)
+        for kept in (self.new, self.idle, self.proven):
+            kept.pop(line, None)
         line.clearLineBuffer()
         line.transport.loseConnection()
 
     def closed(self, line: SipLine) -> None:
-        for kept in (self.lines, self.new, self.idle):
+        for kept in (self.lines, self.new, self.idle, self.proven):
             kept.pop(line, None)
         for call in list(line.calls):
             self.asked_by.pop(call, None)
@@ -389,8 +401,9 @@
         while self.unsaid and now - next(iter(self.unsaid.values()))[0] > UNSAID_FOR:
             self.unsaid.popitem(last=False)
             self.switch.count["releases never sent"] += 1
-        for what, kept, most, few in (("silent", self.new, FIRST_BY, 0.0),
-                                      ("idle", self.idle, IDLE_FOR, KEPT * self.most)):
+        for what, kept, most in (("silent", self.new, FIRST_BY), ("idle", self.idle, IDLE_FOR),
+                                 ("idle", self.proven, IDLE_FOR)):
+            few = KEPT * self.most if what == "idle" else 0.0
             while len(kept) > few and now - next(iter(kept.values())) > most:
                 line = next(iter(kept))
                 self.switch.count[f"connections closed as {what}"] += 1
