--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -60,6 +60,8 @@
             c0 send CANCEL 6
             c0 expect 481 .*CANCEL
             e0 send RELEASE 7 31=41
+            c0 expect ^BYE .*Call-ID: {7}
+            e0 send RELEASE 7 31=41
             e0 send TESTED 0 31=0
             c0 expect nothing 200
             """)
