End a planned stop by the longest deadline of the settings, not always after 3.3 s

Changed: settings.py reads each class's deadline; the stop ends 0.3 s after the longest, 3 s at most, 0.75 s at least.

--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -430,6 +430,16 @@
                 """)
             assert s.said().count("counters {") == 2
 
+    def test_the_end_comes_before_sigkill_also_where_deadlines_are_short(self):
+        # guards against a stop that waits for calls that stand until it is killed, 0.7 s after the deadline
+        lane = {"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}
+        with Stage(settings={"lanes": [lane]}) as s:
+            s.play("c0 send INVITE 1 X-Patience=900\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\n"
+                   "c0 expect 200 OK")
+            began = time.monotonic()
+            s.play("p send SIGTERM\np expect 0")
+            assert time.monotonic() - began < 1.6
+
     def test_the_next_process_releases_the_calls_of_one_that_was_killed(self):
         with Stage() as s:
             for n in (1, 2):
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -30,7 +30,7 @@
 CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
 STILL_COMING = 0.75  # s after SIGTERM in which set-ups may still arrive
 FIXED = ("name", "listen", "settings")  # what a reload can't change
-ANSWERED_BY = 3.3  # s after SIGTERM by which all is answered: SIGKILL may come at 3.7 s
+MOST_DEADLINE, ANSWERED_BY = 3.0, 0.3  # s; all is answered so long after the longest deadline from SIGTERM
 
 
 class BadConfiguration(Exception):
@@ -162,7 +162,9 @@
     def _end_when_done(self) -> None:
         since = (self.wheel.now - self.ending_at) / 1000.0
         done = not self.switch.calls and since >= STILL_COMING
-        if done or since >= ANSWERED_BY:
+        # SIGKILL may come 0.7 s after the longest deadline, which counts as 3 s where longer or not told.
+        deadline = max(c.deadline for c in self.settings.classes) / 1000.0 or MOST_DEADLINE
+        if done or since >= max(STILL_COMING, min(deadline, MOST_DEADLINE) + ANSWERED_BY):
             self.switch.refuse_rest()
             self.switch.cut_rest()
             self.control.stop()
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -46,6 +46,7 @@
     worth: float = 1.0
     hold: float = 0.0  # ms that a call lasts on average; 0: unknown
     late_share: float = 0.0  # share of the worth earned after the aim
+    deadline: float = 0.0  # ms after which its callers have given up; 0: unknown
     repeatable: bool = True  # may be sent again although an attempt may have run
     cells: tuple[int, ...] | None = None  # cells that can take it; None: any
 
--- a/willowhitch/settings.py
+++ b/willowhitch/settings.py
@@ -22,6 +22,7 @@
         i.CallClass(
             name=lane["name"], aim=lane["aim"], worth=lane.get("credit", 1.0),
             hold=holding[n] if n < len(holding) else 0.0, late_share=lane.get("late_value", 0.0),
+            deadline=lane.get("hard_limit", 0.0),
             repeatable=lane.get("idempotency", "read_like") == "read_like",
             cells=tuple(pools[n]) if n < len(pools) and pools[n] is not None else None,
         )
