--- a/willowhitch/dimension/network.py
+++ b/willowhitch/dimension/network.py
@@ -66,7 +66,7 @@
         return [s.name for s in streams if self.lost[s.name] > s.target * (1 + slack)]
 
 
-SPLIT = 0.8  # how far a parcel's loss goes by its variance, against its mean: chosen by benchmarks/planning.py
+SPLIT = 0.8  # how far a parcel loses by its variance, against its mean: chosen by benchmarks/planning.py
 
 Parcel = tuple[str, float, float]  # stream, mean, variance
 
