--- a/willowhitch/dimension/planner.py
+++ b/willowhitch/dimension/planner.py
@@ -25,7 +25,7 @@
 import numpy as np
 from scipy.optimize import brentq
 
-from willowhitch.dimension import loss, peaky
+from willowhitch.dimension import loss
 from willowhitch.dimension.loss import OutOfRange
 from willowhitch.dimension.network import (
     Group,
@@ -280,8 +280,3 @@
         raise OutOfRange(f"group {lost_group!r} is not in the plan")
     left = {name: 0 if name == lost_group else n for name, n in circuits.items()}
     return {where: service(groups, streams, left, where, factor) for where in ("low", "middle", "high")}
-
-
-def equivalent_random(mean: float, variance: float) -> tuple[float, float]:
-    """`peaky.equivalent`, for plots of a plan."""
-    return peaky.equivalent(mean, variance)
