Never have the loop wait for the traffic record's disk

Found on reading the change again: a thread that wrote held the lock which the loop takes to hand over the next interval, so that a disk that hangs would have held up all calls. The queue needs no lock now; only writing threads take one.

--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -3,8 +3,11 @@
 import os
 import subprocess
 import sys
+import threading
 import time
+from collections import Counter
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -12,8 +15,10 @@
 from stage import Stage
 
 from willowhitch import cli
+from willowhitch.core.wheel import Wheel
 from willowhitch.measure.record import MOST_ROUTES, OTHER, TrafficRecord
 from willowhitch.measure.recordfile import FRAME, BadRecord, Writer, encoded, read
+from willowhitch.measure.recording import MOST_WAITING, Recording
 from willowhitch.operator.load import BadOperatorFile, of_text
 
 
@@ -228,6 +233,33 @@
         assert '"record intervals lost":' in s.said()
 
 
+def test_a_disk_that_hangs_holds_the_loop_up_in_no_way():
+    hangs, wrote = threading.Event(), []
+
+    class Slow:
+        def write(self, entry):
+            hangs.wait(20)
+            wrote.append(entry)
+
+    switch = SimpleNamespace(count=Counter(), wheel=Wheel(5.0, lambda: 0.0))
+    started = []
+
+    def in_thread(work):
+        started.append(threading.Thread(target=work))
+        started[-1].start()
+
+    r = Recording(switch, Slow(), 1000.0, 100.0, lambda now: now, in_thread, {})
+    began = time.monotonic()
+    for n in range(30):
+        r._save({"n": n})
+    assert time.monotonic() - began < 2 and len(r.waiting) == MOST_WAITING
+    assert switch.count["record intervals"] + switch.count["record intervals lost"] == 30
+    hangs.set()
+    for thread in started:
+        thread.join(10)
+    assert len(wrote) == switch.count["record intervals"] and not r.waiting
+
+
 def test_nothing_heavy_is_loaded_unless_asked_for():
     code = (
         "import sys, willowhitch.__main__, willowhitch.benchlink\n"
--- a/willowhitch/measure/recording.py
+++ b/willowhitch/measure/recording.py
@@ -1,6 +1,7 @@
 """Ties a traffic record to a running switch and its file. Loaded only where the operator file asks for it."""
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from threading import Lock
 from typing import Any
@@ -21,8 +22,8 @@
                  clock: Callable[[float], float], in_thread: Callable[..., Any],
                  aims: dict[str, float]) -> None:
         self.switch, self.writer, self.in_thread, self.aims = switch, writer, in_thread, aims
-        self.waiting: list[dict[str, Any]] = []
-        self.lock, self.failing = Lock(), False
+        self.waiting: deque[dict[str, Any]] = deque()
+        self.writing, self.failing = Lock(), False  # taken by writing threads alone, never by the loop
         self.record = TrafficRecord(interval, slot, clock, self._save, switch.wheel.now)
         self._tick()
 
@@ -63,23 +64,20 @@
     # to the file
 
     def _save(self, entry: dict[str, Any]) -> None:
-        with self.lock:
-            full = len(self.waiting) >= MOST_WAITING
-            if not full:
-                self.waiting.append(entry)
-        if full:
+        """In the loop: it must not wait for a disk, however long a write takes."""
+        if len(self.waiting) >= MOST_WAITING:
             self.switch.count["record intervals lost"] += 1
-        else:
-            self.switch.count["record intervals"] += 1
-            self.in_thread(self._write)
+            return
+        self.switch.count["record intervals"] += 1
+        self.waiting.append(entry)
+        self.in_thread(self._write)
 
     def _write(self) -> None:
         """In a thread of the reactor's pool, one at a time."""
-        with self.lock:
-            waiting, self.waiting = self.waiting, []
-            for entry in waiting:
+        with self.writing:
+            while self.waiting:
                 try:
-                    self.writer.write(entry)
+                    self.writer.write(self.waiting.popleft())
                     self.failing = False
                 except (OSError, BadRecord) as e:
                     self.switch.count["record intervals lost"] += 1
