Hand the listeners to the process that replaces this one, over a Unix socket in TMPDIR

Design: the successor asks the serving process for its listening sockets (SCM_RIGHTS by Twisted's Unix transports), waits for the board to bring its list up to date, and takes the callers; the old one stops accepting, serves its open connections, closes them as they fall idle after SIGTERM, and ends early if done. Releases that come to the wrong one of the two are passed over the channel. Each half has half of the budget for cold engines (Settings.part). A successor that dies gives the callers back. Not taken as the first way: SO_REUSEPORT, whose queue goes down with its listener; kept behind WILLOWHITCH_HANDOVER=reuseport for where Unix sockets are refused.

Ruled out on the way: connections refused at the door (a test that connects without pause saw 1,273 of 10,467 told no, as the successor accepted before its list was known; it now waits).

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -218,9 +218,10 @@
         self.env = given | (env or {})
         self.start()
 
-    def start(self):
-        self.program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=self.env,
-                                        stderr=self.log)
+    def start(self, env=None):
+        self.program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT,
+                                        env=self.env | (env or {}), stderr=self.log)
+        return self.program
 
     def __enter__(self):
         self.play("c9 send OPTIONS\nc9 expect 200 OK.*OPTIONS\nc9 close")
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,5 +1,8 @@
 """Daily operation on sockets: management calls, figures, drain, new settings, replacement."""
 import json
+import os
+import signal
+import socket
 import time
 
 import pytest
@@ -297,3 +300,144 @@
             c0 expect 200 OK
             p expect 0
             """)
+
+
+class Replaced(Stage):
+    """A second process takes over from the first, with a management address of its own."""
+
+    def __init__(self, **more):
+        super().__init__(env={"TMPDIR": ""}, **more)
+        self.old = self.program
+        self.old.kill()
+        self.old.wait()
+        self.env["TMPDIR"] = self.dir.name
+        self.old = self.start()
+
+    def replace(self):
+        spare = socket.socket()
+        spare.bind(("127.0.0.1", 0))
+        self.mgmt_old, self.mgmt = self.mgmt, spare.getsockname()
+        spare.close()
+        return self.start({"BALANCER_MGMT": f"127.0.0.1:{self.mgmt[1]}"})
+
+    def ready(self):
+        until = time.monotonic() + 6
+        while True:
+            self.parties.pop("m8", None)
+            self.play("m8 send GET /v1/readyz")
+            if self.next("m8").startswith("200"):
+                return
+            assert time.monotonic() < until, self.said()
+            time.sleep(0.02)
+
+    def heard(self, line):
+        until = time.monotonic() + 3
+        while line not in self.said():
+            assert time.monotonic() < until, self.said()
+            self.pump(0.02)
+
+    def __exit__(self, *of):
+        for process in (self.old, self.program):
+            process.kill()
+            process.wait()
+        super().__exit__(*of)
+
+
+def test_the_next_process_takes_over_and_releases_reach_calls_of_either():
+    with Replaced(engines=1) as s:
+        for n in (1, 2, 3):
+            s.play(f"c0 send INVITE {n}\ne0 expect SET_UP {{{n}}}\ne0 send ANSWER {n} 33=d\nc0 expect 200")
+        s.play("c0 send INVITE 4 X-Patience=5000\ne0 expect SET_UP {4}")
+        old_engine = s.parties.pop("e0")
+        s.replace()
+        s.ready()
+        s.parties["e1"] = old_engine  # what the old process opened; e0 is the new one's
+        s.heard("the next process takes the callers")
+        s.play("""
+            c1 send INVITE 5
+            e0 expect SET_UP {5}
+            e0 send ANSWER 5 33=d
+            c1 expect 200 .*Call-ID: {5}
+            c0 send BYE 5
+            c0 expect 200 .*BYE
+            e0 expect RELEASE {5}
+            c1 send BYE 1
+            c1 expect 200 .*BYE
+            e1 expect RELEASE {1}
+            e0 send RELEASE 2 31=16
+            c0 expect ^BYE .*Call-ID: {2}
+            e1 send RELEASE 2 31=16
+            c1 expect nothing 100
+            """)
+        s.old.send_signal(signal.SIGTERM)
+        s.play("""
+            c0 wait 300
+            c0 send INVITE 6
+            e1 expect SET_UP {6}
+            e1 send ANSWER 6 33=d
+            c0 expect 200 .*Call-ID: {6}
+            e1 send ANSWER 4 33=d
+            c0 expect 200 .*Call-ID: {4}
+            c0 expect end
+            e1 send RELEASE 6 31=16
+            c1 expect ^BYE .*Call-ID: {6}
+            e1 send RELEASE 4 31=16
+            c1 expect ^BYE .*Call-ID: {4}
+            e1 send RELEASE 3 31=16
+            c1 expect ^BYE .*Call-ID: {3}
+            """)
+        assert s.old.wait(2) == 0  # early: nothing is left there
+        s.play("c2 send INVITE 7\ne0 expect SET_UP {7}")
+
+
+def test_a_successor_that_dies_gives_the_callers_back():
+    with Replaced(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        new = s.replace()
+        s.ready()
+        new.kill()
+        new.wait()
+        s.parties.pop("e0", None)
+        s.heard("taken here again")
+        s.play("c1 send OPTIONS\nc1 expect 200")
+
+
+def test_no_connection_is_lost_at_the_door_while_the_process_is_replaced():
+    # counts callers that are refused, reset or closed with no answer, connecting without pause
+    with Replaced() as s:
+        new, lost, count = s.replace(), 0, 0
+        until, termed = time.monotonic() + 4.0, False
+        while time.monotonic() < until:
+            try:
+                with socket.create_connection(s.sip, 2) as c:
+                    c.settimeout(2)
+                    c.sendall(b"OPTIONS sip:ping@net SIP/2.0\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
+                    lost += not c.recv(999).startswith(b"SIP/2.0 200")
+            except OSError:
+                lost += 1
+            count += 1
+            if not termed and "the next process takes the callers" in s.said():
+                s.old.send_signal(signal.SIGTERM)
+                termed = True
+        assert termed and s.old.wait(5) == 0 and new.poll() is None
+        assert count > 200 and lost == 0, (lost, count)
+
+
+@pytest.mark.parametrize("what", ["stale", "mute", "long"])
+def test_without_a_predecessor_that_answers_the_start_is_a_plain_one(what):
+    stage = Stage()
+    stage.program.kill()
+    stage.program.wait()
+    where = stage.dir.name + ("/" + 100 * "x" if what == "long" else "")
+    os.makedirs(where, exist_ok=True)
+    kept = socket.socket(socket.AF_UNIX)
+    if what != "long":
+        kept.bind(f"{where}/willowhitch-{stage.sip[0]}-{stage.sip[1]}.1")
+    if what == "mute":
+        kept.listen(4)
+    stage.env["TMPDIR"] = where
+    stage.start()
+    with stage as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        assert ("not offered" in s.said()) == (what == "long")
+    kept.close()
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import time
 from dataclasses import replace
@@ -32,6 +33,7 @@
 from willowhitch.net.board import Board
 from willowhitch.net.control import ControlFront
 from willowhitch.net.engine import EngineLinks
+from willowhitch.net.handover import Handover, listening
 from willowhitch.net.mgmt import MgmtFront
 from willowhitch.net.sip import SipFront
 from willowhitch.quiet import Quiet
@@ -39,8 +41,14 @@
 
 CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
 STILL_COMING = 750.0  # ms after SIGTERM in which set-ups may still arrive
+BACKLOG = 512  # connections that may wait to be accepted
+LIST_BY = 1_000.0  # ms that a process which replaces another gives the board to bring its list up to date
+SEEK_FOR = 5_000.0  # ms from the start in which it asks for the listeners; the platform waits 6 s for its yes
+SHARED = "WILLOWHITCH_HANDOVER"  # "reuseport": the kernel shares the address out, where none can be given
 FIXED = ("name", "listen", "limits")  # what a reload can't change
-MOST_DEADLINE, ANSWERED_BY = 3_000.0, 300.0  # ms; SIGTERM leaves the longest deadline, and so much more
+# Ms. SIGKILL may come 0.7 s after SIGTERM and the longest deadline, which counts as 3 s where longer or not
+# told, and as 5 s where the next process has taken over.
+MOST_DEADLINE, MOST_REPLACED, ANSWERED_BY = 3_000.0, 5_000.0, 300.0
 
 
 def monotonic_ms() -> float:
@@ -78,7 +86,10 @@
         self.known = self.board.read(config.get("known") or {})
         self.telemetry = telemetry.start(self.sip.name, self.switch)
         self.recording = self._recording(tables.record, offset) if tables and tables.record else None
-        self.due = 0.0
+        self.due, self.began, self.failed = 0.0, self.wheel.now, ""
+        tmp = os.environ.get("TMPDIR", "")
+        self.shared = os.environ.get(SHARED, "") == "reuseport"
+        self.handover = Handover(reactor, self.switch, self.sip, tmp) if tmp and not self.shared else None
 
     def _mgmt_address(self, text: Any) -> tuple[str, int]:
         try:
@@ -113,20 +124,66 @@
         self.switch.start()
         self.board.known(self.known)
         self.board.start()
-        self.sip.port = reactor.listenTCP(self.listen[1], self.sip, backlog=512, interface=self.listen[0])
         if self.mgmt:
             try:
                 reactor.listenTCP(self.mgmt_at[1], self.mgmt, backlog=64, interface=self.mgmt_at[0])
             except CannotListenError as e:
                 raise BadConfiguration(f"mgmt: {e}") from None
             logger.info("management calls at {}:{}", *self.mgmt_at)
-        self.switch.lifecycle.opened(self.wheel.now)
-        if self.control.set.listen:
-            host, port = address(self.control.set.listen)
-            reactor.listenTCP(port, self.control, interface=host)
-            logger.info("call-control API at {}:{}", host, port)
         self.due = self.wheel.read()
         self._tick()
+        before = self.handover.predecessors(self.listen) if self.handover else []
+        if before:
+            # The list in the file may be old by now: the board has a moment to tell the rest.
+            self.wheel.at(self.wheel.now + LIST_BY, self._knows)
+            self._seek(before)
+        else:
+            self._knows()
+            self._serve({})
+
+    def _knows(self) -> None:
+        if self.board.rev:
+            self.switch.lifecycle.knows(self.wheel.now)
+
+    def _seek(self, before: list[Path]) -> None:
+        self.handover.seek(before, self._found)
+
+    def _found(self, given: dict[str, int] | None) -> None:
+        """What the process before has given, if there is one that gives."""
+        if given and not self.switch.lifecycle.listed:
+            # Until then the other one takes the callers: they would be told no here.
+            return self.wheel.at(self.wheel.now + 5.0, self._found, given)
+        try:
+            self._serve(given or {})
+            self._knows()
+        except OSError as e:
+            if self.wheel.read() - self.began < SEEK_FOR:
+                # It still listens, and was too busy to answer: it is asked again.
+                reactor.callLater(0.2, self._seek, self.handover.predecessors(self.listen))
+            else:
+                self.failed = f"listen: {e}"
+                reactor.stop()
+
+    def _listen(self, name: str, at: tuple[str, int], factory: Any, given: dict[str, int]) -> Any:
+        # Our own socket, adopted: the reactor then never shuts it down under the process that was given it.
+        made = socket.socket(fileno=given.pop(name)) if name in given else listening(at, BACKLOG, self.shared)
+        port = reactor.adoptStreamPort(made.fileno(), socket.AF_INET, factory)
+        made.close()
+        if self.handover:
+            self.handover.ports[name] = port
+        return port
+
+    def _serve(self, given: dict[str, int]) -> None:
+        self.sip.port = self._listen("sip", self.listen, self.sip, given)
+        if self.control.set.listen:
+            at = address(self.control.set.listen)
+            self._listen("control", at, self.control, given)
+            logger.info("call-control API at {}:{}", *at)
+        for fd in given.values():
+            os.close(fd)
+        self.switch.lifecycle.opened(self.wheel.now)
+        if self.handover:
+            self.handover.offer(self.listen)
         logger.info("softswitch {} serves at {}:{}", self.sip.name, *self.listen)
 
     def _tick(self) -> None:
@@ -186,15 +243,19 @@
         if self.switch.lifecycle.phase is Phase.STOPPING:
             return
         logger.info("asked to stop: answering what is open")
-        now = self.wheel.now
-        # SIGKILL may come 0.7 s after the longest deadline, which counts as 3 s where longer or not told.
-        deadline = max(c.deadline for c in self.settings.classes) or MOST_DEADLINE
-        self.switch.lifecycle.stop(now, now + max(STILL_COMING, min(deadline, MOST_DEADLINE) + ANSWERED_BY))
+        now, life = self.wheel.now, self.switch.lifecycle
+        if self.shared:
+            life.hand_over(now)
+            reactor.callLater(0, self.sip.port.stopListening)  # what waits in its queue is taken in first
+        most = MOST_REPLACED if life.handed_over else MOST_DEADLINE
+        deadline = max(c.deadline for c in self.settings.classes) or most
+        life.stop(now, now + max(STILL_COMING, min(deadline, most) + ANSWERED_BY))
         self._end_when_done(now + STILL_COMING)
 
     def _end_when_done(self, earliest: float) -> None:
         now = self.wheel.now
-        if now >= self.switch.lifecycle.ends_at or not self.switch.calls and now >= earliest:
+        held = self.switch.calls or self.switch.lifecycle.handed_over and self.sip.lines
+        if now >= self.switch.lifecycle.ends_at or not held and now >= earliest:
             self.switch.refuse_rest()
             self.switch.cut_rest()
             self.control.stop()
@@ -246,11 +307,13 @@
     gc.set_threshold(10_000, 20, 20)
     gc.freeze()  # what is here now stays: a full collection need not look at it, and pauses stay short
     reactor.run(installSignalHandlers=False)
+    if softswitch.failed:
+        print(f"willowhitch: {softswitch.failed}", file=sys.stderr)
     if softswitch.telemetry:
         softswitch.telemetry.stop()
     if softswitch.recording:
         softswitch.recording.stop()
-    return 0
+    return 2 if softswitch.failed else 0
 
 
 if __name__ == "__main__":
--- a/willowhitch/core/lifecycle.py
+++ b/willowhitch/core/lifecycle.py
@@ -17,6 +17,7 @@
 class Phase(Enum):
     STARTING = "starting"  # the listener, or the list of engines, is not there yet
     SERVING = "serving"
+    HANDED_OVER = "handed_over"  # the process that replaces this one takes the new connections
     DRAINED = "drained"  # takes no callers until it is activated; what it has goes on
     STOPPING = "stopping"  # for good
 
@@ -27,7 +28,7 @@
         self.asked_to_drain = False
         self.since = 0.0  # when the phase before this one was left
         self.ends_at: float | None = None  # when a stop is over at the latest
-        self.replaced = False  # stopping, and a successor takes the new connections
+        self.handed_over = False  # a successor takes the new connections
         self.on_change: list[Callable[[Phase], None]] = []
         self._phase = Phase.STARTING
 
@@ -43,6 +44,7 @@
     def _settle(self, now: float) -> None:
         phase = (Phase.STOPPING if self.ends_at is not None else
                  Phase.DRAINED if self.asked_to_drain else
+                 Phase.HANDED_OVER if self.handed_over else
                  Phase.SERVING if self.listening and self.listed else Phase.STARTING)
         if phase is not self._phase:
             self._phase, self.since = phase, now
@@ -69,22 +71,40 @@
         self._settle(now)
         return self._phase is not Phase.STOPPING
 
-    def stop(self, now: float, ends_at: float, replaced: bool = False) -> None:
+    def hand_over(self, now: float) -> None:
+        """A successor takes the new connections; those here are served on."""
+        self.handed_over = True
+        self._settle(now)
+
+    def take_back(self, now: float) -> bool:
+        """The successor is gone. True: callers come here again."""
+        if self.ends_at is not None:
+            return False
+        self.handed_over = False
+        self._settle(now)
+        return True
+
+    def stop(self, now: float, ends_at: float) -> None:
         """For good; a second stop changes nothing."""
         if self.ends_at is None:
-            self.ends_at, self.replaced = ends_at, replaced
+            self.ends_at = ends_at
             self._settle(now)
 
+    @property
+    def yes(self) -> bool:
+        """What the test at the callers' address is told: during a replacement the two processes are one."""
+        return self.ready or self.handed_over and not self.asked_to_drain
+
     def admits(self, now: float) -> bool:
         """Whether a set-up that comes now is served. While stopping it is, to the last: the platform's front
         still sends, and what is not answered at SIGKILL is lost."""
         if self._phase is Phase.DRAINED:
             return now - self.since < ADMITS_FOR
-        return not self.replaced or self.ends_at is None or now < self.ends_at - LAST_CALL
+        return not self.handed_over or self.ends_at is None or now < self.ends_at - LAST_CALL
 
     def lingers(self, now: float) -> bool:
         """Whether the last connection stays although it is idle."""
-        return now - self.since < LINGERS_FOR if self._phase is Phase.DRAINED else not self.replaced
+        return now - self.since < LINGERS_FOR if self._phase is Phase.DRAINED else False
 
     def overstays(self, now: float, came: float) -> bool:
         """Whether a set-up that came then has to go, answered or not."""
@@ -94,4 +114,4 @@
     @property
     def empties(self) -> bool:
         """Whether callers' connections are to close as they fall idle."""
-        return self._phase is Phase.DRAINED or self._phase is Phase.STOPPING and self.replaced
+        return self._phase is Phase.DRAINED or self._phase is Phase.STOPPING and self.handed_over
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -91,6 +91,19 @@
         """A call that stood has ended."""
 
 
+class Other(Protocol):
+    """The other process of this softswitch, while one replaces the other."""
+
+    def release(self, call: str, cause: int) -> None:
+        """A caller ended a call that is not known here."""
+
+    def cleared(self, call: str, cause: int) -> None:
+        """An engine ended a call that is not known here."""
+
+    def released(self, call: str, cause: int) -> None:
+        """A call is over, and no caller is connected here who could be told."""
+
+
 @dataclass(frozen=True, slots=True)
 class Order:
     """A set-up as a front hands it in."""
@@ -140,7 +153,8 @@
 
 class Switch:
     def __init__(self, settings: i.Settings, seed: int, wheel: Wheel, engines: Engines) -> None:
-        self.wheel, self.engines = wheel, engines
+        self.wheel, self.engines, self.part = wheel, engines, 1.0
+        self.other: Other | None = None  # while one process replaces the other
         self.calls: dict[str, Call] = {}
         self._settle(settings)
         self.controller = Controller(self.set, seed)
@@ -160,7 +174,8 @@
         self._busy = False
 
     def _settle(self, settings: i.Settings) -> None:
-        self.set = replace(settings, release=settings.release + RELEASE_SLACK if settings.release else 0.0)
+        self.set = replace(settings, part=self.part,
+                           release=settings.release + RELEASE_SLACK if settings.release else 0.0)
         self.classes = {c.name: c for c in settings.classes}
 
     def new_settings(self, settings: i.Settings) -> None:
@@ -171,6 +186,12 @@
             call.most = min(call.most, self.set.max_attempts)
         self._feed(i.NewSettings(self.set))
 
+    def new_part(self, part: float) -> None:
+        """This process has that part of the softswitch's share of cold engines."""
+        self.part = part
+        self.set = replace(self.set, part=part)
+        self._feed(i.NewSettings(self.set))
+
     def start(self) -> None:
         self._carry_out(self.controller.start(self.wheel.now))
 
@@ -229,6 +250,9 @@
     def release(self, call_id: str, cause: int, by: Caller) -> bool:
         """The caller ends a call, standing or still being set up; False: it has no such call."""
         call = self.calls.get(call_id)
+        if call is None and by.survives and self.other and call_id not in self.over:
+            self.other.release(call_id, cause)
+            return True
         if call is None and by.survives and self._heir(call_id):
             self.count["heir releases"] += 1
             self._ended(call_id)
@@ -247,6 +271,16 @@
         self._over(call, i.Outcome.CANCELLED)
         return True
 
+    def from_other(self, call_id: str, cause: int, by_caller: bool) -> None:
+        """A release that came to the other process, from a caller or from an engine."""
+        call = self.calls.get(call_id)
+        if call is None or not call.stands:
+            self.count["late releases"] += 1
+        elif by_caller:
+            self.release(call_id, cause, call.caller)
+        else:
+            self.cleared(call.server, call_id, cause)
+
     # from the quote engines
 
     def answered(self, server: str, call_id: str, description: bytes) -> None:
@@ -273,6 +307,9 @@
     def cleared(self, server: str, call_id: str, cause: int, note: str = "", report: tuple = ()) -> None:
         """The engine turned an attempt away, or released a call that stood."""
         call = self.calls.get(call_id)
+        if call is None and self.other and call_id not in self.over:
+            self.other.cleared(call_id, cause)
+            return
         if call is None and self._heir(call_id):
             # Guards the callers of the process before us, which stopped or died while their calls stood.
             self.count["heir releases"] += 1
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -70,6 +70,7 @@
     overload_factor: float = 1.0  # times its present capacity, for overload_for, push a cold server over
     overload_for: float = 1000.0  # ms
     tick: float = 1.0  # ms, the shortest gap between two batches of events
+    part: float = 1.0  # of its share of cold servers that this process has: two may be one front
     connect_timeout: float = 500.0  # ms until a connection that does not come up has failed
 
     def __post_init__(self) -> None:
--- a/willowhitch/net/board.py
+++ b/willowhitch/net/board.py
@@ -98,8 +98,6 @@
                 self._take(i.ListKind.WHOLE if whole or not self.rev else i.ListKind.CHANGES, named)
                 self.rev = max(self.rev, rev)
         self.rev = max(self.rev, last)
-        if self.rev or events:
-            self.switch.lifecycle.knows(self.switch.wheel.now)
 
     def start(self) -> None:
         self.connector = self.clock_source.connectTCP(*self.address, self, timeout=1.0)
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -388,7 +388,7 @@
         self._forget(call)
 
     def _options(self, line, address, headers, vias, body) -> None:
-        line.answer(200 if self.switch.lifecycle.ready else 503, headers, vias)
+        line.answer(200 if self.switch.lifecycle.yes else 503, headers, vias)
 
     def _nothing(self, line, address, headers, vias, body) -> None:
         """ACK needs no answer, and NOTIFY wants none."""
@@ -432,6 +432,8 @@
         if line is not None:
             self._bye(line, call, number, cause)
             return
+        if self.switch.other is not None and self.switch.lifecycle.handed_over:
+            return self.switch.other.released(call, cause)  # callers come to the next process
         self.unsaid[call] = (self.switch.wheel.now, number, cause)
         if len(self.unsaid) > MOST_UNSAID:
             self.unsaid.popitem(last=False)
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -459,5 +459,6 @@
             # All fronts together send within overload_for what becomes due in that time and the lapse.
             level = self.set.cold_from ** (1 - (now - gate.cold_since) / self.set.cold)
             most = self.set.overload_factor * COLD_SAFETY / (1 + COLD_LAPSE)
-            rate, lapse = min(rate, most * level * bears), self.set.overload_for * COLD_LAPSE
+            rate = min(rate, most * level * bears) * self.set.part
+            lapse = self.set.overload_for * COLD_LAPSE
         return gate.turns(now, rate * share, lapse, self.random.random()) >= 1
