Keep a slow first message while it keeps coming, and shed those that stopped first

The clock now runs from the last piece; a first message that stops is answered 408 within 3 s of connecting, and goes before good ones when descriptors are short.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import struct
 import time
 
 import pytest
@@ -441,3 +442,51 @@
         s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
         assert ("not offered" in s.said()) == (what == "long")
     kept.close()
+
+
+INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
+          "Subject: x\r\nX-Patience: 5000\r\nX-Facts: dest:0;width:1;via:-1\r\nContent-Length: 3\r\n\r\nv=0")
+
+
+def test_a_set_up_on_a_new_connection_may_take_over_two_seconds_as_long_as_it_keeps_coming():
+    # among a crowd that says nothing, or stops half way, with no descriptor to spare
+    with Stage(engines=1, config={"limits": {"sockets": 64, "memory_mb": 64}}) as s:
+        slow, text = s.party("c1").sock, INVITE.format(1).encode()
+        crowd, began = [], time.monotonic()
+        for n in range(0, len(text), 6):
+            slow.sendall(text[n:n + 6])
+            if n % 12 == 0:
+                crowd.append(socket.create_connection(s.sip))
+                crowd[-1].sendall(b"INVITE sip:7@net SIP/2.0\r\nVia" if n % 24 else b"")
+            s.play("c1 wait 90")
+        assert time.monotonic() - began > 2.2 and len(crowd) > 12
+        s.play("e0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc1 expect 200 .*Call-ID: {1}")
+        for other in crowd:
+            other.close()
+
+
+def test_a_first_message_that_stops_coming_is_told_so_within_three_seconds():
+    with Stage() as s:
+        began = time.monotonic()
+        s.play("c0 send raw INVITE sip:7@net SIP/2.0\\r\\nVia: x\nc0 expect SIP/2.0 408\nc0 expect end")
+        assert 1.9 < time.monotonic() - began < 3.0
+
+
+def test_single_bytes_on_every_wire():
+    def trickle(party, data, pause=0.004):
+        for n in range(len(data)):
+            party.sock.sendall(data[n:n + 1])
+            time.sleep(pause)
+
+    with Stage(engines=1) as s:
+        s.play("b expect after 3")
+        record = struct.pack(">I4sHBBBHIQ", 0, bytes((127, 0, 0, 1)), s.doors["e0"].getsockname()[1],
+                             0, 0, 0, 0, 1000, 0)
+        frame = struct.pack(">QB", 4, 2) + record
+        trickle(s.party("b"), struct.pack(">I", len(frame)) + frame)
+        trickle(s.party("c0"), INVITE.format(1).encode())
+        s.play("e0 expect SET_UP {1}")
+        said = struct.pack(">B", 9) + bytes.fromhex(f"{1:016x}") + struct.pack(">BH", 33, 200) + 200 * b"d"
+        trickle(s.party("e0"), struct.pack(">H", len(said)) + said)  # 0.9 s in all
+        s.play("c0 expect 200 .*d{200,200}$")
+        assert "cut short" not in s.said() and "bad frame" not in s.said()
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -20,7 +20,7 @@
 LATER = 4_096  # messages kept for a link that is not up
 BACKLOG = 1 << 20  # bytes that may wait to be written to an engine that does not read
 SWEEP = 100.0  # ms between two looks at the links
-CUT_SHORT = 300.0  # ms that the rest of a message may take
+CUT_SHORT = 300.0  # ms that the next piece of a message may take
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
 # Ms of silence of a link with something at stake. Engines tell their state at a beat of their own, which is
 # seen; a link that misses it is tested, and given up for a new one after one and a half. SILENT_AFTER: the
@@ -70,7 +70,7 @@
     def __init__(self, link: Link) -> None:
         self.link = link
         self.spoilt = False
-        self.waits: float | None = None  # since when a message is not whole
+        self.waits: float | None = None  # when the last piece came of a message that is not whole
         self.since = link.switch.wheel.now
 
     def connectionMade(self) -> None:
@@ -82,10 +82,8 @@
         if self.spoilt:
             return
         super().dataReceived(data)
-        if not self.recvd:
-            self.waits = None
-        elif self.waits is None:
-            self.waits = self.link.switch.wheel.now
+        # A message may come in any pieces, as long as they keep coming.
+        self.waits = self.link.switch.wheel.now if self.recvd else None
 
     def spoil(self, why: str) -> None:
         """Guards against what stands behind a spoilt message: where the next one begins is not known, so
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -18,7 +18,9 @@
 ACCEPTS = 8  # connections taken in at once, and 20 more at the most
 SWEEP = 250.0  # ms between two looks at the connections
 MOMENT = 300.0  # ms in which a newcomer is not the first to go when descriptors are short
-FIRST_BY = 2_000.0  # ms from connecting to a first request that is answered, or is owed an answer
+FIRST_BY = 2_000.0  # ms from connecting to the first byte
+# Ms from connecting in which a first message may pause; as long as pieces of it keep coming, it has WHOLE_BY.
+BEGUN_BY, PAUSE = 2_400.0, 1_000.0
 IDLE_FOR = 6_000.0  # ms that a connection with no set-up open is kept; callers themselves close after 4 s
 KEPT = 0.25  # share of the connections up to which idle ones are kept all the same: releases need one
 WHOLE_BY = 5_000.0  # ms that one message may take
@@ -80,7 +82,9 @@
         self.began: float | None = None  # since when a message is not whole
         self.closed_at: float | None = None  # when we began to close it
         self.strikes = 0.0
-        self.stood = False  # whether a call stood here: no newcomer any more
+        self.since = front.switch.wheel.now
+        self.newcomer = True  # nothing was answered here, or is owed an answer
+        self.stood = False  # whether a call stood here
         self.heard: float | None = None  # when it last sent what only callers send, not just a test
         self._begin()
 
@@ -97,6 +101,11 @@
     def connectionLost(self, reason: object = None) -> None:
         self.front.closed(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        if self.newcomer:
+            self.front.moved(self)
+        super().dataReceived(data)
+
     # A producer's three calls. A caller that doesn't read its answers isn't read from either.
     def pauseProducing(self) -> None:
         self.choked_at = self.front.switch.wheel.now
@@ -211,7 +220,8 @@
         self.port: Any = None  # where they connect
         self.lines: dict[SipLine, None] = {}
         # Each connection with no set-up open is in one of these, the longest there first, with since when.
-        self.new: dict[SipLine, float] = {}  # nothing was answered there yet
+        self.new: dict[SipLine, float] = {}  # nothing came there yet
+        self.begun: dict[SipLine, float] = {}  # a first message is coming; with when its last piece came
         self.idle: dict[SipLine, float] = {}  # no call ever stood there
         self.proven: dict[SipLine, float] = {}  # a call stood there
         self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
@@ -240,22 +250,35 @@
 
     def _victim(self) -> SipLine | None:
         """Guards the descriptors, and good callers from a crowd: those who connect and say nothing go first,
-        then those who asked something and stayed, the longest there. A newcomer has a moment to say what it
-        wants; callers of calls go last."""
-        first = next(iter(self.new), None)
-        if first is not None and self.switch.wheel.now - self.new[first] > MOMENT:
-            return first
-        return next((line for kept in (self.idle, self.new, self.proven) for line in kept), None)
+        then those whose first message has stopped coming, then those who asked something and stayed, the
+        longest there. A newcomer has a moment to say what it wants; callers of calls go last."""
+        now = self.switch.wheel.now
+        for kept, moment in ((self.new, MOMENT), (self.begun, PAUSE)):
+            first = next(iter(kept), None)
+            if first is not None and now - kept[first] > moment:
+                return first
+        return next((line for kept in (self.idle, self.new, self.begun, self.proven) for line in kept), None)
 
     def opened(self, line: SipLine) -> None:
         self.lines[line] = None
         self.new[line] = self.switch.wheel.now
         self.switch.count["caller connections"] += 1
 
+    def moved(self, line: SipLine) -> None:
+        """A piece of a newcomer's first message came."""
+        self.new.pop(line, None)
+        self.begun.pop(line, None)
+        if line in self.lines and line.closed_at is None:
+            self.begun[line] = self.switch.wheel.now
+
+    def _unlist(self, line: SipLine) -> None:
+        for kept in (self.new, self.begun, self.idle, self.proven):
+            kept.pop(line, None)
+
     def rests(self, line: SipLine) -> None:
         """It was answered, or is owed an answer: no newcomer. Idle, if no set-up is open there any more."""
-        for kept in (self.new, self.idle, self.proven):
-            kept.pop(line, None)
+        line.newcomer = False
+        self._unlist(line)
         if not line.calls and line in self.lines:
             (self.proven if line.stood else self.idle)[line] = self.switch.wheel.now
             if self.switch.lifecycle.empties:
@@ -297,14 +320,13 @@
         line.closed_at = self.switch.wheel.now
         for call in list(line.calls):
             self.switch.fail(call, self)
-        for kept in (self.new, self.idle, self.proven):
-            kept.pop(line, None)
+        self._unlist(line)
         line.clearLineBuffer()
         line.transport.loseConnection()
 
     def closed(self, line: SipLine) -> None:
-        for kept in (self.lines, self.new, self.idle, self.proven):
-            kept.pop(line, None)
+        self.lines.pop(line, None)
+        self._unlist(line)
         for call in list(line.calls):
             self.asked_by.pop(call, None)
             self.switch.give_up(call, self)
@@ -438,6 +460,12 @@
         if len(self.unsaid) > MOST_UNSAID:
             self.unsaid.popitem(last=False)
 
+    def _too_slow(self, line: SipLine, what: str) -> None:
+        self.switch.count[f"connections closed as {what}"] += 1
+        if line.began is not None and line.first:
+            line.answer(408, line.headers, line.vias)
+        self.shut(line)
+
     def _sweep(self) -> None:
         now = self.switch.wheel.now
         self.switch.wheel.at(now + SWEEP, self._sweep)
@@ -455,10 +483,10 @@
             few = KEPT * self.most if what == "idle" else 0.0
             while len(kept) > few and now - next(iter(kept.values())) > most:
                 line = next(iter(kept))
-                self.switch.count[f"connections closed as {what}"] += 1
-                if line.began is not None and line.first:
-                    line.answer(408, line.headers, line.vias)
-                self.shut(line)
+                self._too_slow(line, what)
+        for line, moved in list(self.begun.items()):
+            if now - line.since > (BEGUN_BY if now - moved > PAUSE else WHOLE_BY):
+                self._too_slow(line, "silent")
         for line in list(self.lines):
             if line.choked_at is not None and now - line.choked_at > CHOKED_FOR:
                 unread = now - line.choked_at
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -158,9 +158,10 @@
         return self.acts
 
     def avoided(self, now: float, servers: list[str]) -> int:
-        """How many of these servers get no set-ups now, but for trials."""
-        gates, limit = [self.gates.get(s) for s in servers], HIGH * self.worst
-        return sum(g is None or g.state is not i.State.READY or not g.open(now, limit) for g in gates)
+        """How many of these servers are out of use: draining, barred but for trials, or as they asked."""
+        gates = [self.gates.get(s) for s in servers]
+        return sum(g is None or g.state is not i.State.READY or g.faults >= FAULTY or now < g.shut_until
+                   for g in gates)
 
     # events
 
