--- a/tests/stage.py
+++ b/tests/stage.py
@@ -195,8 +195,10 @@
 
 
 class Stage:
-    def __init__(self, engines=2, settings=None, control="", config=None, env=None):
+    def __init__(self, engines=2, settings=None, control="", config=None, env=None,
+                 command=("-m", "willowhitch")):
         self.doors = {f"e{n}": listener() for n in range(engines)} | {"b": listener(), "b2": listener()}
+        self.command = command
         self.parties, self.hook, self.dir = {}, None, tempfile.TemporaryDirectory()
         spare = [listener(), listener(), listener()]
         self.sip, self.web, self.mgmt = (s.getsockname() for s in spare)
@@ -219,7 +221,7 @@
         self.start()
 
     def start(self, env=None):
-        self.program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT,
+        self.program = subprocess.Popen([sys.executable, *self.command], cwd=ROOT,
                                         env=self.env | (env or {}), stderr=self.log)
         return self.program
 
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,125 @@
+"""The lifecycle and the figures, with no wire: each call is counted once, whatever crosses."""
+from dataclasses import replace
+from random import Random
+
+import pytest
+from helpers import settings
+from test_core import A, Bench
+
+from willowhitch.core.figures import MOST_VANISHED, Figures
+from willowhitch.core.lifecycle import ADMITS_FOR, LAST_CALL, LATE_AFTER, LINGERS_FOR, Lifecycle, Phase
+
+
+def cross(b, draw, n, known):
+    """One drawn thing that a caller, an engine, the clock or an operator does."""
+    calls = list(b.switch.calls)
+    call = draw.choice(calls) if calls and draw.random() < 0.9 else f"{draw.randint(1, n):016x}"
+    server = getattr(b.switch.calls.get(call), "server", None) or A
+    what = draw.randrange(16)
+    if what < 5:
+        b.call(n, draw.choice([40.0, 300.0, 3000.0, 3000.0]), 0, "strange" if what == 0 else "plain")
+    elif what < 8:
+        b.switch.answered(server, call, b"d")
+    elif what == 8:
+        b.switch.give_up(call, b)
+    elif what == 9:
+        b.switch.cleared(server, call, draw.choice([16, 34, 41, 47, 102]))
+    elif what == 10:
+        b.switch.broken(server, call)
+    elif what == 11:
+        b.switch.release(call, 16, b)
+    elif what == 12:
+        b.switch.fail(call, b)
+    elif what == 13:
+        b.switch.new_settings(replace(known, max_attempts=draw.randint(1, 6)))
+    else:
+        b.run(draw.choice([5, 60, 400]))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sums_balance_after_a_drawn_mix_of_crossings(seed):
+    b, draw = Bench(), Random(seed)
+    b.switch.most_calls = 40
+    known = b.switch.controller.set
+    for n in range(2_000, 2_010):  # some stand, whatever is drawn later
+        b.call(n)
+        b.switch.answered(b.switch.calls[f"{n:016x}"].server, f"{n:016x}", b"d")
+    for n in range(1, 1_500):
+        cross(b, draw, n, known)
+    rows = [*b.switch.figures.rows.values(), b.switch.figures.unknown]
+    open_ = sum(not call.stands for call in b.switch.calls.values())
+    ended = sum(r.fulfilled + r.throttled + r.faulted + r.abandoned for r in rows)
+    assert sum(r.taken for r in rows) == ended + open_ and b.switch.open == open_
+    for column in ("fulfilled", "throttled", "faulted", "abandoned"):
+        assert sum(getattr(r, column) for r in rows) > 0, column
+    assert b.switch.told()["open_requests"] == len(b.switch.calls)
+    assert list(b.switch.told()["operations"]) == [c.name for c in known.classes]  # `strange` made no row
+    told = b.heard("stands") + b.heard("turned_away")
+    assert len({words[1] for words in told}) == len(told)  # one answer a call
+
+
+def test_rows_of_vanished_classes_are_bounded_and_attempts_stay_counted():
+    figures = Figures(["c0"])
+    for n in range(3 * MOST_VANISHED):
+        figures.of(f"c{n}").relayed += 1
+        figures.settle([f"c{n + 1}"])
+    told = figures.told(0, 0, 0)
+    assert len(told["operations"]) == MOST_VANISHED + 1 and told["relayed"] == 3 * MOST_VANISHED
+    assert list(told["operations"])[-1] == f"c{3 * MOST_VANISHED}"
+
+
+def test_a_stricter_class_holds_for_new_calls_and_the_guard_of_a_call_is_its_own():
+    b = Bench()
+    b.call(1)
+    now = b.switch.controller.set
+    b.switch.new_settings(replace(now, classes=tuple(replace(c, repeatable=False) for c in now.classes)))
+    b.call(2)
+    assert b.switch.calls[f"{1:016x}"].repeatable and not b.switch.calls[f"{2:016x}"].repeatable
+    b.switch.refuse_rest()
+    verdicts = {words[1]: words[2].value for words in b.heard("turned_away")}
+    assert verdicts == {f"{1:016x}": "refused", f"{2:016x}": "failed"}
+
+
+def test_gates_and_cold_guards_survive_new_settings():
+    b = Bench()
+    gate = b.switch.controller.gates[A]
+    gate.faults, gate.cold_since, gate.delay = 2.0, 900.0, 77.0
+    b.switch.new_settings(settings(max_attempts=2))
+    assert b.switch.controller.gates[A] is gate
+    assert (gate.faults, gate.cold_since, gate.delay) == (2.0, 900.0, 77.0)
+    assert b.switch.told()["out_of_rotation"] == 1
+
+
+def test_the_lifecycle_from_start_to_stop():
+    life, phases = Lifecycle(), []
+    life.on_change.append(phases.append)
+    assert not life.ready
+    life.opened(0.0)
+    assert not life.ready  # the list is not known yet
+    life.knows(1.0)
+    life.knows(2.0)
+    assert life.ready and life.admits(3.0) and not life.empties
+    life.drain(10.0)
+    life.drain(500.0)  # a second one does not begin anew
+    assert not life.ready and not life.yes and life.empties
+    assert life.admits(10.0 + ADMITS_FOR - 1) and not life.admits(10.0 + ADMITS_FOR)
+    assert life.lingers(10.0 + LINGERS_FOR - 1) and not life.lingers(10.0 + LINGERS_FOR)
+    assert life.overstays(11.0 + LATE_AFTER, 3000.0) and not life.overstays(11.0 + LATE_AFTER, 900.0)
+    assert life.activate(5000.0) and life.ready and not life.overstays(9000.0, 8000.0)
+    life.hand_over(6000.0)
+    assert not life.ready and life.yes and life.admits(6001.0) and not life.empties
+    assert life.take_back(6100.0) and life.ready
+    life.hand_over(6200.0)
+    life.stop(7000.0, 9000.0)
+    life.stop(8000.0, 99_000.0)  # nor does a second one
+    assert life.ends_at == 9000.0 and life.empties and life.yes and not life.take_back(8000.0)
+    assert life.admits(8999.0 - LAST_CALL) and not life.admits(9001.0 - LAST_CALL)
+    assert not life.activate(8500.0)
+    assert phases == [Phase.SERVING, Phase.DRAINED, Phase.SERVING, Phase.HANDED_OVER, Phase.SERVING,
+                      Phase.HANDED_OVER, Phase.STOPPING]
+
+
+def test_a_plain_stop_admits_to_the_last():
+    life = Lifecycle()
+    life.stop(0.0, 3300.0)
+    assert life.admits(3299.0) and not life.empties and not life.yes
--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,43 @@
+"""What the fleet's standing test refuses is needed nowhere: to start, to serve, to reload, to stop."""
+import os
+import re
+import tempfile
+from pathlib import Path
+
+from stage import ROOT, Stage
+
+
+def test_starts_serves_reloads_and_stops_with_all_of_it_refused():
+    with tempfile.TemporaryDirectory() as tmp:
+        Path(tmp, "willowhitch-left-over").touch()
+        command = (str(ROOT / "tests" / "refused.py"), "willowhitch")
+        with Stage(engines=1, env={"TMPDIR": tmp}, command=command) as s:
+            s.play("""
+                c0 send INVITE 1
+                e0 expect SET_UP {1}
+                e0 send ANSWER 1 33=d
+                c0 expect 200 OK
+                p config b2
+                b2 expect after 3
+                m0 send POST /v1/softswitch/drain
+                m0 expect 200
+                m1 send POST /v1/softswitch/activate
+                m1 expect 200
+                e0 send RELEASE 1 31=16
+                c0 expect ^BYE
+                p send SIGTERM
+                p expect 0
+                """)
+            said = s.said()
+        assert said.count("handover: not offered") == 1 and "configuration reloaded" in said, said
+        assert "fault" not in said and "ERROR" not in said, said
+
+
+def test_the_deploy_file_ends_run_by_exec_and_its_features_stay_off():
+    import tomllib
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert re.search(r"(^|= )exec \.venv/bin/python -m willowhitch$", deploy["run"])
+    assert not re.search(r"[;&|]", deploy["run"])
+    assert tomllib.loads((ROOT / "deploy" / "control.toml").read_text())["listen"] == ""
+    for path in deploy["policy"] + deploy["node"]:
+        assert os.path.exists(ROOT / path), path
--- a/willowhitch/core/figures.py
+++ b/willowhitch/core/figures.py
@@ -35,14 +35,14 @@
     def __init__(self, classes: Iterable[str]) -> None:
         self.rows: dict[str, Row] = {}
         self.unknown = Row()  # calls of classes that no settings had
-        self.current: frozenset[str] = frozenset()
+        self.current: dict[str, None] = {}  # in the order of the settings
         self.dropped = 0  # attempts of classes whose rows are gone
         self.cfg_accepted = self.cfg_invalid = 0  # files read at SIGHUP
         self.settle(classes)
 
     def settle(self, classes: Iterable[str]) -> None:
         """The settings' classes now. Those that vanish keep their rows, of many the newest."""
-        self.current = frozenset(classes)
+        self.current = dict.fromkeys(classes)
         for name in self.current:
             self.rows[name] = self.rows.pop(name, None) or Row()
         vanished = [name for name in self.rows if name not in self.current]
