--- a/willowhitch/core/figures.py
+++ b/willowhitch/core/figures.py
@@ -44,7 +44,7 @@
         """The settings' classes now. Those that vanish keep their rows, of many the newest."""
         self.current = dict.fromkeys(classes)
         for name in self.current:
-            self.rows[name] = self.rows.pop(name, None) or Row()
+            self.rows[name] = self.rows.pop(name) if name in self.rows else Row()
         vanished = [name for name in self.rows if name not in self.current]
         for name in vanished[:-MOST_VANISHED]:
             self.dropped += self.rows.pop(name).relayed
--- a/willowhitch/net/handover.py
+++ b/willowhitch/net/handover.py
@@ -60,7 +60,8 @@
     delimiter, MAX_LENGTH = b"\n", 1_024
 
     def __init__(self, handover: Handover) -> None:
-        self.handover, self.given = handover, []
+        self.handover = handover
+        self.given: list[int] = []  # descriptors that came and are not taken over yet
 
     def connectionMade(self) -> None:
         self.transport.registerProducer(self, True)
@@ -219,7 +220,8 @@
         if said["v"] != VERSION or self.on_found is not None:
             raise ValueError("not this version")
         if self.switch.lifecycle.phase is Phase.STOPPING or not self.ports:
-            return channel.transport.loseConnection()
+            channel.transport.loseConnection()
+            return
         self.heir, self.switch.other = True, self
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
--- a/willowhitch/net/mgmt.py
+++ b/willowhitch/net/mgmt.py
@@ -69,7 +69,7 @@
                     self.body += len(event.data)
                     if self.body > LONGEST_BODY:
                         self.say(413, {"error": f"a body of over {LONGEST_BODY} bytes"})
-                elif isinstance(event, h11.EndOfMessage):
+                elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
                     method, target = self.asked.method.decode(), self.asked.target.decode("latin-1")
                     self.say(*self.front.call(method, target))
                 else:
