Read callers in parts of a turn, so that a flood delays no operator and no engine

Seen: with three floods of set-ups on 24 connections and half a core, a management call waited up to 4,097 ms (median 2,885 over 6 calls): benchmarks/operation.py mgmt. Ruled out: descriptors (33 of 256 held) and the operators' own bound (6 of 16). At fault: net/sip.py read up to 64 KiB of each connection and set up all of it in one turn of the loop, some 240 set-ups each. Callers now have 40 ms of a turn; what is left of a read waits for a later one, in order, and what waited has so much less patience, as after a standstill. Not taken: smaller reads alone, which leave the waiting in the kernel, unseen.

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -46,6 +46,17 @@
     return s
 
 
+def framed(party, data):
+    """Heads and bodies of the messages that are whole by now, SIP's or HTTP's."""
+    party.data += data
+    while (head := party.data.partition(b"\r\n\r\n"))[1]:
+        size = int(re.search(rb"(?i)content-length: *(\d+)", head[0])[1])
+        if len(head[2]) < size:
+            break
+        party.data = head[2][size:]
+        yield head[0], head[2][:size]
+
+
 class Sip:
     """One caller's connection."""
 
@@ -53,13 +64,8 @@
         self.sock, self.data, self.got = sock, b"", []
 
     def feed(self, data):
-        self.data += data
-        while (head := self.data.partition(b"\r\n\r\n"))[1]:
-            size = int(re.search(rb"(?i)content-length: *(\d+)", head[0])[1])
-            if len(head[2]) < size:
-                break
-            self.data = head[2][size:]
-            yield (head[0] + b"||" + head[2][:size]).decode("latin-1").replace("\r\n", "|")
+        for head, body in framed(self, data):
+            yield (head + b"||" + body).decode("latin-1").replace("\r\n", "|")
 
     def send(self, words):
         """`INVITE 1 X-Patience=900 body=..`, `CANCEL 1`, `BYE 1`, or `raw TEXT` with escapes."""
@@ -119,14 +125,9 @@
         self.sock, self.got, self.data = sock, [], b""
 
     def feed(self, data):
-        self.data += data
-        while (head := self.data.partition(b"\r\n\r\n"))[1]:
-            size = int(re.search(rb"(?i)content-length: *(\d+)", head[0])[1])
-            if len(head[2]) < size:
-                break
-            self.data = head[2][size:]
-            allow = re.search(rb"Allow: \w+", head[0])
-            yield b" ".join((head[0].split()[1], allow[0] if allow else b"-", head[2][:size])).decode()
+        for head, body in framed(self, data):
+            allow = re.search(rb"Allow: \w+", head)
+            yield b" ".join((head.split()[1], allow[0] if allow else b"-", body)).decode()
 
     def send(self, words):
         if words.startswith("raw "):
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -197,8 +197,8 @@
 
     # from the fronts
 
-    def set_up(self, order: Order, caller: Caller) -> Verdict | None:
-        """Takes a call in. None: its one answer comes through the caller; else it was turned away."""
+    def set_up(self, order: Order, caller: Caller, waited: float = 0.0) -> Verdict | None:
+        """Takes a call in, which waited so many ms. None: its one answer comes through the caller."""
         self.count["set-ups"] += 1
         if order.call in self.calls:
             self.count["repeated"] += 1
@@ -210,7 +210,7 @@
         # The caller waits from its last byte on, not from our reading it: after a standstill, set-ups that
         # had waited unread were answered too late. Each is taken to have come as early as it can have.
         klass, now = self.classes.get(order.klass), self.wheel.now
-        patience = max(0.0, order.patience - self.wheel.lag)
+        patience = max(0.0, order.patience - max(waited, self.wheel.lag))
         grace = max(0.0, patience - MARGIN)
         self.calls[order.call] = Call(order, caller, now, now + patience, self.set.max_attempts,
                                       klass is None or klass.repeatable)
--- a/willowhitch/core/wheel.py
+++ b/willowhitch/core/wheel.py
@@ -33,6 +33,10 @@
         self.lag = max(0.0, self.now - before - self.tick)
         return self.now
 
+    def behind(self) -> float:
+        """How long ago the clock was last read: how long the turn of the loop under way has taken so far."""
+        return self._time() - self.now
+
     def turn(self) -> None:
         """Carries out what is due at the time last read, in order."""
         last = int(self.now // self.tick)
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -17,6 +17,8 @@
 MOST_STRIKES = 16.0  # unusable messages, or four times as many of no class, with no call standing between
 ACCEPTS = 8  # connections taken in at once, and 20 more at the most
 SWEEP = 250.0  # ms between two looks at the connections
+TURN = 40.0  # ms that callers may take of one turn of the loop, so that engines and operators are heard too
+READ, OLDEST = 16_384, 500.0  # bytes read at once; ms that what comes behind a full read has waited at most
 MOMENT = 300.0  # ms in which a newcomer is not the first to go when descriptors are short
 FIRST_BY = 2_000.0  # ms from connecting to the first byte
 # Ms from connecting in which a first message may pause; as long as pieces of it keep coming, it has WHOLE_BY.
@@ -82,7 +84,8 @@
         self.began: float | None = None  # since when a message is not whole
         self.closed_at: float | None = None  # when we began to close it
         self.strikes = 0.0
-        self.since = front.switch.wheel.now
+        self.since = self.came = front.switch.wheel.now  # came: what is being read, at the earliest
+        self.full = False  # more may have waited behind the last read
         self.newcomer = True  # nothing was answered here, or is owed an answer
         self.stood = False  # whether a call stood here
         self.heard: float | None = None  # when it last sent what only callers send, not just a test
@@ -95,6 +98,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ
         self.transport.registerProducer(self, True)
         self.front.opened(self)
 
@@ -102,10 +106,19 @@
         self.front.closed(self)
 
     def dataReceived(self, data: bytes) -> None:
+        wheel = self.front.switch.wheel
+        if data:
+            self.came = max(self.came, wheel.now - OLDEST) if self.full else wheel.now - wheel.lag
+            self.full = len(data) >= READ
         if self.newcomer:
             self.front.moved(self)
         super().dataReceived(data)
 
+    def go_on(self) -> None:
+        """Reads on what was put off."""
+        if self.choked_at is None and self.closed_at is None and self in self.front.lines:
+            super().resumeProducing()
+
     # A producer's three calls. A caller that doesn't read its answers isn't read from either.
     def pauseProducing(self) -> None:
         self.choked_at = self.front.switch.wheel.now
@@ -113,7 +126,8 @@
 
     def resumeProducing(self) -> None:
         self.choked_at = None
-        super().resumeProducing()
+        if self not in self.front.put_off:
+            super().resumeProducing()
 
     def stopProducing(self) -> None:
         pass
@@ -174,7 +188,8 @@
             rest, body = whole[self.length:], whole[:self.length]
             self._whole(body)
             if self.closed_at is None:
-                self.setLineMode(rest)
+                self.setLineMode()
+                super().dataReceived(rest)
 
     def _whole(self, body: bytes) -> None:
         first, headers, vias = self.first, self.headers, self.vias
@@ -185,6 +200,10 @@
         if len(words) != 3 or not words[2].startswith("SIP/2"):
             return self._bad("no SIP first line")
         self.front.asked(self, words[0], words[1], headers, vias, body)
+        if self.closed_at is None and self.front.switch.wheel.behind() > TURN:
+            self.full = True  # what comes meanwhile waits unread
+            self.front.later(self)
+            super().pauseProducing()
 
     def answer(self, code: int, headers: dict[str, str], vias: list[str], body: bytes = b"",
                later: float = 0.0) -> None:
@@ -224,6 +243,7 @@
         self.begun: dict[SipLine, float] = {}  # a first message is coming; with when its last piece came
         self.idle: dict[SipLine, float] = {}  # no call ever stood there
         self.proven: dict[SipLine, float] = {}  # a call stood there
+        self.put_off: dict[SipLine, None] = {}  # those with more to read, in turn
         self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
         self.stood_on: dict[str, tuple[SipLine, str]] = {}  # calls that stand: their connection and number
         self.unsaid: OrderedDict[str, tuple[float, str, int]] = OrderedDict()  # releases with no connection
@@ -271,6 +291,22 @@
         if line in self.lines and line.closed_at is None:
             self.begun[line] = self.switch.wheel.now
 
+    def later(self, line: SipLine) -> None:
+        """Callers had their part of this turn: what this one still has to say is read in a later one."""
+        if not self.put_off:
+            self.switch.wheel.at(self.switch.wheel.now, self._go_on)
+        self.put_off[line] = None
+
+    def _go_on(self) -> None:
+        waiting, self.put_off = self.put_off, {}
+        while waiting and self.switch.wheel.behind() <= TURN / 2:
+            line = next(iter(waiting))
+            del waiting[line]
+            line.go_on()
+        if waiting and not self.put_off:
+            self.switch.wheel.at(self.switch.wheel.now, self._go_on)
+        self.put_off = waiting | self.put_off
+
     def _unlist(self, line: SipLine) -> None:
         for kept in (self.new, self.begun, self.idle, self.proven):
             kept.pop(line, None)
@@ -321,11 +357,13 @@
         for call in list(line.calls):
             self.switch.fail(call, self)
         self._unlist(line)
+        self.put_off.pop(line, None)
         line.clearLineBuffer()
         line.transport.loseConnection()
 
     def closed(self, line: SipLine) -> None:
         self.lines.pop(line, None)
+        self.put_off.pop(line, None)
         self._unlist(line)
         for call in list(line.calls):
             self.asked_by.pop(call, None)
@@ -383,7 +421,7 @@
         self.asked_by[order.call] = (line, headers, vias, order.number)
         line.calls.add(order.call)
         self.rests(line)
-        verdict = self.switch.set_up(order, self)
+        verdict = self.switch.set_up(order, self, self.switch.wheel.now - line.came)
         if verdict is not None:
             self.turned_away(order.call, verdict, 0.0)
         if order.klass not in self.switch.classes:
