--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 import random
 import subprocess
 import sys
+from dataclasses import replace
 
 import pytest
 from helpers import call, ended, entry, front, lines, sends, settings, stands
@@ -77,6 +78,21 @@
     assert len(cold_burst(c, 46000.0)) > 100  # warm for ten seconds by then
 
 
+def test_two_processes_of_one_front_have_half_of_a_cold_budget_each():
+    def sent(part):
+        c = front(("a", "b"))
+        for k in range(200):
+            for d, s in enumerate("ab"):
+                call(c, k * 100.0, f"w{s}{k}", dest=d)
+                stands(c, k * 100.0 + 30, f"w{s}{k}", s)
+        c.handle(20000.0, i.NewSettings(replace(c.set, part=part)))
+        c.handle(20001.0, i.ListNews(i.ListKind.CHANGES, (entry("a", 0, started=20000.0),)))
+        c.gates["b"].shut_until = 1e9
+        return len(cold_burst(c, 20010.0, over=2000.0))
+
+    assert 0.35 * sent(1.0) < sent(0.5) < 0.65 * sent(1.0)
+
+
 @pytest.mark.parametrize("outcome", [i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED])
 def test_release_is_awaited(outcome):
     c = front(("a", "b"))
