Give a set-up long after a put-off its patience, and name a wrong way to hand over

Found on reading the change again: after a turn that put a connection off, its next read, however late, counted as having waited for up to 500 ms; it now does so only where it is read in the turn that follows. WILLOWHITCH_HANDOVER with another value was ignored; it ends the start with one plain line.

--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -88,7 +88,10 @@
         self.recording = self._recording(tables.record, offset) if tables and tables.record else None
         self.due, self.began, self.failed = 0.0, self.wheel.now, ""
         tmp = os.environ.get("TMPDIR", "")
-        self.shared = os.environ.get(SHARED, "") == "reuseport"
+        way = os.environ.get(SHARED, "")
+        if way not in ("", "reuseport"):
+            raise BadConfiguration(f"{SHARED}: {way!r:.40} is not 'reuseport'; empty: handed over")
+        self.shared = way == "reuseport"
         self.handover = Handover(reactor, self.switch, self.sip, tmp) if tmp and not self.shared else None
 
     def _mgmt_address(self, text: Any) -> tuple[str, int]:
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -84,7 +84,8 @@
         self.began: float | None = None  # since when a message is not whole
         self.closed_at: float | None = None  # when we began to close it
         self.strikes = 0.0
-        self.since = self.came = front.switch.wheel.now  # came: what is being read, at the earliest
+        # came: what is being read, at the earliest; read_at: when this was last read, or could be again
+        self.since = self.came = self.read_at = front.switch.wheel.now
         self.full = False  # more may have waited behind the last read
         self.newcomer = True  # nothing was answered here, or is owed an answer
         self.stood = False  # whether a call stood here
@@ -108,14 +109,16 @@
     def dataReceived(self, data: bytes) -> None:
         wheel = self.front.switch.wheel
         if data:
-            self.came = max(self.came, wheel.now - OLDEST) if self.full else wheel.now - wheel.lag
-            self.full = len(data) >= READ
+            behind = self.full and wheel.now - self.read_at <= wheel.lag + TURN  # else it came only now
+            self.came = max(self.came, wheel.now - OLDEST) if behind else wheel.now - wheel.lag
+            self.full, self.read_at = len(data) >= READ, wheel.now
         if self.newcomer:
             self.front.moved(self)
         super().dataReceived(data)
 
     def go_on(self) -> None:
         """Reads on what was put off."""
+        self.read_at = self.front.switch.wheel.now
         if self.choked_at is None and self.closed_at is None and self in self.front.lines:
             super().resumeProducing()
 
