Keep a release until its caller has it, and calls' lives for those that went wrong

One loss was known from a scenario on: a release written to a connection that its caller closed unread was never sent again (SipFront.released took it out of stood_on, _bye wrote once and kept nothing).

Change: core/releases.py owns each release from the end of its call until the caller acknowledged it, or 8 s: owed, sent on a connection, moved to another one as that ends, repeated on another way after 300 ms without an acknowledgement (only where callers acknowledge at all), handed on, dropped; bounded at 4,096. core/lives.py keeps the lives of the last calls, off unless the operator file has 'calls'; optional parts have one form in parts.py, and the traffic record moved into it.

--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -8,4 +8,11 @@
 #     "most_mb": 64,             # then it is kept as traffic.whtr.1 and begun anew
 # }
 
+# calls = {                      # the lives of the last calls: GET /v1/calls/ID at the management address
+#     "keep": 4096,              # of so many calls
+#     "file": "lives-{pid}.jsonl",   # and in a file, a line a call; left out: no file
+#     "every_s": 5,              # what is new is appended so often, and at exit
+#     "most_mb": 64,             # then nothing more is written
+# }
+
 # logs = {"form": "json"}        # one JSON object a line, with bound fields; "plain" is the default
--- /dev/null
+++ b/tests/test_lives.py
@@ -0,0 +1,78 @@
+"""The ring of calls' lives: bounds, the management call, the file; parts that are off stay out."""
+import json
+import subprocess
+import sys
+
+from stage import Stage, call_id
+
+from willowhitch.core.lives import FIRST, LAST, Lives
+
+CALL = """
+    c0 send INVITE 1
+    e0 expect SET_UP {1}
+    e0 send ANSWER 1 33=d
+    c0 expect 200 .*{1}
+    e0 send RELEASE 1 31=16
+    c0 expect ^BYE
+    """
+
+
+def test_bounds_of_calls_and_of_entries():
+    at = [0.0]
+    lives = Lives(lambda: at[0], most=3)
+    for n in range(5):
+        lives.note(call_id(n), "set-up")
+    assert list(lives.calls) == [call_id(n) for n in (2, 3, 4)] and lives.dropped == 2
+    assert lives.take(2) == [call_id(2), call_id(3)] and lives.take(9) == [call_id(4)] and lives.take(9) == []
+    for n in range(100):
+        at[0] = float(n)
+        lives.note(call_id(4), "again", str(n))
+    told = lives.told(call_id(4), 1000.0)
+    assert len(told["life"]) == FIRST + LAST and told["left_out"] == 101 - FIRST - LAST
+    assert told["life"][0] == {"ms": 1000.0, "what": "set-up"} and told["life"][-1]["where"] == "99"
+    assert lives.told(call_id(0)) is None
+
+
+def test_a_life_is_told_on_request_and_written_to_the_file(tmp_path):
+    star = tmp_path / "o.star"
+    star.write_text('calls = {"keep": 9, "file": "l-{pid}.jsonl", "every_s": 0.1}\n')
+    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+        s.play(CALL)
+        s.play("m0 send GET /v1/calls/{1}")
+        told = json.loads(s.next("m0").partition(" - ")[2])
+        whats = [entry["what"] for entry in told["life"]]
+        wanted = ["set-up", "attempt", "set-up written", "answer heard", "answered 200", "release heard",
+                  "caller told"]
+        assert [w for w in whats if w in wanted] == wanted, whats
+        s.play("""
+            m1 send GET /v1/calls/{7}
+            m1 expect ^404
+            m2 send GET /v1/calls/x
+            m2 expect ^400
+            m3 send POST /v1/calls/{1}
+            m3 expect ^405
+            m4 send GET /v1/calls/links
+            m4 expect "link up"
+            m5 send GET /v1/metrics
+            m5 expect "calls":{"lives_kept":1
+            p send SIGTERM
+            p expect 0
+            """)
+        lines = (tmp_path / f"l-{s.program.pid}.jsonl").read_text().splitlines()
+        assert {json.loads(line)["call"] for line in lines} == {call_id(1), "links"}
+
+
+def test_a_disk_that_is_full_is_told_once_and_calls_go_on(tmp_path):
+    star = tmp_path / "o.star"
+    star.write_text('calls = {"file": "/dev/full", "every_s": 0.1}\n')
+    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+        s.play(CALL + "c0 wait 400" + CALL.replace(" 1", " 2").replace("{1}", "{2}") + "c0 wait 400")
+        assert s.said().count("calls: lives not written") == 1
+
+
+def test_without_a_table_no_part_is_loaded():
+    off = ("parts", "net.callbook", "measure", "fleet", "net.peers", "operator", "storage", "budgets", "sites")
+    code = ("import sys, willowhitch.__main__; "
+            f"off = tuple('willowhitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
+            "print([m for m in sys.modules if m.startswith(off)])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.strip() == "[]"
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -171,6 +171,7 @@
             c0 expect 200 .*Call-ID: {1}
             e0 send RELEASE 2 31=16
             c0 expect ^BYE .*Call-ID: {2}
+            c0 send raw SIP/2.0 200 OK\\r\\nCall-ID: {2}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
             BEATS
             c0 expect end
             e0 send RELEASE 3 31=16
@@ -180,6 +181,7 @@
             c6 expect end
             c3 send ACK 9
             c3 expect ^BYE .*Call-ID: {3}
+            c3 send raw SIP/2.0 200 OK\\r\\nCall-ID: {3}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
             m1 send POST /v1/softswitch/activate
             m1 expect 200
             """.replace("BEATS", 8 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 280\n"))
--- /dev/null
+++ b/tests/test_releases.py
@@ -0,0 +1,172 @@
+"""The life of a release: drawn interleavings on a model of callers, and the front on sockets."""
+import random
+
+from stage import Stage
+
+from willowhitch.core.releases import KEPT_FOR, REPEAT_AFTER, Releases
+
+STAYS = {"lanes": [{"name": "x", "aim": 1500.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 9000.0}]}
+
+
+class World:
+    """Callers' connections as they truly are, and what has come out at their far end."""
+
+    def __init__(self, seed):
+        self.rng, self.now, self.table = random.Random(seed), 0.0, Releases(most=64)
+        self.open, self.silent, self.flight, self.read = {}, set(), [], {}
+        self.made = self.calls = 0
+        self.over = {}  # call -> when it was over
+        self.reachable = {}  # call -> since when a way to a reading caller has stood without a break
+
+    def out(self, told):
+        for tell in told:
+            assert tell.way in self.open, "written to a connection that is over"
+            self.flight.append([self.now + self.rng.choice((1, 5, 40)), tell.way, tell.call])
+
+    def connect(self):
+        self.made += 1
+        self.open[self.made] = None
+        if self.rng.random() < 0.7:
+            self.table.stood(self.made)
+        self.out(self.table.spoke(self.now, self.made))
+
+    def step(self):
+        rng, ways = self.rng, list(self.open)
+        acts = ("over", "over", "connect", "close", "reset", "silent", "speak", "choke", "time", "time")
+        act = rng.choice(acts)
+        if act == "over":
+            self.calls += 1
+            call = f"{self.calls:016x}"
+            self.over[call] = self.now
+            own = rng.choice([*ways, None, -1])  # -1: a connection that is over
+            self.out(self.table.owe(self.now, call, "77", 16, own))
+        elif act == "connect" and len(ways) < 5:
+            self.connect()
+        elif act in ("close", "reset") and ways:
+            way = rng.choice(ways)  # what is in flight there is never read
+            del self.open[way]
+            self.silent.discard(way)
+            self.flight = [f for f in self.flight if f[1] != way]
+            self.out(self.table.ended(self.now, way))
+        elif act == "silent" and len(set(ways) - self.silent) > 1:
+            self.silent.add(rng.choice(ways))  # open, and nothing is read there any more
+        elif act == "speak" and set(ways) - self.silent:
+            self.out(self.table.spoke(self.now, rng.choice(sorted(set(ways) - self.silent))))
+        elif act == "choke" and ways:
+            self.table.choked(rng.choice(ways), rng.random() < 0.5)
+        else:
+            self.pass_time(rng.choice((1, 10, 60)))
+
+    def pass_time(self, ms):
+        for _ in range(ms):
+            self.now += 1.0
+            for f in [f for f in self.flight if f[0] <= self.now and f[1] not in self.silent]:
+                self.flight.remove(f)
+                self.read.setdefault(f[2], self.now)
+                self.table.heard(f[2])
+            if self.now % 100 == 0:
+                self.out(self.table.turn(self.now))
+            reading = set(self.open) - self.silent
+            for call, since in self.over.items():
+                if call not in self.read and reading:
+                    self.reachable.setdefault(call, self.now)
+                elif not reading:
+                    self.reachable.pop(call, None)
+                # Told in time if any way to a caller stood: three tries of 300 ms, looked at each 100 ms.
+                late = self.now - self.reachable.get(call, self.now)
+                if call not in self.read and late > 1_000 and self.now - since < KEPT_FOR - 1_000:
+                    raise AssertionError(f"{call} over at {since}, not read at {self.now}")
+        self.check()
+
+    def check(self):
+        table = self.table
+        assert len(table.owed) <= table.most and set(table.ways) <= set(self.open)
+        sent = {call: way for way, state in table.ways.items() for call in state.sent}
+        assert sent == {call: owed.way for call, owed in table.owed.items() if owed.way is not None}
+        assert not any(owed.way is None for owed in table.owed.values()) or not table.ways
+
+
+def test_drawn_lives_of_releases_are_told_in_time_if_any_way_to_a_caller_stood():
+    for seed in range(400):
+        world = World(seed)
+        world.connect()
+        for _ in range(120):
+            # Of the ways at most one is silent at a time: three tries find no more than that.
+            if len(world.silent) > 1:
+                world.silent.pop()
+            world.step()
+        world.pass_time(1)
+        assert world.calls > 5 and world.read
+
+
+def test_no_acknowledgement_is_missed_where_callers_never_acknowledge():
+    table = Releases()
+    table.spoke(0.0, "a")
+    table.spoke(0.0, "b")
+    assert [t.way for t in table.owe(1.0, "1", "77", 16, "a")] == ["a"]
+    assert table.turn(1.0 + 2 * REPEAT_AFTER) == []  # nobody here ever said that it heard one
+    assert [t.way for t in table.ended(700.0, "a")] == ["b"]  # but an end is an end
+    assert table.heard("1") and not table.heard("1")
+    table.owe(800.0, "2", "77", 16, "b")
+    table.spoke(800.0, "c")
+    assert [t.way for t in table.turn(800.0 + REPEAT_AFTER)] == ["c"]
+    assert table.turn(800.0 + 2 * REPEAT_AFTER) == []  # there is no third
+    table.turn(800.0 + KEPT_FOR + 1)
+    assert not table.owed and table.unheard == 1 and table.lost == 0
+
+
+def test_bounds_the_oldest_go_first_and_are_counted():
+    table = Releases(most=3)
+    for n in range(5):
+        assert table.owe(float(n), str(n), "7", 16, None) == []
+    assert list(table.owed) == ["2", "3", "4"] and table.lost == 2
+    assert [t.call for t in table.spoke(9.0, "a")] == ["2", "3", "4"]
+    table.hand_on("3")
+    assert set(table.ways["a"].sent) == {"2", "4"}
+
+
+def test_a_release_unread_at_a_close_goes_out_on_another_connection():
+    with Stage(settings=STAYS) as s:
+        s.play("""
+            c0 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c0 expect 200 .*{1}
+            c1 send INVITE 2
+            e0 expect SET_UP {2}
+            e0 send ANSWER 2 33=d
+            c1 expect 200 .*{2}
+            e0 send RELEASE 1 31=16
+            c0 wait 50
+            c0 close
+            c1 expect ^BYE .*Call-ID: {1}
+            c1 send raw SIP/2.0 200 OK\\r\\nCall-ID: {1}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
+            c1 expect nothing 500
+            e0 send RELEASE 2 31=16
+            c1 expect ^BYE .*Call-ID: {2}
+            c1 close
+            c2 send ACK 9
+            c2 expect ^BYE .*Call-ID: {2}
+            """)
+
+
+def test_a_release_that_is_not_heard_goes_out_on_another_connection():
+    with Stage(settings=STAYS) as s:
+        s.play("""
+            c0 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c0 expect 200 .*{1}
+            c1 send INVITE 2
+            e0 expect SET_UP {2}
+            e0 send ANSWER 2 33=d
+            c1 expect 200 .*{2}
+            e0 send RELEASE 2 31=16
+            c1 expect ^BYE .*Call-ID: {2}
+            c1 send raw SIP/2.0 200 OK\\r\\nCall-ID: {2}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
+            e0 send RELEASE 1 31=16
+            c0 expect ^BYE .*Call-ID: {1}
+            c1 expect ^BYE .*Call-ID: {1}
+            c0 send raw SIP/2.0 481 no\\r\\nCall-ID: {1}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
+            c0 expect nothing 700
+            """)
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -85,7 +85,6 @@
         self.board = Board(reactor, address(config["board"]), self.switch, self.engines, to_clock)
         self.known = self.board.read(config.get("known") or {})
         self.telemetry = telemetry.start(self.sip.name, self.switch)
-        self.recording = self._recording(tables.record, offset) if tables and tables.record else None
         self.due, self.began, self.failed = 0.0, self.wheel.now, ""
         tmp = os.environ.get("TMPDIR", "")
         way = os.environ.get(SHARED, "")
@@ -93,6 +92,7 @@
             raise BadConfiguration(f"{SHARED}: {way!r:.40} is not 'reuseport'; empty: handed over")
         self.shared = way == "reuseport"
         self.handover = Handover(reactor, self.switch, self.sip, tmp) if tmp and not self.shared else None
+        self.parts = self._parts(tables, offset) if tables else {}
 
     def _mgmt_address(self, text: Any) -> tuple[str, int]:
         try:
@@ -100,28 +100,19 @@
         except ValueError as e:
             raise BadConfiguration(f"mgmt (or $BALANCER_MGMT): {e}; address:port is wanted") from None
 
-    def _recording(self, table: Any, offset: float) -> Any:
-        try:
-            from willowhitch.measure.recordfile import BadRecord, Writer, read
-            from willowhitch.measure.recording import Recording
-        except ImportError as e:
-            raise BadConfiguration(f"record: needs {e.name}: pip install 'willowhitch[record]'") from None
-        path = Path(os.environ[OPERATOR]).resolve().parent / table.file
+    def _parts(self, tables: Any, offset: float) -> dict[str, Any]:
+        """The optional parts that the operator file asks for."""
+        from willowhitch.parts import BadPart, Host, make
+
+        host = Host(self.sip.name, self.switch, reactor, offset, Path(os.environ[OPERATOR]).resolve().parent,
+                    self.settings, handover=self.handover)
         try:
-            if path.exists():
-                read(path)  # another version's, or no record at all: told now, and left as it is
-            path.parent.mkdir(parents=True, exist_ok=True)
-        except (BadRecord, OSError) as e:
-            raise BadConfiguration(f"record: {e}") from None
-        head = {"name": self.sip.name, "interval_ms": table.interval_s * 1000, "slot_ms": table.slot_s * 1000,
-                "classes": [c.name for c in self.settings.classes], "since": time.time() * 1000.0}
-        recording = Recording(
-            self.switch, Writer(path, head, table.most_mb << 20), table.interval_s * 1000,
-            table.slot_s * 1000, lambda now: now - offset, reactor.callInThread,
-            {c.name: c.aim for c in self.settings.classes})
-        self.switch.watcher = recording
-        logger.info("traffic record: an entry each {:g} s to {}", table.interval_s, path)
-        return recording
+            made = make(tables, host)
+        except BadPart as e:
+            raise BadConfiguration(str(e)) from None
+        if self.mgmt:
+            self.mgmt.more, self.mgmt.parts = host.calls, made
+        return made
 
     def start(self) -> None:
         self.switch.start()
@@ -133,6 +124,8 @@
             except CannotListenError as e:
                 raise BadConfiguration(f"mgmt: {e}") from None
             logger.info("management calls at {}:{}", *self.mgmt_at)
+        for part in self.parts.values():
+            part.start()
         self.due = self.wheel.read()
         self._tick()
         before = self.handover.predecessors(self.listen) if self.handover else []
@@ -215,6 +208,7 @@
                     raise BadConfiguration(f"{key} is missing")
             settings = checked(config["settings"], self.running["settings"])
             board, known = address(config["board"]), self.board.read(config.get("known") or {})
+            tables = operator_file() if self.parts else None
         except (BadConfiguration, BadSettings) as e:
             figures.cfg_invalid += 1
             logger.error("configuration not reloaded, the old one stays: {}", e)
@@ -227,6 +221,7 @@
             if settings.tick != self.settings.tick:
                 later.append("settings.tick")
             self._take(settings)
+            later += self._reload_parts(tables)
             self.running = config | {key: self.running[key] for key in FIXED if key in self.running}
             self.board.known(known)
             self.board.move(board)
@@ -235,12 +230,15 @@
             if later:
                 logger.warning("configuration: {} changes at the next start only", ", ".join(later))
 
+    def _reload_parts(self, tables: Any) -> list[str]:
+        """What of the operator file changes at the next start only."""
+        said = [part.reload(getattr(tables, name, None), self.settings) for name, part in self.parts.items()]
+        return [f"the operator file's {what}" for what in said if what]
+
     def _take(self, settings: Any) -> None:
         self.settings = replace(settings, tick=self.settings.tick)
         self.engines.set = self.settings
         self.switch.new_settings(self.settings)
-        if self.recording:
-            self.recording.aims = {c.name: c.aim for c in settings.classes}
 
     def stop(self) -> None:
         if self.switch.lifecycle.phase is Phase.STOPPING:
@@ -314,8 +312,8 @@
         print(f"willowhitch: {softswitch.failed}", file=sys.stderr)
     if softswitch.telemetry:
         softswitch.telemetry.stop()
-    if softswitch.recording:
-        softswitch.recording.stop()
+    for part in softswitch.parts.values():
+        part.stop()
     return 2 if softswitch.failed else 0
 
 
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -17,6 +17,7 @@
 from willowhitch import interface as i
 from willowhitch.core.figures import Figures
 from willowhitch.core.lifecycle import Lifecycle
+from willowhitch.core.lives import Lives
 from willowhitch.core.wheel import Wheel
 from willowhitch.policy import Controller
 
@@ -168,6 +169,7 @@
         self.heir_until = wheel.now + HEIR_FOR
         self.over: dict[str, None] = {}  # ids of our own calls that ended since the start: kept for HEIR_FOR
         self.cells: dict[str, int] = {}
+        self.lives: Lives | None = None  # where the lives of calls are kept
         self.watcher: Watcher | None = None  # told of each call, where a traffic record is kept
         self.on_duration = None  # called with (what, ms): set-up times and lengths of calls, for telemetry
         self._events: deque[i.Event] = deque()
@@ -216,6 +218,9 @@
                                       klass is None or klass.repeatable)
         self.figures.of(order.klass).taken += 1
         self.open += 1
+        if self.lives:
+            left = f"{patience:.0f} of {order.patience:.0f} ms left"
+            self.lives.note(order.call, "set-up", left)
         self.held += len(order.description)
         self.wheel.at(now + grace + GUARD, self._overdue, order.call)
         if self.watcher:
@@ -233,6 +238,8 @@
     def give_up(self, call_id: str, by: Caller) -> bool:
         """The caller stopped waiting. No answer is owed then; False: it has no such call."""
         call = self.calls.get(call_id)
+        if self.lives:
+            self.lives.note(call_id, "given up by its caller")
         if call is None or call.caller is not by:
             self.count["unknown given up"] += 1
             return False
@@ -250,6 +257,8 @@
     def release(self, call_id: str, cause: int, by: Caller) -> bool:
         """The caller ends a call, standing or still being set up; False: it has no such call."""
         call = self.calls.get(call_id)
+        if self.lives:
+            self.lives.note(call_id, "released by its caller", str(cause))
         if call is None and by.survives and self.other and call_id not in self.over:
             self.other.release(call_id, cause)
             return True
@@ -285,6 +294,8 @@
 
     def answered(self, server: str, call_id: str, description: bytes) -> None:
         call = self.calls.get(call_id)
+        if self.lives:
+            self.lives.note(call_id, "answer heard", server)
         if call is None or call.server != server:
             # It crossed our giving up, which frees its lines; or it is a second copy, or of no call of ours.
             # Guards against an engine that has us write a release for whatever id it thinks up.
@@ -307,6 +318,8 @@
     def cleared(self, server: str, call_id: str, cause: int, note: str = "", report: tuple = ()) -> None:
         """The engine turned an attempt away, or released a call that stood."""
         call = self.calls.get(call_id)
+        if self.lives:
+            self.lives.note(call_id, "release heard", f"{server} {cause} {note}")
         if call is None and self.other and call_id not in self.over:
             self.other.cleared(call_id, cause)
             return
@@ -436,6 +449,8 @@
             self._attempt_ended(call, i.Outcome.MOOT)
             return
         self.count["attempts"] += 1
+        if self.lives:
+            self.lives.note(a.call, "attempt", f"{call.attempt} {a.server} {a.timeout:.0f}")
         if a.timeout > 0:
             self.wheel.at(now + a.timeout, self._timed_out, a.call, call.attempt)
         self.engines.set_up(a.server, call, max(1.0, call.deadline - now))
@@ -450,6 +465,8 @@
         """An attempt is over and the call is still owed its answer."""
         now, server = self.wheel.now, call.server
         self.count[f"attempt {outcome.value}"] += 1
+        if self.lives:
+            self.lives.note(call.order.call, "attempt ended", f"{server} {outcome.value}")
         call.server = None
         if outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
             call.ready = now + self.set.release
@@ -466,6 +483,8 @@
         if call is None or call.stands:
             return
         self.count[verdict.value] += 1
+        if self.lives:
+            self.lives.note(call_id, "turned away", verdict.value)
         self._settled(call, verdict.value)
         self._forget(call_id)
         call.caller.turned_away(call_id, verdict, stay_away)
--- a/willowhitch/measure/recording.py
+++ b/willowhitch/measure/recording.py
@@ -1,6 +1,7 @@
 """Ties a traffic record to a running switch and its file. Loaded only where the operator file asks for it."""
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable
 from threading import Lock
@@ -10,7 +11,8 @@
 
 from willowhitch.core.switch import BLOCKED, PROCESSOR_FULL, Call, Switch
 from willowhitch.measure.record import TrafficRecord
-from willowhitch.measure.recordfile import BadRecord, Writer
+from willowhitch.measure.recordfile import BadRecord, Writer, read
+from willowhitch.parts import Host
 
 MOST_WAITING = 8  # intervals that wait to be written; a disk slower than that loses the newest
 
@@ -22,6 +24,7 @@
                  clock: Callable[[float], float], in_thread: Callable[..., Any],
                  aims: dict[str, float]) -> None:
         self.switch, self.writer, self.in_thread, self.aims = switch, writer, in_thread, aims
+        self.table: Any = None
         self.waiting: deque[dict[str, Any]] = deque()
         self.writing, self.failing = Lock(), False  # taken by writing threads alone, never by the loop
         self.record = TrafficRecord(interval, slot, clock, self._save, switch.wheel.now)
@@ -85,8 +88,39 @@
                         logger.warning("traffic record: not written, the softswitch serves on: {}", e)
                     self.failing = True
 
+    # as a part of the softswitch (parts.Part)
+
+    def start(self) -> None:
+        every = self.record.interval / 1000
+        logger.info("traffic record: an entry each {:g} s to {}", every, self.writer.path)
+
+    def reload(self, table: Any, settings: Any) -> str:
+        self.aims = {c.name: c.aim for c in settings.classes}
+        return "" if table == self.table else "record"
+
+    def figures(self) -> dict[str, Any]:
+        return {}
+
     def stop(self) -> None:
         """The interval under way is written as far as it got."""
         self.in_thread = lambda work: work()
         self.record.turn(self.switch.wheel.now, last=True)
         self.writer.close()
+
+
+def make(table: Any, host: Host) -> Recording:
+    path = host.folder / table.file
+    try:
+        if path.exists():
+            read(path)  # another version's, or no record at all: told now, and left as it is
+    except BadRecord as e:
+        raise ValueError(str(e)) from None
+    path.parent.mkdir(parents=True, exist_ok=True)
+    head = {"name": host.name, "interval_ms": table.interval_s * 1000, "slot_ms": table.slot_s * 1000,
+            "classes": [c.name for c in host.settings.classes], "since": time.time() * 1000.0}
+    aims = {c.name: c.aim for c in host.settings.classes}
+    made = Recording(host.switch, Writer(path, head, table.most_mb << 20), table.interval_s * 1000,
+                     table.slot_s * 1000, lambda now: now - host.offset, host.reactor.callInThread, aims)
+    made.table = table
+    host.switch.watcher = made
+    return made
--- /dev/null
+++ b/willowhitch/net/callbook.py
@@ -0,0 +1,83 @@
+"""The lives of calls on request: `GET /v1/calls/ID` at the management address, and a file at exit."""
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+from loguru import logger
+
+from willowhitch.core.lives import SYSTEM, Lives
+from willowhitch.core.switch import CALL
+from willowhitch.parts import Host
+
+AT_ONCE = 500  # lives encoded in one turn of the loop, at the most
+
+
+class CallBook:
+    """A `parts.Part`."""
+
+    def __init__(self, table: Any, host: Host) -> None:
+        self.table, self.host = table, host
+        file = table.file.replace("{pid}", str(os.getpid()))
+        self.path = str(host.folder / file) if file else ""
+        self.writing = self.failing = False
+        wheel = host.switch.wheel
+        self.lives = host.switch.lives = Lives(lambda: wheel.now + wheel.behind(), table.keep)
+        host.calls["/v1/calls/"] = ("GET", self.asked)
+
+    def asked(self, rest: str) -> tuple[int, dict[str, Any]]:
+        call = SYSTEM if rest == "links" else rest.lower()
+        if call and not CALL.match(call):
+            return 400, {"error": "16 hex digits of a call are wanted, or `links`"}
+        told = self.lives.told(call, -self.host.offset)
+        gone = {"error": f"not known, or no more: {self.table.keep} calls are kept"}
+        return (200, told) if told else (404, gone)
+
+    def start(self) -> None:
+        logger.info("calls: the lives of the last {} are kept", self.table.keep)
+        if self.path:
+            self._tick()
+
+    def _tick(self) -> None:
+        wheel = self.host.switch.wheel
+        wheel.at(wheel.now + self.table.every_s * 1000.0, self._tick)
+        if not self.writing:
+            if lines := self._lines(AT_ONCE):
+                self.writing = True
+                self.host.reactor.callInThread(self._write, lines)
+
+    def _lines(self, most: int) -> list[bytes]:
+        told = (self.lives.told(call, -self.host.offset) for call in self.lives.take(most))
+        return [orjson.dumps(life) for life in told if life]
+
+    def _write(self, lines: list[bytes]) -> None:
+        """In a thread of the reactor's pool, one at a time; the loop waits for no disk."""
+        try:
+            with open(self.path, "ab") as file:
+                if file.tell() < self.table.most_mb << 20:
+                    file.write(b"".join(line + b"\n" for line in lines))
+            self.failing = False
+        except OSError as e:
+            if not self.failing:
+                logger.warning("calls: lives not written, the softswitch serves on: {}", e)
+            self.failing = True
+        finally:
+            self.writing = False
+
+    def reload(self, table: Any, settings: Any) -> str:
+        return "" if table == self.table else "calls"
+
+    def figures(self) -> dict[str, Any]:
+        return {"lives_kept": len(self.lives.calls), "lives_dropped": self.lives.dropped}
+
+    def stop(self) -> None:
+        if self.path:
+            self._write(self._lines(len(self.lives.fresh)))
+
+
+def make(table: Any, host: Host) -> CallBook:
+    if table.file and not (Path(host.folder) / table.file).parent.is_dir():
+        raise ValueError(f"`file`: no such folder: {(Path(host.folder) / table.file).parent}")
+    return CallBook(table, host)
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -162,6 +162,8 @@
             return
         self.line, self.opening, self.choked, self.backlog = line, False, False, 0
         self.last, self.told = self.switch.wheel.now, 0.0
+        if self.switch.lives:
+            self.switch.lives.note("", "link up", self.server)
         later, self.later = self.later, {}
         for call, data in later.items():
             self._write(call, data)
@@ -183,6 +185,8 @@
             return
         self.line, out, self.out = None, self.out, set()
         self.switch.count["engine connections lost"] += 1
+        if self.switch.lives:
+            self.switch.lives.note("", "link down", self.server)
         for call in out:
             self.switch.broken(self.server, call)
         if self.switch.wheel.now - line.since < STEADY_AFTER:
@@ -209,9 +213,13 @@
     def _write(self, call: str, data: bytes) -> None:
         if data[0] == SET_UP:
             self.out.add(call)
+            if self.switch.lives:
+                self.switch.lives.note(call, "set-up written", self.server)
             self.switch.relayed(call)
         elif data[0] == RELEASE:
             self.out.discard(call)
+            if self.switch.lives:
+                self.switch.lives.note(call, "release written", self.server)
         self.backlog = self.backlog + len(data) if self.choked else 0
         if self.backlog > BACKLOG:
             logger.warning("engine {}: does not read, connection closed", self.server)
--- a/willowhitch/net/mgmt.py
+++ b/willowhitch/net/mgmt.py
@@ -111,6 +111,9 @@
     def __init__(self, switch: Switch) -> None:
         self.switch = switch
         self.lines: dict[MgmtLine, None] = {}  # the longest there first
+        # Calls of optional parts: by path, or by a beginning that ends with `/`; and figures of theirs.
+        self.more: dict[str, tuple[str, Callable[[str], Answer]]] = {}
+        self.parts: dict[str, Any] = {}
         switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
 
     def buildProtocol(self, addr: object) -> MgmtLine:
@@ -129,7 +132,12 @@
         path = target.partition("?")[0]
         known = CALLS.get(path)
         if known is None:
-            return 404, {"error": f"no such call; there are {', '.join(CALLS)}"}
+            for begin, (wants, answer) in self.more.items():
+                if path == begin or begin.endswith("/") and path.startswith(begin):
+                    if method != wants:
+                        return 405, {"error": f"{path} wants {wants}", "allow": wants}
+                    return answer(path[len(begin):])
+            return 404, {"error": f"no such call; there are {', '.join((*CALLS, *self.more))}"}
         allowed, act = known
         if method != allowed:
             return 405, {"error": f"{path} wants {allowed}", "allow": allowed}
@@ -140,7 +148,11 @@
         return 200 if life.ready else 503, {"ready": life.ready, "phase": life.phase.value}
 
     def _figures(self) -> Answer:
-        return 200, self.switch.told()
+        told = self.switch.told()
+        for name, part in self.parts.items():
+            if figures := part.figures():
+                told[name] = figures
+        return 200, told
 
     def _drain(self) -> Answer:
         life = self.switch.lifecycle
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import re
-from collections import OrderedDict
 from typing import Any
 
 from loguru import logger
@@ -10,6 +9,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from willowhitch.core.lifecycle import LINGERS_FOR, NEWCOMER, Phase
+from willowhitch.core.releases import Releases, Tell
 from willowhitch.core.switch import NORMAL, Order, Switch, Verdict
 
 LONGEST = 16_384  # bytes of one message
@@ -27,8 +27,7 @@
 KEPT = 0.25  # share of the connections up to which idle ones are kept all the same: releases need one
 WHOLE_BY = 5_000.0  # ms that one message may take
 CLOSED_BY = 1_000.0  # ms that a close may take
-MOST_UNSAID = 4_096  # releases kept for the next connection of a caller
-UNSAID_FOR = 8_000.0  # ms
+OWED = 100.0  # ms between two looks at the releases that were not heard
 CHOKED_FOR = 5_000.0  # ms that a caller may leave its answers unread
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes nan, 1_0, 1e99 and far digits too
@@ -84,6 +83,7 @@
         self.began: float | None = None  # since when a message is not whole
         self.closed_at: float | None = None  # when we began to close it
         self.strikes = 0.0
+        self.name = ""
         # came: what is being read, at the earliest; read_at: when this was last read, or could be again
         self.since = self.came = self.read_at = front.switch.wheel.now
         self.full = False  # more may have waited behind the last read
@@ -125,10 +125,12 @@
     # A producer's three calls. A caller that doesn't read its answers isn't read from either.
     def pauseProducing(self) -> None:
         self.choked_at = self.front.switch.wheel.now
+        self.front.releases.choked(self, True)
         super().pauseProducing()
 
     def resumeProducing(self) -> None:
         self.choked_at = None
+        self.front.releases.choked(self, False)
         if self not in self.front.put_off:
             super().resumeProducing()
 
@@ -198,7 +200,7 @@
         first, headers, vias = self.first, self.headers, self.vias
         self._begin()
         if first.startswith("SIP/"):
-            return  # an answer to a release of ours
+            return self.front.answered(self, first, headers)
         words = first.split()
         if len(words) != 3 or not words[2].startswith("SIP/2"):
             return self._bad("no SIP first line")
@@ -240,6 +242,7 @@
         self.name, self.most = name, most  # most connections at once
         self.switch: Switch
         self.port: Any = None  # where they connect
+        self.numbered = 0
         self.lines: dict[SipLine, None] = {}
         # Each connection with no set-up open is in one of these, the longest there first, with since when.
         self.new: dict[SipLine, float] = {}  # nothing came there yet
@@ -249,7 +252,7 @@
         self.put_off: dict[SipLine, None] = {}  # those with more to read, in turn
         self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
         self.stood_on: dict[str, tuple[SipLine, str]] = {}  # calls that stand: their connection and number
-        self.unsaid: OrderedDict[str, tuple[float, str, int]] = OrderedDict()  # releases with no connection
+        self.releases, self.looks = Releases(), False  # looks: a look at the releases is due
 
     def attach(self, switch: Switch) -> None:
         self.switch = switch
@@ -284,6 +287,10 @@
 
     def opened(self, line: SipLine) -> None:
         self.lines[line] = None
+        self.numbered += 1
+        line.name = f"c{self.numbered}"
+        if self.switch.lives:
+            self.switch.lives.note("", "caller's connection", line.name)
         self.new[line] = self.switch.wheel.now
         self.switch.count["caller connections"] += 1
 
@@ -357,6 +364,7 @@
         if line.closed_at is not None:
             return
         line.closed_at = self.switch.wheel.now
+        self._say(self.releases.ended(self.switch.wheel.now, line))
         for call in list(line.calls):
             self.switch.fail(call, self)
         self._unlist(line)
@@ -366,8 +374,11 @@
 
     def closed(self, line: SipLine) -> None:
         self.lines.pop(line, None)
+        if self.switch.lives:
+            self.switch.lives.note("", "caller's connection over", line.name)
         self.put_off.pop(line, None)
         self._unlist(line)
+        self._say(self.releases.ended(self.switch.wheel.now, line))
         for call in list(line.calls):
             self.asked_by.pop(call, None)
             self.switch.give_up(call, self)
@@ -393,10 +404,8 @@
         """A caller speaks here: releases that wait for one may go this way. The platform's front, which only
         tests, drops them."""
         line.heard = self.switch.wheel.now
-        if self.unsaid:
-            unsaid, self.unsaid = self.unsaid, OrderedDict()
-            for call, (_, number, cause) in unsaid.items():
-                self._bye(line, call, number, cause)
+        if line.closed_at is None:
+            self._say(self.releases.spoke(line.heard, line))
 
     def _invite(self, line, address, headers, vias, body) -> None:
         try:
@@ -438,14 +447,40 @@
             asked[0].calls.discard(call)
             self.rests(asked[0])
 
-    def _bye(self, line: SipLine, call: str, number: str, cause: int) -> None:
-        self.switch.count["releases sent to callers"] += 1
-        line.write([f"BYE sip:{number}@net SIP/2.0", f"Via: SIP/2.0/TCP {self.name}", f"Call-ID: {call}",
-                    "CSeq: 2 BYE", f"Reason: Q.850;cause={cause}"])
+    def _say(self, told: list[Tell]) -> None:
+        for tell in told:
+            self.switch.count["releases sent to callers"] += 1
+            if self.switch.lives:
+                self.switch.lives.note(tell.call, "caller told", tell.way.name)
+            tell.way.write([f"BYE sip:{tell.number}@net SIP/2.0", f"Via: SIP/2.0/TCP {self.name}",
+                            f"Call-ID: {tell.call}", "CSeq: 2 BYE", f"Reason: Q.850;cause={tell.cause}"])
+        if self.releases.owed and not self.looks:
+            self.looks = True
+            self.switch.wheel.at(self.switch.wheel.now + OWED, self._look)
+
+    def _look(self) -> None:
+        """At the releases that are owed; none is due while there are none."""
+        self.looks = False
+        if not self.releases.ways and self.switch.other is not None and self.switch.lifecycle.handed_over:
+            for call, owed in self.releases.waiting():  # callers come to the next process
+                self.releases.hand_on(call)
+                self.switch.other.released(call, owed.cause)
+        self._say(self.releases.turn(self.switch.wheel.now))
+        for what, n in (("never sent", self.releases.lost), ("not acknowledged", self.releases.unheard),
+                        ("sent again", self.releases.moved + self.releases.repeated)):
+            if n:
+                self.switch.count[f"releases {what}"] = n
+
+    def answered(self, line: SipLine, first: str, headers: dict[str, str]) -> None:
+        """An answer to a release of ours: whatever it says of the call, the caller knows."""
+        if self.releases.owed:
+            self.releases.heard(call_of(headers))
+        if self.switch.lives:
+            self.switch.lives.note(call_of(headers), f"caller answered {first[:40]}", line.name)
 
     def _bye_heard(self, line, address, headers, vias, body) -> None:
         call, cause = call_of(headers), CAUSE.search(headers.get("reason", ""))
-        known = self.unsaid.pop(call, None) is not None
+        known = self.releases.heard(call, acknowledged=False)
         known |= self.switch.release(call, int(cause[1]) if cause and len(cause[1]) < 4 else NORMAL, self)
         line.answer(200 if known else 481, headers, vias)
         self._forget(call)
@@ -471,6 +506,8 @@
             line, headers, vias, _ = asked
             line.calls.discard(call)
             self.switch.count[f"answered {code}"] += 1
+            if self.switch.lives:
+                self.switch.lives.note(call, f"answered {code}", line.name)
             if line.closed_at is None:
                 self.rests(line)
             line.answer(code, headers, vias, body, later)
@@ -480,6 +517,8 @@
         if asked:
             self.stood_on[call] = (asked[0], asked[3])
             asked[0].strikes, asked[0].stood = 0.0, True
+            if asked[0].closed_at is None:
+                self.releases.stood(asked[0])
         self._answer(call, 200, description)
 
     def turned_away(self, call: str, verdict: Verdict, stay_away: float) -> None:
@@ -488,18 +527,10 @@
     def released(self, call: str, cause: int) -> None:
         """Any connection of a caller may carry it; with none open it goes out on the next one."""
         line, number = self.stood_on.pop(call, (None, "call"))
-        if line not in self.lines or line.closed_at is not None:
-            able = [other for other in self.lines if other.closed_at is None and other.heard is not None]
-            # One where calls stood, if there is any: others may be whoever. Of several, the last one heard.
-            line = max(able, key=lambda other: (other.stood, other.heard), default=None)
-        if line is not None:
-            self._bye(line, call, number, cause)
-            return
-        if self.switch.other is not None and self.switch.lifecycle.handed_over:
-            return self.switch.other.released(call, cause)  # callers come to the next process
-        self.unsaid[call] = (self.switch.wheel.now, number, cause)
-        if len(self.unsaid) > MOST_UNSAID:
-            self.unsaid.popitem(last=False)
+        other, now = self.switch.other, self.switch.wheel.now
+        if not self.releases.ways and other is not None and self.switch.lifecycle.handed_over:
+            return other.released(call, cause)  # callers come to the next process
+        self._say(self.releases.owe(now, call, number, cause, line))
 
     def _too_slow(self, line: SipLine, what: str) -> None:
         self.switch.count[f"connections closed as {what}"] += 1
@@ -516,9 +547,6 @@
                 known = self.switch.calls.get(call)
                 if known and self.switch.lifecycle.overstays(now, known.came):
                     self.switch.fail(call, self)
-        while self.unsaid and now - next(iter(self.unsaid.values()))[0] > UNSAID_FOR:
-            self.unsaid.popitem(last=False)
-            self.switch.count["releases never sent"] += 1
         for what, kept, most in (("silent", self.new, FIRST_BY), ("idle", self.idle, IDLE_FOR),
                                  ("idle", self.proven, IDLE_FOR)):
             few = KEPT * self.most if what == "idle" else 0.0
--- a/willowhitch/operator/tables.py
+++ b/willowhitch/operator/tables.py
@@ -23,6 +23,17 @@
             raise ValueError("`interval_s` holds a whole number of `slot_s`, 1 to 240 of them")
 
 
+class Calls(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The lives of the last calls, for one that went wrong (docs/operation.md)."""
+
+    keep: Annotated[int, Meta(ge=1, le=100_000)] = 4_096  # calls; some 1.5 KB each
+    # Beside the operator file; a line a call, appended each so many s and at exit: a later line of a call
+    # stands for the ones before. `{pid}` in the name is the process's number.
+    file: str = ""
+    every_s: Annotated[float, Meta(ge=0.1, le=3600)] = 5.0
+    most_mb: Annotated[int, Meta(ge=1, le=4096)] = 64  # then nothing more is written there
+
+
 class Logs(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """How log lines are written."""
 
@@ -33,4 +44,5 @@
     """All tables of the file."""
 
     record: Record | None = None
+    calls: Calls | None = None
     logs: Logs = Logs()
