Let an idle softswitch sleep until its next timer, and load fewer modules at its start

Change: the wheel keeps its timers by tick in a heap and tells the next one; with nothing due the reactor sleeps until then, at most 50 ms, and the poller reads the clock as something comes in, so that its time is not a stale one.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -240,3 +240,48 @@
     assert b.heard("turned_away") == [("turned_away", ONE, Verdict.REFUSED)]
     assert b.heard("released") == [("released", f"{2:016x}", 41)]
     assert not b.switch.calls and MARGIN > 0
+
+
+def test_the_wheel_tells_what_is_due_next_and_reads_the_clock_when_something_comes_in():
+    now, fired, earlier = [0.0], [], []
+    wheel = Wheel(5.0, lambda: now[0])
+    wheel.on_earlier = earlier.append
+    assert wheel.due is None
+    wheel.at(100.0, fired.append, "far")
+    wheel.at(200.0, fired.append, "farther")
+    assert wheel.due == 100.0 and earlier == [100.0]
+    wheel.rests_until = 50.0
+    now[0] = 30.0
+    wheel.look()
+    assert (wheel.now, wheel.lag) == (30.0, 0.0)  # it came in a rest: only now
+    wheel.at(32.0, fired.append, "soon")
+    assert wheel.due == 35.0 and earlier == [100.0, 35.0]
+    now[0] = 90.0
+    wheel.look()
+    assert (wheel.now, wheel.lag) == (90.0, 35.0)  # the rest was over at 50: it may have waited since
+    wheel.read()
+    wheel.turn()
+    assert fired == ["soon"] and wheel.lag == 0.0
+    now[0] = 300.0
+    wheel.read()
+    wheel.turn()
+    assert fired == ["soon", "far", "farther"] and wheel.lag == 205.0 and wheel.due is None
+
+
+def test_timers_drawn_at_random_fire_in_order_and_never_early():
+    import random
+    rng, now, fired, asked = random.Random(5), [0.0], [], {}
+    wheel = Wheel(5.0, lambda: now[0])
+    for n in range(2_000):
+        asked[n] = now[0] + rng.choice((0, 1, 7, 60, 900, 20_000)) * rng.random()
+        wheel.at(asked[n], lambda n=n: fired.append((wheel.now, n)))
+        if rng.random() < 0.3:
+            now[0] += rng.choice((1, 5, 40))
+            wheel.read()
+            wheel.turn()
+    while wheel.due is not None:
+        now[0] = max(now[0], wheel.due)
+        wheel.read()
+        wheel.turn()
+    assert sorted(n for _, n in fired) == list(range(2_000))
+    assert all(at >= asked[n] for at, n in fired) and fired == sorted(fired, key=lambda f: f[0])
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -71,7 +71,8 @@
 
 
 def test_without_a_table_no_part_is_loaded():
-    off = ("parts", "net.callbook", "measure", "fleet", "net.peers", "operator", "storage", "budgets", "sites")
+    off = ("parts", "net.callbook", "measure", "fleet", "net.peers", "operator", "storage", "budgets",
+           "sites")
     code = ("import sys, willowhitch.__main__; "
             f"off = tuple('willowhitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
             "print([m for m in sys.modules if m.startswith(off)])")
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -1,6 +1,8 @@
 """One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
 from __future__ import annotations
 
+import willowhitch.lean  # noqa: F401, I001  # first of all: what follows imports what it keeps out
+
 import gc
 import os
 import resource
@@ -8,6 +10,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -31,7 +34,6 @@
 from willowhitch.core.switch import MOST_CALLS, MOST_HELD, Switch
 from willowhitch.core.wheel import Wheel
 from willowhitch.net.board import Board
-from willowhitch.net.control import ControlFront
 from willowhitch.net.engine import EngineLinks
 from willowhitch.net.handover import Handover, listening
 from willowhitch.net.mgmt import MgmtFront
@@ -43,6 +45,7 @@
 STILL_COMING = 750.0  # ms after SIGTERM in which set-ups may still arrive
 BACKLOG = 512  # connections that may wait to be accepted
 LIST_BY = 1_000.0  # ms that a process which replaces another gives the board to bring its list up to date
+MOST_REST = 50.0  # ms without a look at the clock; a standstill within it goes unseen
 SEEK_FOR = 5_000.0  # ms from the start in which it asks for the listeners; the platform waits 6 s for its yes
 SHARED = "WILLOWHITCH_HANDOVER"  # "reuseport": the kernel shares the address out, where none can be given
 FIXED = ("name", "listen", "limits")  # what a reload can't change
@@ -55,6 +58,20 @@
     return time.monotonic() * 1000.0
 
 
+class Poller:
+    """The reactor's epoll object, which tells when it comes back from waiting."""
+
+    def __init__(self, poller: Any, woken: Callable[[], None]) -> None:
+        self.wrapped, self.woken = poller, woken
+        self.register, self.modify, self.unregister = poller.register, poller.modify, poller.unregister
+        self.close, self.fileno = poller.close, poller.fileno
+
+    def poll(self, timeout: float, most: int) -> Any:
+        found = self.wrapped.poll(timeout, most)
+        self.woken()
+        return found
+
+
 class Softswitch:
     """The parts of one softswitch and the ticks that drive its wheel."""
 
@@ -76,16 +93,20 @@
         room = max(16, min(1_000, sockets - max(48, sockets // 8)))
         self.switch.most_calls = min(MOST_CALLS, CALLS_PER_MB * int(limits.get("memory_mb") or 1_000))
         self.switch.most_held = min(MOST_HELD, int(limits.get("memory_mb") or 1_000) << 17)
-        self.control = ControlFront(control_settings(), room // 4)
-        self.sip = SipFront(str(config["name"]), room - room // 4 if self.control.set.listen else room)
+        control = control_settings()
+        self.control = self._control_front(control, room // 4) if control.listen else None
+        self.sip = SipFront(str(config["name"]), room - room // 4 if self.control else room)
         self.sip.attach(self.switch)
-        self.control.attach(self.switch)
+        if self.control:
+            self.control.attach(self.switch)
         self.mgmt = MgmtFront(self.switch) if config.get("mgmt") else None
         self.mgmt_at = self._mgmt_address(config["mgmt"]) if self.mgmt else None
         self.board = Board(reactor, address(config["board"]), self.switch, self.engines, to_clock)
         self.known = self.board.read(config.get("known") or {})
         self.telemetry = telemetry.start(self.sip.name, self.switch)
         self.due, self.began, self.failed = 0.0, self.wheel.now, ""
+        self.ticking: Any = None  # the reactor's call of the next tick
+        self.rests = False  # whether ticks with nothing due are left out
         tmp = os.environ.get("TMPDIR", "")
         way = os.environ.get(SHARED, "")
         if way not in ("", "reuseport"):
@@ -94,6 +115,11 @@
         self.handover = Handover(reactor, self.switch, self.sip, tmp) if tmp and not self.shared else None
         self.parts = self._parts(tables, offset) if tables else {}
 
+    def _control_front(self, settings: Any, room: int) -> Any:
+        from willowhitch.net.control import ControlFront  # and its packages, where it listens
+
+        return ControlFront(settings, room)
+
     def _mgmt_address(self, text: Any) -> tuple[str, int]:
         try:
             return address(text)
@@ -128,6 +154,7 @@
             part.start()
         self.due = self.wheel.read()
         self._tick()
+        self._rest()
         before = self.handover.predecessors(self.listen) if self.handover else []
         if before:
             # The list in the file may be old by now: the board has a moment to tell the rest.
@@ -171,7 +198,7 @@
 
     def _serve(self, given: dict[str, int]) -> None:
         self.sip.port = self._listen("sip", self.listen, self.sip, given)
-        if self.control.set.listen:
+        if self.control:
             at = address(self.control.set.listen)
             self._listen("control", at, self.control, given)
             logger.info("call-control API at {}:{}", *at)
@@ -185,14 +212,35 @@
     def _tick(self) -> None:
         """One timer of the reactor drives all others. After a standstill the sockets are read first: what
         came in meanwhile came before the timers that are overdue, and must not look late."""
-        now, tick = self.wheel.read(), self.settings.tick
+        wheel, tick = self.wheel, self.settings.tick
+        now = wheel.read()
+        self.ticking = None
         if now - self.due > 2 * tick:
             self.switch.count["ticks late"] += 1
-            reactor.callLater(0, self.wheel.turn)
+            reactor.callLater(0, wheel.turn)
         else:
-            self.wheel.turn()
-        self.due = max(self.due + tick, now)
-        reactor.callLater(max(0.0, self.due - monotonic_ms()) / 1000.0, self._tick)
+            wheel.turn()
+        next_ = max(self.due + tick, now)
+        if self.rests:
+            # With nothing due it rests, and the poller reads the clock when something comes in.
+            due = wheel.due
+            next_ = max(next_, min(now + MOST_REST, due if due is not None else now + MOST_REST))
+            wheel.rests_until = next_
+        self.due = next_
+        self.ticking = reactor.callLater(max(0.0, next_ - monotonic_ms()) / 1000.0, self._tick)
+
+    def _rest(self) -> None:
+        """From now on, with nothing to do, it sleeps until its next timer, or until something comes in."""
+        if hasattr(reactor, "_poller"):  # another reactor than epoll's turns over every tick
+            reactor._poller = Poller(reactor._poller, self.wheel.look)
+            self.rests, self.wheel.on_earlier = True, self._earlier
+
+    def _earlier(self, due: float) -> None:
+        """A timer was set that comes before the end of the rest."""
+        due = max(due, self.wheel.now)
+        if self.ticking is not None and due < self.due:
+            self.due = self.wheel.rests_until = due
+            self.ticking.reset(max(0.0, due - monotonic_ms()) / 1000.0)
 
     def counters(self) -> None:
         now = {"open": self.switch.open, "known": len(self.switch.calls)}
@@ -259,7 +307,8 @@
         if now >= self.switch.lifecycle.ends_at or not held and now >= earliest:
             self.switch.refuse_rest()
             self.switch.cut_rest()
-            self.control.stop()
+            if self.control:
+                self.control.stop()
             reactor.callLater(0.1, reactor.stop)  # what was written last still goes out
         else:
             self.wheel.at(now + 20.0, self._end_when_done, earliest)
--- a/willowhitch/configuration.py
+++ b/willowhitch/configuration.py
@@ -3,17 +3,38 @@
 
 import os
 import tomllib
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import orjson
 
-from willowhitch.net.control import ControlSettings
-
 CONTROL = Path(__file__).resolve().parent.parent / "deploy" / "control.toml"  # or WILLOWHITCH_CONTROL
 OPERATOR = "WILLOWHITCH_OPERATOR"  # names the operator file; unset, none of its features is there
 
 
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """What deploy/control.toml says."""
+
+    listen: str = ""  # address:port; empty: off
+    most_sockets: int = 100
+    most_open: int = 1_000  # set-ups of one socket that wait for their answer
+    keep_s: float = 30.0  # a call that stands and is watched by nobody is released after this
+    origins: tuple[str, ...] = ()  # web pages that may connect; programs send no Origin
+
+    @classmethod
+    def of(cls, table: dict[str, Any]) -> ControlSettings:
+        unknown = set(table) - set(cls.__dataclass_fields__)
+        if unknown:
+            raise ValueError(f"control: unknown key {sorted(unknown)[0]!r}")
+        given: dict[str, Any] = {k: tuple(v) if isinstance(v, list) else v for k, v in table.items()}
+        made = cls(**given)
+        if not isinstance(made.listen, str) or made.most_sockets < 1 or made.most_open < 1 or made.keep_s < 0:
+            raise ValueError("control: listen is a text, most_sockets and most_open >= 1, keep_s >= 0")
+        return made
+
+
 class BadConfiguration(Exception):
     """A configuration that cannot be served."""
 
--- a/willowhitch/net/control.py
+++ b/willowhitch/net/control.py
@@ -22,6 +22,7 @@
 )
 from wsproto.utilities import RemoteProtocolError
 
+from willowhitch.configuration import ControlSettings
 from willowhitch.core.switch import NORMAL, Order, Switch, Verdict
 
 VERSION = 1
@@ -35,27 +36,6 @@
 BAD_JSON, BAD_MESSAGE, BAD_VERSION = "bad_json", "bad_message", "bad_version"
 
 
-@dataclass(frozen=True, slots=True)
-class ControlSettings:
-    """What deploy/control.toml says."""
-
-    listen: str = ""  # address:port; empty: off
-    most_sockets: int = 100
-    most_open: int = 1_000  # set-ups of one socket that wait for their answer
-    keep_s: float = 30.0  # a call that stands and is watched by nobody is released after this
-    origins: tuple[str, ...] = ()  # web pages that may connect; programs send no Origin
-
-    @classmethod
-    def of(cls, table: dict[str, Any]) -> ControlSettings:
-        unknown = set(table) - set(cls.__dataclass_fields__)
-        if unknown:
-            raise ValueError(f"control: unknown key {sorted(unknown)[0]!r}")
-        made = cls(**{k: tuple(v) if isinstance(v, list) else v for k, v in table.items()})
-        if not isinstance(made.listen, str) or made.most_sockets < 1 or made.most_open < 1 or made.keep_s < 0:
-            raise ValueError("control: listen is a text, most_sockets and most_open >= 1, keep_s >= 0")
-        return made
-
-
 @dataclass(slots=True)
 class Placed:
     """A call of this front, from its set-up to its end."""
--- a/willowhitch/net/mgmt.py
+++ b/willowhitch/net/mgmt.py
@@ -114,7 +114,7 @@
         # Calls of optional parts: by path, or by a beginning that ends with `/`; and figures of theirs.
         self.more: dict[str, tuple[str, Callable[[str], Answer]]] = {}
         self.parts: dict[str, Any] = {}
-        switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
+        self.sweeps = False  # a sweep is due; none is while nobody is connected
 
     def buildProtocol(self, addr: object) -> MgmtLine:
         if len(self.lines) >= MOST:
@@ -126,6 +126,9 @@
             victim.transport.abortConnection()
         line = MgmtLine(self)
         self.lines[line] = None
+        if not self.sweeps:
+            self.sweeps = True
+            self.switch.wheel.at(self.switch.wheel.now + SWEEP, self._sweep)
         return line
 
     def call(self, method: str, target: str) -> Answer:
@@ -170,7 +173,9 @@
 
     def _sweep(self) -> None:
         now = self.switch.wheel.now
-        self.switch.wheel.at(now + SWEEP, self._sweep)
+        self.sweeps = bool(self.lines)
+        if self.sweeps:
+            self.switch.wheel.at(now + SWEEP, self._sweep)
         for line in list(self.lines):
             if line.answered_at is None and now - line.since > WHOLE_BY:
                 line.say(408, {"error": "no whole request in time"})
