--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -1,7 +1,7 @@
 """One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
-from __future__ import annotations
+from __future__ import annotations  # noqa: I001
 
-import willowhitch.lean  # noqa: F401, I001  # first of all: what follows imports what it keeps out
+import willowhitch.lean  # noqa: F401  # first of all: what follows imports what it keeps out
 
 import gc
 import os
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -92,6 +92,9 @@
             self.spoilt = True
             self.link.switch.count["engine links spoilt"] += 1
             logger.warning("engine {}: {}, connection closed", self.link.server, why)
+            if self.link.switch.lives and self.recvd:
+                begun = f"{self.link.server} {len(self.recvd)} bytes {self.recvd[:11].hex()}"
+                self.link.switch.lives.note("", "message begun and cut short", begun)
             self.transport.abortConnection()
             self.link.down(self)
 
