--- /dev/null
+++ b/willowhitch/fleet/member.py
@@ -0,0 +1,598 @@
+"""One member of the fleet: finds failures, spreads news, agrees with the others. Events in, actions out.
+
+The rules of SWIM (direct and indirect probes in shuffled rounds, suspicion, incarnations), with Lifeguard's
+three remedies (probe times by one's own health, suspicions that shorten with each member that shares them,
+the accused told first), and exchanges of whole tables by digest as in Scuttlebutt. docs/design/fleet-view.md
+says why.
+
+Two things are its own. A process that was stopped or starved gives every wait that ran meanwhile its time
+again, and accuses nobody before it was heard. And a process that does not see a majority says 'I am cut off':
+it keeps the others as suspects and calls none of them gone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import log10
+from random import Random
+
+import msgspec
+
+from willowhitch.fleet.messages import (
+    ENDED,
+    FORMAT,
+    Ack,
+    Ask,
+    Compare,
+    Datagram,
+    Differ,
+    Head,
+    Message,
+    Nack,
+    News,
+    Ping,
+    Record,
+    Refused,
+    Rest,
+    State,
+    Stream,
+)
+from willowhitch.fleet.table import Table
+
+HELPERS = 3  # members asked to probe for us
+DEAF = 6.0  # periods in which nobody at all is heard, after which a process counts as cut off itself
+WORST = 8  # the most that one's own bad health stretches times by
+PIGGYBACK = 8  # records on the back of a probe: they and the head fit a datagram of 1,400 bytes
+ASKERS = 20  # members, on average, that ask one who is suspected at half of the time
+CONFIRMATIONS = 3  # others that share a suspicion, from which on it lasts its least time
+COUNTED = ("probes", "indirect", "accused", "refuted", "exchanges", "standstills", "gone", "garbage")
+MOST_HELPED = 64  # probes under way for others
+
+
+@dataclass(frozen=True, slots=True)
+class Periods:
+    """Times in ms; all follow from the period of probes."""
+
+    period: float = 500.0  # between two probes
+    answer: float = 200.0  # for a direct answer
+    suspicion: float = 3.0  # periods that a suspicion lasts at least, times log10 of the fleet but 1 at least
+    longest: float = 3.0  # times as long it lasts at the most, with nobody sharing it
+    exchange: float = 5_000.0  # between two exchanges of tables with nothing to say that they differ
+    retry: float = 2_000.0  # between two tries to reach a member that is gone, and seeds while joining
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram to this address."""
+
+    to: str
+    message: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """An exchange over the second path: `said` goes out, and what comes back is given to `heard_back`."""
+
+    to: str
+    said: Compare
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """What is known of a member changed. `was` is None for a new one."""
+
+    record: Record
+    was: State | None
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """For operators: `what` is one of 'accused', 'cut off', 'sees a majority', 'name taken', 'refused'."""
+
+    what: str
+    why: str
+
+
+Action = Send | Exchange | Changed | Told
+
+
+@dataclass(slots=True)
+class Probe:
+    """The probe under way."""
+
+    key: str
+    seq: int
+    direct_by: float
+    ends: float
+    asked: bool = False
+    nacks: int = 0
+    helpers: int = 0
+
+
+@dataclass(slots=True)
+class Suspicion:
+    incarnation: int
+    began: float
+    least: float
+    longest: float
+    sharers: set[str]  # other members whose own probes failed too
+    held: float = 0.0  # not over before this time
+    asked: int = 0  # times that the accused was asked because of it
+
+    def asks_at(self) -> float:
+        """When the accused is asked next: at half of the time, and once more before it is called gone."""
+        return self.began + (self.ends - self.began) / 2 if self.asked == 0 else self.ends
+
+    @property
+    def ends(self) -> float:
+        share = min(1.0, log10(len(self.sharers) + 1) / log10(CONFIRMATIONS + 1))
+        return max(self.held, self.began + self.longest - share * (self.longest - self.least))
+
+
+@dataclass(slots=True)
+class Helped:
+    """A probe for another member."""
+
+    asker: str  # its address
+    seq: int
+    nack_at: float
+    ends: float
+
+
+class Member:
+    """This process's part in the fleet."""
+
+    def __init__(
+        self, fleet: str, me: Record, seeds: Iterable[str], periods: Periods, seed: int, now: float
+    ) -> None:
+        self.fleet, self.times, self.rng = fleet, periods, Random(seed)
+        self.me = msgspec.structs.replace(me, state=State.JOINING)
+        self.seeds = [s for s in seeds if s != me.address]
+        self.table = Table()
+        self.table.put(now, self.me)
+        self.acts: list[Action] = []
+        self.health = 0  # 0: well; raised by what makes one doubt one's own view
+        self.expected, self.began = now, now  # expected: when the next tick was due
+        self.next_early = now  # an exchange for digests that differ, not before
+        self.accuses: dict[str, None] = {}  # suspects that own probes did not reach
+        self.counted: tuple[int, int, int] = (-1, 0, 0)  # digest of the table; names there, and the whole
+        self.next_probe, self.next_exchange, self.next_retry = now, now, now
+        self.probe: Probe | None = None
+        self.round: list[str] = []
+        self.seq = self.rng.getrandbits(32)
+        self.suspicions: dict[str, Suspicion] = {}
+        self.helped: dict[int, Helped] = {}
+        self.heard_at = now  # when anyone was last heard
+        self.leaving = False
+        self.cut_off = False
+        self.whole_since: float | None = None  # since when a majority was seen without a break
+        self.taken: dict[str, None] = {}  # keys of others that claim this name; each told once
+        self.refusals: dict[str, int] = {}
+        self.counts = dict.fromkeys(COUNTED, 0)
+
+    # what goes out
+
+    def _head(self) -> Head:
+        return Head(self.fleet, FORMAT, self.me, self.table.digest, tuple(self.accuses)[:4])
+
+    def _take(self) -> list[Action]:
+        acts, self.acts = self.acts, []
+        return acts
+
+    def _news(self, about: str = "") -> tuple[Record, ...]:
+        """On the back of a probe. One who is accused is told so first: nobody else can take it back."""
+        record = self.table.records.get(about)
+        accused = record is not None and record.state in (State.SUSPECT, State.GONE)
+        return self.table.news(PIGGYBACK, (about,) if accused else ())
+
+    def _next_seq(self) -> int:
+        self.seq = (self.seq + 1) % (1 << 40)
+        return self.seq
+
+    # time
+
+    def next_at(self) -> float:
+        """When `tick` is to be called next, at the latest."""
+        due = [self.next_probe, self.next_exchange, self.next_retry]
+        if self.probe is not None:
+            due.append(self.probe.ends if self.probe.asked else self.probe.direct_by)
+        due += [min(s.ends, s.asks_at()) for s in self.suspicions.values()]
+        due += [h.nack_at for h in self.helped.values()]
+        return min(due)
+
+    def tick(self, now: float) -> list[Action]:
+        """Time went on. To be called at `next_at`, and at least once a period."""
+        if now - self.expected > self.times.answer / 2:
+            self._stood_still(now - self.expected)
+        for seq in [seq for seq, h in self.helped.items() if now >= h.nack_at]:
+            helped = self.helped[seq]
+            if helped.nack_at < helped.ends:
+                self.acts.append(Send(helped.asker, Nack(self._head(), helped.seq)))
+                helped.nack_at = helped.ends
+            else:
+                del self.helped[seq]
+        self._probe(now)
+        self._majority(now)
+        for key, s in list(self.suspicions.items()):
+            if s.asked == 0 and now >= s.asks_at():
+                s.asked = 1
+                # Of a large fleet some ask, so that what all of them send to one stays bounded.
+                if self.rng.random() * self.table.present() < ASKERS:
+                    self._ping(key, self._next_seq())
+            if now >= s.ends:
+                self._suspicion_over(now, key)
+        if now >= self.next_exchange and not self.leaving:
+            self.next_exchange = now + self.times.exchange * self.rng.uniform(0.8, 1.2)
+            others = self._others((State.ALIVE, State.JOINING))
+            if others:
+                self._exchange(self.table.records[self.rng.choice(others)].address)
+            self.table.forget(now)
+        if now >= self.next_retry and not self.leaving:
+            self.next_retry = now + self.times.retry * self.rng.uniform(0.8, 1.2)
+            self._retry(now)
+        self.expected = max(now, self.next_at())
+        return self._take()
+
+    def _stood_still(self, gap: float) -> None:
+        """This process was stopped or starved. What it waited for meanwhile may have come and lies unread:
+        every wait gets its time again, and its own health is in doubt."""
+        self.counts["standstills"] += 1
+        self.health = min(WORST, self.health + 1)
+        self.probe = None
+        self.next_probe += gap
+        self.heard_at += gap
+        for s in self.suspicions.values():
+            s.began, s.held = s.began + gap, s.held + gap
+        for h in self.helped.values():
+            h.nack_at, h.ends = h.nack_at + gap, h.ends + gap
+
+    def _stretch(self) -> float:
+        return 1.0 + self.health
+
+    # probes
+
+    def _others(self, states: Iterable[State]) -> list[str]:
+        return [key for key, r in self.table.records.items() if r.state in states and key != self.me.key]
+
+    def _probe(self, now: float) -> None:
+        p = self.probe
+        if p is not None and not p.asked and now >= p.direct_by:
+            p.asked = True
+            able = [k for k in self._others((State.ALIVE,)) if k != p.key]
+            helpers = self.rng.sample(able, min(HELPERS, len(able)))
+            target = self.table.records.get(p.key)
+            p.helpers = len(helpers)
+            if target is not None:
+                for key in helpers:
+                    self.counts["indirect"] += 1
+                    self.acts.append(
+                        Send(
+                            self.table.records[key].address,
+                            Ask(self._head(), p.seq, p.key, target.address, self._news(key)),
+                        )
+                    )
+        if p is not None and now >= p.ends:
+            self.probe = None
+            # Helpers that are there and heard nothing have said so; those that said nothing make one doubt
+            # oneself.
+            missed = p.helpers - p.nacks
+            self.health = min(WORST, self.health + (missed if p.helpers else 1))
+            self._accuse(now, p.key)
+        if now >= self.next_probe and self.probe is None and not self.leaving:
+            key = self._next_target()
+            self.next_probe = now + self.times.period * self._stretch()
+            if key is None:
+                return
+            answer = self.times.answer * self._stretch()
+            self.probe = Probe(key, self._next_seq(), now + answer, max(self.next_probe, now + 3 * answer))
+            self.counts["probes"] += 1
+            self._ping(key, self.probe.seq)
+
+    def _next_target(self) -> str | None:
+        """Each of the others once a round, in an order drawn anew for each: so the time until a failure is
+        seen by someone is bounded, whatever the dice."""
+        for fresh in (False, True):
+            if fresh:
+                self.round = self._others((State.JOINING, State.ALIVE, State.SUSPECT))
+                self.rng.shuffle(self.round)
+            while self.round:
+                key = self.round.pop()
+                record = self.table.records.get(key)
+                if record is not None and record.state not in ENDED:
+                    return key
+        return None
+
+    def _ping(self, key: str, seq: int) -> None:
+        record = self.table.records[key]
+        self.acts.append(Send(record.address, Ping(self._head(), seq, key, self._news(key))))
+
+    def _accuse(self, now: float, key: str) -> None:
+        record = self.table.records.get(key)
+        if record is None or record.state in ENDED:
+            return
+        if now - self.heard_at > 2 * self.times.period * self._stretch() and self.table.present() > 2:
+            return  # nobody at all was heard: it is rather this process that hears nothing
+        self.counts["accused"] += 1
+        self.accuses[key] = None
+        self._merge(now, (msgspec.structs.replace(record, state=State.SUSPECT),))
+        self.acts.append(Send(record.address, News(self._head(), (self.table.records[key],))))
+
+    def _suspect(self, now: float, record: Record) -> None:
+        found = self.suspicions.get(record.key)
+        if found is not None and found.incarnation == record.incarnation:
+            return
+        n = max(1.0, log10(max(1, self.table.present())))
+        least = self.times.suspicion * n * self.times.period
+        longest = self.times.longest * least
+        self.suspicions[record.key] = Suspicion(record.incarnation, now, least, longest, set())
+
+    def _suspicion_over(self, now: float, key: str) -> None:
+        record, suspicion = self.table.records.get(key), self.suspicions[key]
+        if record is None or record.state is not State.SUSPECT or record.incarnation != suspicion.incarnation:
+            del self.suspicions[key]
+        elif self.cut_off or now - self.heard_at > 2 * self.times.period * self._stretch():
+            # It may be this process that is away: they stay suspects, and are asked on.
+            suspicion.held = now + self.times.period
+        elif suspicion.asked < 2:
+            suspicion.asked, suspicion.held = 2, now + 2 * self.times.answer
+            self._ping(key, self._next_seq())
+        else:
+            del self.suspicions[key]
+            self.counts["gone"] += 1
+            self._merge(now, (msgspec.structs.replace(record, state=State.GONE),))
+
+    def _majority(self, now: float) -> None:
+        """Of all members that did not leave, more than half are there, this one among them. The gone ones
+        count as long as they are remembered: else a minority would shrink the whole until it is a majority of
+        it."""
+        if self.counted[0] != self.table.digest:
+            there, lost = set(), set()
+            for r in self.table.records.values():
+                if r.state in (State.JOINING, State.ALIVE):
+                    there.add(r.name)
+                elif r.state is not State.LEFT:
+                    lost.add(r.name)  # unless it is at another address by now
+            self.counted = (self.table.digest, len(there), len(there | lost))
+        _, n, whole = self.counted
+        silent = now - self.heard_at > DEAF * self.times.period
+        # As many as half and no more: a fleet of two that loses one, or is cut in halves.
+        cut_off = whole > 1 and (2 * n <= whole or silent)
+        if cut_off != self.cut_off:
+            self.cut_off = cut_off
+            why = f"{n} of {whole} are there" + ", nobody is heard" * silent
+            self.acts.append(Told("cut off" if cut_off else "sees a majority", why))
+            for s in self.suspicions.values():  # who is heard again has its time to say so
+                s.began, s.held, s.asked = now, 0.0, 0
+                s.sharers.clear()
+        if cut_off:
+            self.whole_since = None
+        elif self.whole_since is None:
+            self.whole_since = now
+
+    # exchanges
+
+    def _exchange(self, address: str) -> None:
+        self.counts["exchanges"] += 1
+        self.acts.append(Exchange(address, Compare(self._head(), tuple(self.table.buckets))))
+
+    def _retry(self, now: float) -> None:
+        """Those that are gone may be cut off, and then only this brings the two parts together again. Seeds
+        are asked too: a fleet whose processes all started anew knows nobody else."""
+        known = {r.address for r in self.table.records.values() if r.state not in ENDED}
+        lost = [self.table.records[k].address for k in self._others((State.GONE,))]
+        lost += [s for s in self.seeds if s not in known and s not in lost]
+        suspects = [self.table.records[k].address for k in self._others((State.SUSPECT,))]
+        if self.cut_off and suspects:
+            self._exchange(self.rng.choice(suspects))
+        if self.me.state is State.JOINING:
+            self.next_retry = now + self.times.period
+            for address in self.seeds:
+                self._exchange(address)
+            if not self.seeds or now - self.began > 2 * self.times.retry:
+                self._joined(now)  # alone for now: the seeds are asked on
+        elif lost:
+            for address in self.rng.sample(lost, min(HELPERS, len(lost))):
+                self._exchange(address)
+
+    def _joined(self, now: float) -> None:
+        if self.me.state is State.JOINING:
+            self._speak(now, state=State.ALIVE)
+
+    def failed(self, now: float, address: str) -> list[Action]:
+        """An exchange did not come about."""
+        return self._take()
+
+    # what comes in
+
+    def _welcome(self, now: float, head: Head) -> str:
+        """Empty if the sender is of this fleet; else why it is not listened to."""
+        if head.format != FORMAT:
+            return f"format {head.format} of messages, {FORMAT} is spoken here"
+        if head.fleet != self.fleet:
+            return f"fleet {head.fleet!r}, this one is {self.fleet!r}"
+        if head.me.key == self.me.key:
+            return f"name and address of {self.me.key}, which is this process"
+        return ""
+
+    def _refuse(self, reason: str, who: str) -> Refused:
+        if len(self.refusals) < 64 or reason in self.refusals:
+            self.refusals[reason] = self.refusals.get(reason, 0) + 1
+            if self.refusals[reason] == 1:
+                self.acts.append(Told("refused", f"{who}: {reason}"))
+        return Refused(reason)
+
+    def heard(self, now: float, message: Message) -> list[Action]:
+        """A datagram came."""
+        if isinstance(message, Refused):
+            self._refuse(f"turned away there: {message.reason}", "a peer")
+            return self._take()
+        if isinstance(message, Compare | Differ | Rest):
+            self.counts["garbage"] += 1
+            return self._take()
+        head = message.head
+        if head.me.key == self.me.key:  # what this name and address said in a life before
+            self.counts["garbage"] += 1
+            return self._take()
+        if why := self._welcome(now, head):
+            refusal = self._refuse(why, head.me.key)
+            if not isinstance(message, Nack | News):
+                self.acts.append(Send(head.me.address, refusal))
+            return self._take()
+        self.heard_at = now
+        self._merge(now, (head.me, *getattr(message, "news", ())))
+        for key in head.accuses:
+            if key in self.suspicions:
+                self.suspicions[key].sharers.add(head.me.key)
+        sender = head.me.address
+        if isinstance(message, Ping):
+            if message.to == self.me.key:
+                self.acts.append(Send(sender, Ack(self._head(), message.seq, self._news(head.me.key))))
+        elif isinstance(message, Ack):
+            self._acked(now, message)
+        elif isinstance(message, Nack):
+            if self.probe is not None and self.probe.seq == message.seq:
+                self.probe.nacks += 1
+        elif isinstance(message, Ask):
+            if len(self.helped) < MOST_HELPED and message.to != self.me.key:
+                seq = self._next_seq()
+                wait = self.times.answer * 0.8
+                self.helped[seq] = Helped(sender, message.seq, now + wait, now + 2 * self.times.period)
+                ping = Ping(self._head(), seq, message.to, self._news(message.to))
+                self.acts.append(Send(message.address, ping))
+        if (
+            head.digest != self.table.digest
+            and not self.table.fresh
+            and isinstance(message, Ack)
+            and now >= self.next_early
+            and not self.leaving
+        ):
+            # Nothing is left to spread, and still the two differ: something was lost on the way.
+            self.next_early = now + 2 * self.times.period
+            self._exchange(sender)
+        return self._take()
+
+    def _acked(self, now: float, message: Ack) -> None:
+        p = self.probe
+        if p is not None and p.seq == message.seq:
+            self.probe = None
+            self.health = max(0, self.health - 1)
+            self.accuses.pop(p.key, None)
+            return
+        helped = self.helped.pop(message.seq, None)
+        if helped is not None:
+            # Passed on in the name of who answered, so that its own word comes with it.
+            self.acts.append(Send(helped.asker, Ack(self._head(), helped.seq, (message.head.me,))))
+
+    def asked(self, now: float, message: Stream) -> tuple[Stream | None, list[Action]]:
+        """Something came on the second path: what is answered there, and what else is done."""
+        if isinstance(message, Refused):
+            self._refuse(f"turned away there: {message.reason}", "a peer")
+            return None, self._take()
+        if why := self._welcome(now, message.head):
+            return self._refuse(why, message.head.me.key), self._take()
+        self.heard_at = now
+        if isinstance(message, Compare):
+            self._merge(now, (message.head.me,))
+            differ = self.table.differing(message.buckets)
+            return Differ(self._head(), differ, self.table.within(differ)), self._take()
+        if isinstance(message, Differ):
+            # as it was before: no news to them else
+            rest = Rest(self._head(), self.table.within(message.buckets))
+            self._merge(now, (message.head.me, *message.records))
+            self._joined(now)
+            return rest, self._take()
+        self._merge(now, (message.head.me, *message.records))
+        return None, self._take()
+
+    # what holds
+
+    def _merge(self, now: float, records: Iterable[Record]) -> None:
+        for record in records:
+            if record.key == self.me.key:
+                self._of_me(now, record)
+                continue
+            new = record.key not in self.table.records
+            old = self.table.put(now, record)
+            if old is None and not (new and record.key in self.table.records):
+                continue
+            if record.state is State.SUSPECT:
+                self._suspect(now, record)
+            else:
+                self.suspicions.pop(record.key, None)
+                self.accuses.pop(record.key, None)
+            self._conflict(record)
+            if old is None or old.state is not record.state or old.boot != record.boot:
+                self.acts.append(Changed(record, None if old is None else old.state))
+
+    def _of_me(self, now: float, record: Record) -> None:
+        """What others say of this process. It alone knows better: a restart that forgot, a clock set back, an
+        accusation, an end that was told of the life before, all are overruled by a higher incarnation."""
+        if record.boot == self.me.boot and record.rank <= self.me.rank:
+            return
+        if self.leaving and record.state in ENDED and record.incarnation >= self.me.incarnation:
+            return
+        if record.incarnation < self.me.incarnation:
+            return
+        if record.boot == self.me.boot and record.state is State.SUSPECT:
+            self.health = min(WORST, self.health + 1)
+        self.counts["refuted"] += 1
+        self._speak(now, incarnation=record.incarnation + 1)
+        if not self.leaving:  # at once: on the back of the next probes alone it may come too late
+            able = self._others((State.ALIVE,))
+            for key in self.rng.sample(able, min(HELPERS, len(able))):
+                self.acts.append(Send(self.table.records[key].address, News(self._head(), (self.me,))))
+        if record.state in (State.SUSPECT, State.GONE) and record.boot == self.me.boot:
+            self.acts.append(
+                Told(
+                    "accused",
+                    f"called {record.state.name.lower()} in incarnation {record.incarnation}, taken back",
+                )
+            )
+
+    def _speak(self, now: float, **changes: object) -> None:
+        """A new own record. Where only the incarnation does not say so, it rises: a life never comes back."""
+        self.me = msgspec.structs.replace(self.me, **changes)
+        self.table.put(now, self.me)
+
+    def _conflict(self, record: Record) -> None:
+        """Two processes that claim one name from two addresses: both are told, and neither takes the other
+        down."""
+        if record.name != self.me.name or record.key == self.me.key:
+            return
+        if record.state in (State.ALIVE, State.JOINING):
+            if record.key not in self.taken and len(self.taken) < 64:
+                self.taken[record.key] = None
+                self.acts.append(Told("name taken", f"{record.name} is at {record.address} too"))
+        else:
+            self.taken.pop(record.key, None)
+
+    def now_is(self, now: float, version: str, config: str) -> list[Action]:
+        """The configuration was read again."""
+        if (version, config) != (self.me.version, self.me.config):
+            self._speak(now, version=version, config=config, incarnation=self.me.incarnation + 1)
+        return self._take()
+
+    def leave(self, now: float) -> list[Action]:
+        """A planned stop: said to some at once, who spread it."""
+        if self.leaving:
+            return []
+        self.leaving = True
+        self._speak(now, state=State.LEFT)
+        others = self._others((State.JOINING, State.ALIVE, State.SUSPECT))
+        for key in self.rng.sample(others, min(2 * HELPERS, len(others))):
+            self.acts.append(Send(self.table.records[key].address, News(self._head(), (self.me,))))
+        return self._take()
+
+    # what is told
+
+    def sites(self) -> dict[str, dict[str, int]]:
+        """For each site how many of its members are in which state, joining ones as alive."""
+        found: dict[str, dict[str, int]] = {}
+        for r in self.table.records.values():
+            row = found.setdefault(r.site, {"alive": 0, "suspect": 0, "gone": 0, "left": 0})
+            row["alive" if r.state is State.JOINING else r.state.name.lower()] += 1
+        return found
+
+    def known(self) -> Iterable[Record]:
+        return self.table.records.values()
--- /dev/null
+++ b/willowhitch/fleet/messages.py
@@ -0,0 +1,141 @@
+"""What members say to each other, as typed messages. `net/peers.py` puts them on the wire."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+FORMAT = 1  # of these messages; another one is refused with a reason
+BUCKETS = 64  # parts of a table that are compared by digest
+
+Text = Annotated[str, Meta(min_length=1, max_length=64)]
+Address = Annotated[str, Meta(min_length=3, max_length=64, pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
+Whole = Annotated[int, Meta(ge=0, lt=1 << 53)]
+Digest = Annotated[int, Meta(ge=0, lt=1 << 64)]
+
+
+class State(IntEnum):
+    """In the order in which one overrides the other at the same incarnation."""
+
+    JOINING = 0  # started, and has not yet exchanged views with anyone
+    ALIVE = 1
+    SUSPECT = 2  # did not answer; takes it back by a higher incarnation
+    GONE = 3  # found dead; final for this incarnation
+    LEFT = 4  # said that it stops; final for this incarnation
+
+
+ENDED = (State.GONE, State.LEFT)
+
+
+class Record(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """What is said of one member. The owner alone raises the incarnation; others only add a worse state to
+    it."""
+
+    name: Text
+    address: Address  # host:port; with the name, who it is
+    incarnation: Whole
+    state: State
+    boot: Digest  # drawn at each start of the process
+    site: Annotated[str, Meta(max_length=64)] = ""
+    version: Annotated[str, Meta(max_length=32)] = ""
+    config: Annotated[str, Meta(max_length=32)] = ""  # digest of its configuration
+    mgmt: Annotated[str, Meta(max_length=64)] = ""  # where operators call
+
+    @property
+    def key(self) -> str:
+        return f"{self.name}@{self.address}"
+
+    @property
+    def rank(self) -> tuple[int, int, int, str, str, str, str]:
+        """A total order: of two records of one member the greater one holds, whatever the order they come
+        in."""
+        return (self.incarnation, self.state, self.boot, self.version, self.config, self.site, self.mgmt)
+
+
+Some = Annotated[tuple[Record, ...], Meta(max_length=64)]
+Many = Annotated[tuple[Record, ...], Meta(max_length=20_000)]
+Indices = Annotated[tuple[Annotated[int, Meta(ge=0, lt=BUCKETS)], ...], Meta(max_length=BUCKETS)]
+Digests = Annotated[tuple[Digest, ...], Meta(min_length=BUCKETS, max_length=BUCKETS)]
+
+
+class Head(Struct, frozen=True, array_like=True):
+    """Who speaks: fleet, format, and the sender's own record."""
+
+    fleet: Text
+    format: int
+    me: Record
+    digest: Digest  # of its whole table
+    # by own probes
+    accuses: Annotated[tuple[Annotated[str, Meta(max_length=160)], ...], Meta(max_length=4)] = ()
+
+
+class Ping(Struct, frozen=True, array_like=True, tag=1):
+    """Are you there? `to` is the key of who is meant: another process may have the address by now."""
+
+    head: Head
+    seq: Whole
+    to: Annotated[str, Meta(max_length=160)]
+    news: Some = ()
+
+
+class Ack(Struct, frozen=True, array_like=True, tag=2):
+    head: Head
+    seq: Whole
+    news: Some = ()
+
+
+class Ask(Struct, frozen=True, array_like=True, tag=3):
+    """Ping this one for me."""
+
+    head: Head
+    seq: Whole
+    to: Annotated[str, Meta(max_length=160)]
+    address: Address
+    news: Some = ()
+
+
+class Nack(Struct, frozen=True, array_like=True, tag=4):
+    """Asked, and nothing heard from it: at least I am there."""
+
+    head: Head
+    seq: Whole
+
+
+class News(Struct, frozen=True, array_like=True, tag=5):
+    """Wants no answer."""
+
+    head: Head
+    news: Some
+
+
+class Compare(Struct, frozen=True, array_like=True, tag=6):
+    """Opens an exchange: digests of all buckets of the sender's table."""
+
+    head: Head
+    buckets: Digests
+
+
+class Differ(Struct, frozen=True, array_like=True, tag=7):
+    """The answer: in which buckets the tables differ, and what stands there."""
+
+    head: Head
+    buckets: Indices
+    records: Many
+
+
+class Rest(Struct, frozen=True, array_like=True, tag=8):
+    """Ends an exchange: what the opener has in those buckets."""
+
+    head: Head
+    records: Many
+
+
+class Refused(Struct, frozen=True, array_like=True, tag=9):
+    reason: Annotated[str, Meta(max_length=200)]
+
+
+Datagram = Ping | Ack | Ask | Nack | News | Refused
+Stream = Compare | Differ | Rest | Refused
+Message = Ping | Ack | Ask | Nack | News | Compare | Differ | Rest | Refused
--- /dev/null
+++ b/willowhitch/fleet/table.py
@@ -0,0 +1,109 @@
+"""What one process knows of all members: a join of records, their digests, and what still has to be spread.
+
+Merging is commutative, associative and idempotent: of two records of one member the greater one holds
+(`Record.rank`). So two tables that have seen the same records are equal, in whatever order these came.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from math import ceil, log2
+
+from willowhitch.fleet.messages import BUCKETS, ENDED, Record, State
+
+SPREAD = 3.0  # times log2 of the fleet that a piece of news is passed on by each member
+# ms for which an ended member is remembered: tombstones of a whole partition's length
+KEPT_ENDED = 3_600_000.0
+MOST = 20_000  # members known, ended ones included; one more is not taken
+
+
+def digest_of(record: Record) -> int:
+    """64 bits of what two views have to agree on: who, in which incarnation and state."""
+    said = f"{record.key} {record.incarnation} {int(record.state)} {record.boot}".encode()
+    return int.from_bytes(blake2b(said, digest_size=8).digest(), "big")
+
+
+def bucket_of(key: str) -> int:
+    return blake2b(key.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+class Table:
+    """Owner of all records of other members and of the own one."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, Record] = {}
+        self.since: dict[str, float] = {}  # ms; when the state that holds was learned here
+        self.digest = 0
+        self.buckets = [0] * BUCKETS
+        self.inside: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+        # times that the record was passed on; longer known than that: not in here
+        self.fresh: dict[str, int] = {}
+        self.count = dict.fromkeys(State, 0)
+        self.turned_away = 0
+
+    def put(self, now: float, record: Record) -> Record | None:
+        """Takes a record in. The one that held before where this one now holds instead; None if it changes
+        nothing, or there was none: `key in since` tells which."""
+        key = record.key
+        old = self.records.get(key)
+        if old is not None and record.rank <= old.rank:
+            return None
+        if old is None and len(self.records) >= MOST:
+            self.turned_away += 1
+            return None
+        bucket, change = bucket_of(key), digest_of(record)
+        if old is not None:
+            change ^= digest_of(old)
+            self.count[old.state] -= 1
+        if old is None or old.state is not record.state:
+            self.since[key] = now
+        self.count[record.state] += 1
+        self.digest ^= change
+        self.buckets[bucket] ^= change
+        self.inside[bucket][key] = None
+        self.records[key] = record
+        self.fresh[key] = 0
+        return old
+
+    def drop(self, key: str) -> None:
+        record = self.records.pop(key, None)
+        if record is None:
+            return
+        self.count[record.state] -= 1
+        self.digest ^= digest_of(record)
+        self.buckets[bucket_of(key)] ^= digest_of(record)
+        del self.inside[bucket_of(key)][key]
+        del self.since[key]
+        self.fresh.pop(key, None)
+
+    def forget(self, now: float) -> None:
+        """Tombstones whose life is over go."""
+        ended = [k for k, r in self.records.items() if r.state in ENDED]
+        for key in ended:
+            if now - self.since[key] > KEPT_ENDED:
+                self.drop(key)
+
+    def news(self, most: int, first: Iterable[str] = ()) -> tuple[Record, ...]:
+        """So many records to pass on now: `first` those asked for, then the ones passed on least."""
+        chosen = [key for key in first if key in self.records][:most]
+        limit = ceil(SPREAD * log2(len(self.records) + 1))
+        rest = sorted((key for key in self.fresh if key not in chosen), key=self.fresh.__getitem__)
+        chosen += rest[: most - len(chosen)]
+        for key in chosen:
+            if key in self.fresh:
+                self.fresh[key] += 1
+                if self.fresh[key] >= limit:
+                    del self.fresh[key]
+        return tuple(self.records[key] for key in chosen)
+
+    def differing(self, buckets: Iterable[int]) -> tuple[int, ...]:
+        """The buckets whose digests are others than these."""
+        return tuple(n for n, digest in enumerate(buckets) if digest != self.buckets[n])
+
+    def within(self, buckets: Iterable[int]) -> tuple[Record, ...]:
+        return tuple(self.records[key] for n in buckets for key in self.inside[n])
+
+    def present(self) -> int:
+        """Members that are not known to have ended."""
+        return self.count[State.JOINING] + self.count[State.ALIVE] + self.count[State.SUSPECT]
--- /dev/null
+++ b/willowhitch/standin/faults/schedule.py
@@ -0,0 +1,188 @@
+"""Faults over time as a typed list, in JSON or as an operator file's tables; written by hand or drawn.
+
+    [{"at_s": 3, "what": "cut", "who": ["site:a"], "other": ["site:b", "site:c"], "for_s": 6},
+     {"at_s": 5, "what": "kill", "who": ["n3"], "for_s": 4}]
+
+`who` and `other` select members: a name, `site:NAME`, `rest` (all that `who` does not name), or `all`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+LINKS = ("cut", "cut one way", "slow", "lose", "double", "reorder", "spoil", "limit")
+PROCESSES = ("kill", "stop", "restart", "leave")
+DISKS = ("disk full", "disk read-only", "disk slow")
+What = Literal[
+    "cut",
+    "cut one way",
+    "slow",
+    "lose",
+    "double",
+    "reorder",
+    "spoil",
+    "limit",
+    "kill",
+    "stop",
+    "restart",
+    "leave",
+    "disk full",
+    "disk read-only",
+    "disk slow",
+    "flood",
+]
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+
+
+class Fault(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One fault. What it needs besides is checked in `__post_init__`."""
+
+    at_s: Seconds
+    what: What
+    who: Annotated[tuple[str, ...], Meta(min_length=1, max_length=1_000)]
+    other: tuple[str, ...] = ("rest",)  # the far end of a link
+    for_s: Seconds = 0.0  # 0: to the end of the run
+    share: Annotated[float, Meta(ge=0, le=1)] = 0.0  # lose, double, reorder, spoil: of the messages
+    ms: Annotated[float, Meta(ge=0, le=60_000)] = 0.0  # slow: delay; disk slow: of each write
+    jitter_ms: Annotated[float, Meta(ge=0, le=60_000)] = 0.0
+    kb_s: Annotated[float, Meta(ge=0)] = 0.0  # limit: kilobytes a second on each link
+    per_s: Annotated[float, Meta(ge=0, le=100_000)] = 0.0  # flood: datagrams a second
+
+    def __post_init__(self) -> None:
+        if self.what in ("lose", "double", "reorder", "spoil") and not self.share:
+            raise ValueError(f"`{self.what}` needs a `share` above 0")
+        if self.what == "slow" and not self.ms + self.jitter_ms:
+            raise ValueError("`slow` needs `ms` or `jitter_ms`")
+        if self.what == "limit" and not self.kb_s:
+            raise ValueError("`limit` needs `kb_s` above 0")
+        if self.what == "flood" and not self.per_s:
+            raise ValueError("`flood` needs `per_s` above 0")
+        if self.what in ("stop", "restart") and not self.for_s:
+            raise ValueError(f"`{self.what}` needs `for_s` above 0")
+
+    @property
+    def ends_s(self) -> float | None:
+        """None: it lasts to the end of the run."""
+        return self.at_s + self.for_s if self.for_s else None
+
+
+class BadSchedule(Exception):
+    """A schedule that can't be played; the text names the fault and what is wrong."""
+
+
+def selected(who: Sequence[str], sites: dict[str, str], but: Sequence[str] = ()) -> list[str]:
+    """The members that a selection names; `sites`: site by member."""
+    found: dict[str, None] = {}
+    for word in who:
+        if word == "all":
+            found |= dict.fromkeys(sites)
+        elif word == "rest":
+            found |= dict.fromkeys(n for n in sites if n not in but)
+        elif word.startswith("site:"):
+            inside = [n for n, site in sites.items() if site == word[5:]]
+            if not inside:
+                there = ", ".join(sorted(set(sites.values())))
+                raise BadSchedule(f"no member in {word!r}; there are sites {there}")
+            found |= dict.fromkeys(inside)
+        elif word in sites:
+            found[word] = None
+        else:
+            raise BadSchedule(f"{word!r} is no member, `site:NAME`, `rest` or `all`")
+    return list(found)
+
+
+def read(path: str | Path, sites: dict[str, str]) -> list[Fault]:
+    """A schedule from a JSON file; BadSchedule with one plain line if it can't be played with these
+    members."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as e:
+        raise BadSchedule(f"{path}: can't be read: {e.strerror}") from None
+    return of_json(data, str(path), sites)
+
+
+def of_json(data: bytes, name: str, sites: dict[str, str]) -> list[Fault]:
+    try:
+        faults = msgspec.json.decode(data, type=list[Fault])
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as e:
+        raise BadSchedule(f"{name}: {e}") from None
+    for n, fault in enumerate(faults):
+        try:
+            who = selected(fault.who, sites)
+            if fault.what in LINKS:
+                selected(fault.other, sites, who)
+        except BadSchedule as e:
+            raise BadSchedule(f"{name}: fault {n + 1} ({fault.what} at {fault.at_s:g} s): {e}") from None
+    return sorted(faults, key=lambda f: f.at_s)
+
+
+def drawn(
+    seed: int, names: Sequence[str], sites: dict[str, str], seconds: float, calm: float = 12.0
+) -> list[Fault]:
+    """A schedule of one to five faults that may overlap; all are over `calm` seconds before the end."""
+    rng = Random(seed)
+    faults: list[Fault] = []
+    last = seconds - calm
+    places = sorted(set(sites.values()))
+    for _ in range(rng.randint(1, 5)):
+        at = round(rng.uniform(2.0, max(2.5, last - 3.0)), 2)
+        lasts = round(rng.uniform(0.5, max(0.6, last - at)), 2)
+        what = rng.choice(
+            (
+                "kill",
+                "kill",
+                "stop",
+                "restart",
+                "leave",
+                "cut",
+                "cut",
+                "cut one way",
+                "lose",
+                "slow",
+                "double",
+                "reorder",
+                "spoil",
+            )
+        )
+        some = tuple(rng.sample(list(names), rng.randint(1, max(1, len(names) // 3))))
+        who: tuple[str, ...] = some
+        if what.startswith("cut") and rng.random() < 0.6:
+            who = (f"site:{rng.choice(places)}",)
+        if what == "kill":
+            faults.append(Fault(at_s=at, what=what, who=who, for_s=rng.choice((0.0, lasts))))
+        elif what in ("stop", "restart"):
+            faults.append(Fault(at_s=at, what="stop" if what == "stop" else "restart", who=who, for_s=lasts))
+        elif what == "leave":
+            faults.append(Fault(at_s=at, what="leave", who=who[:1]))
+        elif what == "cut" or what == "cut one way":
+            faults.append(
+                Fault(at_s=at, what="cut" if what == "cut" else "cut one way", who=who, for_s=lasts)
+            )
+        elif what == "slow":
+            faults.append(
+                Fault(
+                    at_s=at,
+                    what="slow",
+                    who=who,
+                    for_s=lasts,
+                    ms=rng.choice((5, 60)),
+                    jitter_ms=rng.choice((0, 30, 120)),
+                )
+            )
+        elif what == "lose":
+            faults.append(
+                Fault(at_s=at, what="lose", who=who, for_s=lasts, share=rng.choice((0.05, 0.2, 0.3)))
+            )
+        elif what == "double":
+            faults.append(Fault(at_s=at, what="double", who=who, for_s=lasts, share=0.3))
+        elif what == "reorder":
+            faults.append(Fault(at_s=at, what="reorder", who=who, for_s=lasts, share=0.3))
+        else:
+            faults.append(Fault(at_s=at, what="spoil", who=who, for_s=lasts, share=0.2))
+    return sorted(faults, key=lambda f: f.at_s)
