Listen now and then on one more connection where a link was given up under standing calls

At fault: net/engine.py, Link.down opens the next connection within a millisecond, when the engine does not yet know that the old one is over; what it then writes there is lost, and comes again only on the next connection that is opened, which there was none (class Ear has the reasoning). Now one that only listens is opened each 450 ms while calls stand that were set up on a connection that we gave up, each 3 s after 12 s, for 2 minutes at the most; none where the engine itself closed.

Measured: the scenario in tests/test_releases.py fails without the change.

--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -170,3 +170,29 @@
             c0 send raw SIP/2.0 481 no\\r\\nCall-ID: {1}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
             c0 expect nothing 700
             """)
+
+
+def test_a_release_swallowed_by_a_connection_that_was_given_up_comes_on_one_that_listens():
+    """The engine still writes to the connection that we closed as cut short, and again only on the next one."""
+    with Stage(settings=STAYS, engines=1) as s:
+        s.play("""
+            c0 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c0 expect 200 .*{1}
+            """)
+        seen = {s.parties["e0"]}
+        s.parties["e0"].sock.sendall(b"\x00\x30\x09")  # an answer that stops short
+        for n in (2, 3):  # the link again, and then, while the call stands, one that listens
+            for _ in range(40):
+                s.pump(0.1)
+                seen.add(s.parties["e0"])
+                if len(seen) >= n:
+                    break
+            assert len(seen) == n, s.said()
+        s.play("""
+            e0 send RELEASE 1 31=16
+            c0 expect ^BYE .*Call-ID: {1}
+            e0 wait 1200
+            """)
+        assert s.parties["e0"] in seen, "no more than needed: nothing stands"
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -27,6 +27,9 @@
 # engine was silent on any link, and the calls that stand there are cut.
 TEST_SLACK = 75.0
 FIRST_BEAT, LEAST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 6_500.0
+# Ms. A release has to reach its caller within 1 s: so far apart are connections that only listen, and so long
+# are they open; for so long that often, then rarely, then no more.
+EAR_EVERY, EAR_FOR, OFTEN_FOR, RARELY, ORPHANS_FOR = 450.0, 250.0, 12_000.0, 3_000.0, 120_000.0
 BACK_OFF, MOST_BACK_OFF = 50.0, 400.0  # ms between tries to open
 MEANT = frozenset({PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED})
 
@@ -125,6 +128,42 @@
         self.spoil(f"message of {length} bytes")
 
 
+class Ear(ClientFactory):
+    """One more connection, which only listens, and not for long.
+
+    An engine whose connection we gave up as silent may not know yet that it is over, and write the releases
+    of calls set up there to it as before; they come again on the next connection that is opened. So one is
+    opened every now and then while such calls stand.
+    """
+
+    noisy = False
+    choked = False
+
+    def __init__(self, link: Link) -> None:
+        self.link, self.switch, self.server = link, link.switch, link.server
+
+    def buildProtocol(self, addr: object) -> EngineLine:
+        return EngineLine(self)
+
+    def up(self, line: EngineLine) -> None:
+        now = self.switch.wheel.now
+        # what is on its way still comes
+        self.switch.wheel.at(now + EAR_FOR, line.transport.loseWriteConnection)
+        self.switch.wheel.at(now + 3 * EAR_FOR, line.transport.abortConnection)
+        self.line = line
+
+    def down(self, line: EngineLine) -> None:
+        pass
+
+    def heard(self, kind: int, call: str, said: dict[int, bytes]) -> None:
+        self.link.heard_at = self.switch.wheel.now
+        if kind == RELEASE:
+            if self.switch.lives:
+                self.switch.lives.note(call, "release on a connection that listens", self.server)
+            self.line.sendString(message(HEARD, call))
+            self.link.released(call, said)
+
+
 class Link(ClientFactory):
     """What goes to one quote engine and comes from it, over connections that come and go."""
 
@@ -142,6 +181,8 @@
         self.tested = self.not_before = self.told = 0.0
         self.beat = FIRST_BEAT  # how far apart it tells its state; told: when it last did, on this link
         self.back_off = BACK_OFF
+        self.orphans: set[str] = set()  # calls that stand and were set up on a connection that is over
+        self.orphaned, self.listens = 0.0, False  # since when; whether a look at them is due
 
     def open(self) -> None:
         if self.line is not None or self.opening or self.closing or self.waiting:
@@ -192,12 +233,41 @@
             self.switch.lives.note("", "link down", self.server)
         for call in out:
             self.switch.broken(self.server, call)
+        if line.spoilt:  # given up by us: the engine may not know. One that closes or dies does
+            self._orphan()
         if self.switch.wheel.now - line.since < STEADY_AFTER:
             self._again()  # guards against a loop with an engine that hangs up on each new connection
         elif self.engines.wanted(self.server):
             self.back_off = BACK_OFF
             self.open()  # at once: releases that we missed come on the next connection
 
+    def _orphan(self) -> None:
+        """The calls that stand here were set up on connections that are over."""
+        now = self.switch.wheel.now
+        self.orphans = {call for call, c in self.switch.calls.items() if c.stands and c.server == self.server}
+        self.orphaned = now
+        if self.orphans and not self.listens:
+            self.listens = True
+            self.switch.wheel.at(now + EAR_EVERY, self._listen)
+
+    def _listen(self) -> None:
+        """What an engine has written to a connection that is over comes again on the next one."""
+        now, calls = self.switch.wheel.now, self.switch.calls
+        self.orphans = {call for call in self.orphans if call in calls}
+        self.listens = bool(self.orphans) and now - self.orphaned < ORPHANS_FOR and not self.closing
+        if not self.listens:
+            return
+        rare = now - self.orphaned > OFTEN_FOR
+        self.switch.wheel.at(now + (RARELY if rare else EAR_EVERY), self._listen)
+        if self.line is not None and self.engines.wanted(self.server):
+            self.switch.count["engine connections that listen"] += 1
+            self.engines.connect(self, Ear(self))
+
+    def released(self, call: str, said: dict[int, bytes]) -> None:
+        self.out.discard(call)
+        report = self.engines.report(said[REPORT]) if REPORT in said else ()
+        self.switch.cleared(self.server, call, said[CAUSE][0], said.get(NOTE, b"").decode("latin-1"), report)
+
     def _again(self) -> None:
         self.not_before = self.switch.wheel.now + self.back_off
         self.back_off = min(2 * self.back_off, MOST_BACK_OFF)
@@ -245,11 +315,8 @@
             self.out.discard(call)
             self.switch.answered(self.server, call, said.get(DESCRIPTION, b""))
         elif kind == RELEASE:
-            self.out.discard(call)
-            cause = said.get(CAUSE, b"")
             self._write(call, message(HEARD, call))
-            self.switch.cleared(self.server, call, cause[0] if cause else 0,
-                                said.get(NOTE, b"").decode("latin-1"), report)
+            self.released(call, said)
         elif kind == STATE or kind == TESTED:
             if kind == STATE and self.told:
                 gap = min(max(self.last - self.told, LEAST_BEAT), FIRST_BEAT)
@@ -299,8 +366,8 @@
         self.switch = switch
         switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
 
-    def connect(self, link: Link) -> None:
-        self.reactor.connectTCP(*link.address, link, timeout=self.set.connect_timeout / 1000)
+    def connect(self, link: Link, ear: Ear | None = None) -> None:
+        self.reactor.connectTCP(*link.address, ear or link, timeout=self.set.connect_timeout / 1000)
 
     def report(self, text: bytes) -> tuple[float, ...]:
         return report_of(self.set, text.decode("latin-1"))
