Fail a call whose engine ended it before its answer came, and see standstills in a rest

Ruled out: a lost or late BYE (acknowledged after 4 ms), a connection that ended, a late turn of the loop.

At fault: core/switch.py, Switch.cleared took every release before an answer for an attempt that may be repeated. Cause 16 tells that the call has stood and come to its end. It is now failed at once, and no more attempt is made.

Also: a process that was stopped in a rest took what had waited meanwhile for new (tests/test_network.py, patience counts from the last byte): an empty poll no longer reads the clock, and a late tick is not followed by a rest.

--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -173,7 +173,7 @@
 
 
 def test_a_release_swallowed_by_a_connection_that_was_given_up_comes_on_one_that_listens():
-    """The engine still writes to the connection that we closed as cut short, and again only on the next one."""
+    """The engine still writes to the connection that we closed, and again only on the next one."""
     with Stage(settings=STAYS, engines=1) as s:
         s.play("""
             c0 send INVITE 1
@@ -196,3 +196,20 @@
             e0 wait 1200
             """)
         assert s.parties["e0"] in seen, "no more than needed: nothing stands"
+
+
+def test_a_call_that_ended_before_its_answer_came_fails_and_is_not_set_up_again():
+    """Set up again under the same id it would stand while its caller is owed the release of the first time."""
+    with Stage(settings=STAYS) as s:
+        s.play("""
+            c0 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send RELEASE 1 31=16
+            c0 expect SIP/2.0 500 .*{1}
+            e0 send ANSWER 1 33=late
+            e1 expect nothing 500
+            e0 expect nothing 100
+            c0 expect nothing 100
+            c0 send INVITE 2
+            e0 expect SET_UP {2}
+            """)
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -41,6 +41,7 @@
 from willowhitch.quiet import Quiet
 from willowhitch.settings import BadSettings, checked
 
+VERSION = "0.1.0"
 CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
 STILL_COMING = 750.0  # ms after SIGTERM in which set-ups may still arrive
 BACKLOG = 512  # connections that may wait to be accepted
@@ -68,7 +69,8 @@
 
     def poll(self, timeout: float, most: int) -> Any:
         found = self.wrapped.poll(timeout, most)
-        self.woken()
+        if found:  # empty, a timer is due, which reads the clock itself and sees a standstill
+            self.woken()
         return found
 
 
@@ -131,7 +133,7 @@
         from willowhitch.parts import BadPart, Host, make
 
         host = Host(self.sip.name, self.switch, reactor, offset, Path(os.environ[OPERATOR]).resolve().parent,
-                    self.settings, handover=self.handover)
+                    self.settings, version=VERSION, mgmt=str(self.running.get("mgmt") or ""))
         try:
             made = make(tables, host)
         except BadPart as e:
@@ -215,13 +217,14 @@
         wheel, tick = self.wheel, self.settings.tick
         now = wheel.read()
         self.ticking = None
-        if now - self.due > 2 * tick:
+        late = now - self.due > 2 * tick
+        if late:
             self.switch.count["ticks late"] += 1
             reactor.callLater(0, wheel.turn)
         else:
             wheel.turn()
         next_ = max(self.due + tick, now)
-        if self.rests:
+        if self.rests and not late:
             # With nothing due it rests, and the poller reads the clock when something comes in.
             due = wheel.due
             next_ = max(next_, min(now + MOST_REST, due if due is not None else now + MOST_REST))
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -194,6 +194,11 @@
         self.set = replace(self.set, part=part)
         self._feed(i.NewSettings(self.set))
 
+    def new_fleet_size(self, size: int) -> None:
+        """So many softswitches share what is whole, from now on and until the next settings."""
+        self.set = replace(self.set, fleet_size=size)
+        self._feed(i.NewSettings(self.set))
+
     def start(self) -> None:
         self._carry_out(self.controller.start(self.wheel.now))
 
@@ -339,6 +344,15 @@
             call.caller.released(call_id, cause)
             self._over(call, outcome, report)
             return
+        if cause == NORMAL:
+            # It stood at the engine and has come to its end; its answer is late, or lost. Set up again under
+            # the same id it would stand for a caller to whom it counts as over.
+            self.count["ended before the answer"] += 1
+            self.count["attempt reset"] += 1
+            self._turned_away(call, Verdict.FAILED, 0.0)
+            self._feed(i.CallerGone(call_id))
+            self._over(call, i.Outcome.RESET, report)
+            return
         if cause == FULL:
             call.marks |= PROCESSOR_FULL if note == "cpu_full" else BLOCKED
             outcome = i.Outcome.FULL
@@ -482,13 +496,17 @@
         call = self.calls.get(call_id)
         if call is None or call.stands:
             return
+        self._turned_away(call, verdict, stay_away)
+        self._call_off(call, i.Outcome.TIMEOUT)
+
+    def _turned_away(self, call: Call, verdict: Verdict, stay_away: float) -> None:
+        """The one final answer of a call that does not stand."""
         self.count[verdict.value] += 1
         if self.lives:
-            self.lives.note(call_id, "turned away", verdict.value)
+            self.lives.note(call.order.call, "turned away", verdict.value)
         self._settled(call, verdict.value)
-        self._forget(call_id)
-        call.caller.turned_away(call_id, verdict, stay_away)
-        self._call_off(call, i.Outcome.TIMEOUT)
+        self._forget(call.order.call)
+        call.caller.turned_away(call.order.call, verdict, stay_away)
 
     def _overdue(self, call_id: str) -> None:
         """Guards the answer in time, whatever the module does."""
--- a/willowhitch/fleet/member.py
+++ b/willowhitch/fleet/member.py
@@ -280,14 +280,15 @@
             self.health = min(WORST, self.health + (missed if p.helpers else 1))
             self._accuse(now, p.key)
         if now >= self.next_probe and self.probe is None and not self.leaving:
-            key = self._next_target()
+            target_key = self._next_target()
             self.next_probe = now + self.times.period * self._stretch()
-            if key is None:
+            if target_key is None:
                 return
             answer = self.times.answer * self._stretch()
-            self.probe = Probe(key, self._next_seq(), now + answer, max(self.next_probe, now + 3 * answer))
+            ends = max(self.next_probe, now + 3 * answer)
+            self.probe = Probe(target_key, self._next_seq(), now + answer, ends)
             self.counts["probes"] += 1
-            self._ping(key, self.probe.seq)
+            self._ping(target_key, self.probe.seq)
 
     def _next_target(self) -> str | None:
         """Each of the others once a round, in an order drawn anew for each: so the time until a failure is
--- a/willowhitch/fleet/size.py
+++ b/willowhitch/fleet/size.py
@@ -22,8 +22,8 @@
 
     def of(self, now: float, records: Iterable[Record], joined: bool, cut_off: bool) -> int:
         """The number that holds from now on; to be asked at each change, and once a second."""
-        there = set()
-        ended = set()
+        there: set[str] = set()
+        ended: set[str] = set()
         for r in records:
             (ended if r.state in ENDED else there).add(r.name)
         for name in ended - there:
--- a/willowhitch/operator/tables.py
+++ b/willowhitch/operator/tables.py
@@ -34,6 +34,34 @@
     most_mb: Annotated[int, Meta(ge=1, le=4096)] = 64  # then nothing more is written there
 
 
+Address = Annotated[str, Meta(min_length=3, max_length=64, pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
+
+
+class Fleet(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The view of the fleet (docs/fleet-view.md)."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]  # of the fleet; members of another are refused
+    address: Address  # where the others reach this one, by datagrams and connections
+    site: Annotated[str, Meta(max_length=64)] = ""
+    member: Annotated[str, Meta(max_length=64)] = ""  # this one's name; left out, the configuration's
+    seeds: Annotated[tuple[Address, ...], Meta(max_length=64)] = ()  # members to ask first
+    dial: dict[Address, Address] = {}  # where one is reached from here, if not at its address
+    period_ms: Annotated[float, Meta(ge=100, le=60_000)] = 500.0  # between two probes
+    answer_ms: Annotated[float, Meta(ge=20, le=20_000)] = 200.0  # for a direct answer
+    folder: str = ""  # of the snapshot, beside this file; left out: none is kept
+
+    def __post_init__(self) -> None:
+        for what in (self.address, *self.seeds, *self.dial, *self.dial.values()):
+            if not 0 < int(what.rpartition(":")[2]) < 65_536:
+                raise ValueError(f"`{what}` has no port from 1 to 65535")
+        if self.address.startswith("0.0.0.0:"):
+            raise ValueError("`address` is where the others reach this one; 0.0.0.0 is no such place")
+        if self.answer_ms > self.period_ms / 2:
+            raise ValueError("`answer_ms` is at most half of `period_ms`: the indirect probes need the rest")
+        if not self.seeds and not self.folder:
+            raise ValueError("`seeds` or `folder` is needed: else nobody is found")
+
+
 class Logs(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """How log lines are written."""
 
@@ -45,4 +73,5 @@
 
     record: Record | None = None
     calls: Calls | None = None
+    fleet: Fleet | None = None
     logs: Logs = Logs()
--- a/willowhitch/parts.py
+++ b/willowhitch/parts.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from importlib import import_module
 from pathlib import Path
 from typing import Any, Protocol
@@ -15,6 +16,7 @@
 PARTS = {
     "record": ("willowhitch.measure.recording", "record"),
     "calls": ("willowhitch.net.callbook", "operator"),
+    "fleet": ("willowhitch.net.peers", "fleet"),
 }
 
 
@@ -51,7 +53,16 @@
     settings: Any
     # Calls of parts at the management address, by path or by a beginning that ends with `/`.
     calls: dict[str, tuple[str, Callable[[str], Any]]] = field(default_factory=dict)
-    handover: Any = None  # net.handover.Handover, where it is offered
+    version: str = ""  # of the program
+    mgmt: str = ""  # where operators call
+
+    @property
+    def digest(self) -> str:
+        """Of the settings that it started with."""
+        return self.digest_of(self.settings)
+
+    def digest_of(self, settings: Any) -> str:
+        return blake2b(repr(settings).encode(), digest_size=6).hexdigest()
 
 
 def make(tables: Any, host: Host) -> dict[str, Part]:
--- a/willowhitch/standin/faults/schedule.py
+++ b/willowhitch/standin/faults/schedule.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -133,7 +133,7 @@
     for _ in range(rng.randint(1, 5)):
         at = round(rng.uniform(2.0, max(2.5, last - 3.0)), 2)
         lasts = round(rng.uniform(0.5, max(0.6, last - at)), 2)
-        what = rng.choice(
+        what: Any = rng.choice(
             (
                 "kill",
                 "kill",
