--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -258,7 +258,7 @@
     assert wheel.due == 35.0 and earlier == [100.0, 35.0]
     now[0] = 90.0
     wheel.look()
-    assert (wheel.now, wheel.lag) == (90.0, 35.0)  # the rest was over at 50: it may have waited since
+    assert (wheel.now, wheel.lag) == (90.0, 55.0)  # not seen at 50: it stood still
     wheel.read()
     wheel.turn()
     assert fired == ["soon"] and wheel.lag == 0.0
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -199,7 +199,7 @@
 
 
 def test_a_call_that_ended_before_its_answer_came_fails_and_is_not_set_up_again():
-    """Set up again under the same id it would stand while its caller is owed the release of the first time."""
+    """Set up again under the same id it would stand while its caller is owed the release of before."""
     with Stage(settings=STAYS) as s:
         s.play("""
             c0 send INVITE 1
--- a/willowhitch/core/wheel.py
+++ b/willowhitch/core/wheel.py
@@ -47,19 +47,21 @@
     def read(self) -> float:
         """Reads the clock; what comes in from now on bears this time.
 
-        Read late, it tells of a standstill: what is taken in next may have waited since the last reading, or
-        since the end of the rest that was meant.
+        Read late, it tells of a standstill: what is taken in next may have waited since the last reading.
         """
-        before, self.now = max(self.now, self.rests_until), max(self.now, self._time())
-        self.lag = max(0.0, self.now - before - self.tick)
+        self._read()
         self.rests_until = self.now
         return self.now
 
+    def _read(self) -> None:
+        before, self.now = self.now, max(self.now, self._time())
+        stood = self.now - max(before, self.rests_until) > self.tick  # not even the end of the rest was seen
+        self.lag = max(0.0, self.now - before - self.tick) if stood else 0.0
+
     def look(self) -> None:
         """Reads the clock as something comes in during a rest: it came only now, unless the rest is over."""
         if self.rests_until > self.now + self.tick:
-            self.now = max(self.now, self._time())
-            self.lag = max(0.0, self.now - self.rests_until - self.tick)
+            self._read()
 
     def behind(self) -> float:
         """How long ago the clock was last read: how long the turn of the loop under way has taken so far."""
--- a/willowhitch/net/peers.py
+++ b/willowhitch/net/peers.py
@@ -143,8 +143,8 @@
         known = self._known()
         incarnation = known.incarnation + 1 if known else 1
         name, boot = table.member or host.name, draw.getrandbits(64)
-        me = Record(name, table.address, incarnation, State.JOINING, boot, table.site, host.version, host.digest,
-                    host.mgmt)
+        me = Record(name, table.address, incarnation, State.JOINING, boot, table.site, host.version,
+                    host.digest, host.mgmt)
         seeds = dict.fromkeys((*table.seeds, *(known.others if known else ())))
         periods = Periods(period=table.period_ms, answer=table.answer_ms)
         self.member = Member(table.name, me, seeds, periods, draw.getrandbits(64), self.wheel.now)
