Put the fleet view on the wire, and drill it on real processes with relays between them

Need: the view has to be one of real softswitches, with the faults that the operators name put between them.

--- a/willowhitch/fleet/messages.py
+++ b/willowhitch/fleet/messages.py
@@ -8,12 +8,13 @@
 from msgspec import Meta, Struct
 
 FORMAT = 1  # of these messages; another one is refused with a reason
+BITS = 62  # of digests and of what tells one start of a process from another
 BUCKETS = 64  # parts of a table that are compared by digest
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
 Address = Annotated[str, Meta(min_length=3, max_length=64, pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
 Whole = Annotated[int, Meta(ge=0, lt=1 << 53)]
-Digest = Annotated[int, Meta(ge=0, lt=1 << 64)]
+Digest = Annotated[int, Meta(ge=0, lt=1 << BITS)]
 
 
 class State(IntEnum):
--- a/willowhitch/fleet/table.py
+++ b/willowhitch/fleet/table.py
@@ -10,7 +10,7 @@
 from hashlib import blake2b
 from math import ceil, log2
 
-from willowhitch.fleet.messages import BUCKETS, ENDED, Record, State
+from willowhitch.fleet.messages import BITS, BUCKETS, ENDED, Record, State
 
 SPREAD = 3.0  # times log2 of the fleet that a piece of news is passed on by each member
 # ms for which an ended member is remembered: tombstones of a whole partition's length
@@ -19,9 +19,9 @@
 
 
 def digest_of(record: Record) -> int:
-    """64 bits of what two views have to agree on: who, in which incarnation and state."""
+    """Some bits of what two views have to agree on: who, in which incarnation and state."""
     said = f"{record.key} {record.incarnation} {int(record.state)} {record.boot}".encode()
-    return int.from_bytes(blake2b(said, digest_size=8).digest(), "big")
+    return int.from_bytes(blake2b(said, digest_size=8).digest(), "big") >> (64 - BITS)
 
 
 def bucket_of(key: str) -> int:
--- a/willowhitch/net/peers.py
+++ b/willowhitch/net/peers.py
@@ -18,7 +18,18 @@
 
 from willowhitch.core.lifecycle import Phase
 from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
-from willowhitch.fleet.messages import ENDED, Compare, Datagram, Differ, Record, Refused, Rest, State, Stream
+from willowhitch.fleet.messages import (
+    BITS,
+    ENDED,
+    Compare,
+    Datagram,
+    Differ,
+    Record,
+    Refused,
+    Rest,
+    State,
+    Stream,
+)
 from willowhitch.fleet.size import Size
 from willowhitch.parts import Host
 from willowhitch.storage.snapshot import BadSnapshot, Snapshot
@@ -142,7 +153,7 @@
         draw = SystemRandom()
         known = self._known()
         incarnation = known.incarnation + 1 if known else 1
-        name, boot = table.member or host.name, draw.getrandbits(64)
+        name, boot = table.member or host.name, draw.getrandbits(BITS)
         me = Record(name, table.address, incarnation, State.JOINING, boot, table.site, host.version,
                     host.digest, host.mgmt)
         seeds = dict.fromkeys((*table.seeds, *(known.others if known else ())))
--- /dev/null
+++ b/willowhitch/standin/faults/drill.py
@@ -0,0 +1,429 @@
+"""Real softswitches on loopback with relays between them, a schedule of faults, callers, and a checker.
+
+The checker asks each process for its view once in 100 ms and holds all against each other and against what is
+true. What was done when is kept, and is a schedule again.
+"""
+from __future__ import annotations
+
+import os
+import resource
+import signal
+import subprocess
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import orjson
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from willowhitch.standin.caller import Callers
+from willowhitch.standin.engine import EngineSettings
+from willowhitch.standin.faults.links import Links
+from willowhitch.standin.faults.relay import CHECK, Relay
+from willowhitch.standin.faults.schedule import Fault, selected
+from willowhitch.standin.fleet import ClassSettings, Day, Fleet, free_port
+from willowhitch.standin.traffic import StreamSettings
+
+LOOK = 0.1  # s between two looks at all views
+ASKED = 0.8  # s that a process may take to tell its view
+AGAIN_AFTER = 0.1  # s between two tries to start one whose process before has not ended yet
+
+
+@dataclass(slots=True)
+class Event:
+    """A fault as it was played, and what was seen of it. Times in seconds of the day."""
+
+    fault: Fault
+    began: float
+    ended: float | None = None
+    known: float | None = None  # after `began`, until the last process knew; of faults that end processes
+    settled: float | None = None  # after `ended` (or `began`), until all views were equal and true
+
+
+@dataclass(slots=True)
+class Seen:
+    """What a drill showed."""
+
+    processes: int
+    sites: int
+    seed: int
+    seconds: float
+    settled: bool
+    start_s: float | None
+    events: list[Event]
+    false_gone: list[str]
+    calls: int
+    carried: int
+    cut: int
+    unanswered: int
+    second_answers: int
+    wrong_descriptions: int
+    looks: int
+    unread: int  # views that were asked for and did not come
+    log: list[str] = field(default_factory=list)
+    figures: dict[str, Any] = field(default_factory=dict)
+
+    def told(self) -> dict[str, Any]:
+        faults = [{"what": e.fault.what, "who": list(e.fault.who), "began_s": round(e.began, 2),
+                   "ended_s": None if e.ended is None else round(e.ended, 2), "known_s": e.known,
+                   "settle_s": e.settled} for e in self.events]
+        return {"settled": self.settled, "settle_s": [e.settled for e in self.events],
+                "start_s": self.start_s, "false_gone": len(self.false_gone),
+                "falsely_gone": self.false_gone, "processes": self.processes,
+                "sites": self.sites, "seed": self.seed, "seconds": self.seconds, "faults": faults,
+                "calls": {"placed": self.calls, "stood": self.carried, "cut": self.cut,
+                          "unanswered": self.unanswered, "second_answers": self.second_answers,
+                          "wrong_descriptions": self.wrong_descriptions},
+                "looks": self.looks, "unread": self.unread, "figures": self.figures}
+
+    def schedule(self) -> bytes:
+        return msgspec.json.encode([e.fault for e in self.events])
+
+
+class Asked(Protocol):
+    """One view that is asked for."""
+
+    def __init__(self, path: str, done: Callable[[Any], None]) -> None:
+        self.path, self.done, self.data = path, done, b""
+
+    def connectionMade(self) -> None:
+        self.transport.write(f"GET {self.path} HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n".encode())
+
+    def dataReceived(self, data: bytes) -> None:
+        self.data += data
+
+    def connectionLost(self, reason: object = None) -> None:
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        try:
+            self.done(orjson.loads(body) if b" 200 " in head.split(b"\r\n")[0] + b" " else None)
+        except orjson.JSONDecodeError:
+            self.done(None)
+
+
+class Asker(ClientFactory):
+    noisy = False
+
+    def __init__(self, path: str, done: Callable[[Any], None]) -> None:
+        self.path, self.done = path, done
+
+    def buildProtocol(self, addr: object) -> Asked:
+        return Asked(self.path, self.done)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        self.done(None)
+
+
+def day_of(softswitches: int, seconds: float, seed: int, rate: float, engines: int = 3) -> Day:
+    hold = {"price-check": 1.6, "save-quote": 2.4}
+    return Day(
+        engines=tuple(
+            EngineSettings(f"s-{n + 1:08x}", n, 400, hold=hold, work=0.002) for n in range(engines)),
+        classes=(ClassSettings("price-check", 2.0, 1.6), ClassSettings("save-quote", 1.5, 2.4, worth=3.0)),
+        streams=tuple(StreamSettings(name, rate * share / engines, n, number=str(n))
+                      for n in range(engines)
+                      for name, share in (("price-check", 0.78), ("save-quote", 0.22))),
+        seconds=seconds, softswitches=softswitches, seed=seed, patience=3.0)
+
+
+class Drill(Fleet):
+    """Plays one drill. With `view` off the same processes, load and faults without the fleet's part."""
+
+    def __init__(self, softswitches: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault],
+                 rate: float = 24.0, view: bool = True, tables: str = "", periods: str = "",
+                 on_second: Callable[[Drill], None] | None = None) -> None:
+        super().__init__(day_of(softswitches, seconds, seed, rate),
+                         (lambda fleet: on_second(self)) if on_second else None)
+        self.view, self.tables, self.periods = view, tables, periods
+        self.names = [f"n{n}" for n in range(softswitches)]
+        self.sites = {name: "abcdefghijkl"[n % sites] for n, name in enumerate(self.names)}
+        self.places = sites
+        self.rng = Random(seed)
+        self.links = Links(self.sites, self.rng)
+        self.links.away |= set(self.names)
+        self.faults = sorted(faults, key=lambda f: f.at_s)
+        self.events: list[Event] = []
+        self.peer_at = [("127.0.0.1", free_port()) for _ in self.names]
+        self.mgmt_at = [("127.0.0.1", free_port()) for _ in self.names]
+        self.relays: dict[tuple[int, int], Relay] = {}
+        self.views: dict[int, Any] = {}
+        self.asking: dict[int, float] = {}
+        self.meant: dict[int, str] = dict.fromkeys(range(softswitches), "run")  # run, stopped, ended
+        self.ready: set[int] = set()
+        self.false_gone: dict[str, None] = {}
+        self.looks = self.unread = 0
+        self.start_s: float | None = None
+        self.lines: list[str] = []
+        self.pipes: list[threading.Thread] = []
+        self.flooding: list[Any] = []
+
+    # the processes
+
+    def configured(self, n: int) -> dict[str, Any]:
+        return {"mgmt": f"{self.mgmt_at[n][0]}:{self.mgmt_at[n][1]}"}
+
+    def operator_text(self, n: int) -> str:
+        if not self.view:
+            return self.tables
+        dial = {}
+        for m in range(len(self.names)):
+            if m != n:
+                relay = Relay(self.reactor, self.links, self.names[n], self.names[m], self.peer_at[m],
+                              self.rng.getrandbits(32))
+                self.relays[n, m] = relay
+                dial[self._at(m)] = "{}:{}".format(*relay.listen())
+        table = {"name": "drill", "address": self._at(n), "site": self.sites[self.names[n]],
+                 "seeds": [self._at(m) for m in range(min(3, len(self.names)))], "dial": dial,
+                 "folder": f"state-{n}"}
+        return f"fleet = {orjson.dumps(table).decode()[:-1]}{self.periods}}}\n{self.tables}"
+
+    def _at(self, n: int) -> str:
+        return "{}:{}".format(*self.peer_at[n])
+
+    def program(self, n: int) -> subprocess.Popen[bytes]:
+        """Its log goes through a pipe: a limit on what the process may write must not hold up its log."""
+        star = Path(self.dir.name, f"n{n}.star")
+        env = os.environ | {"BALANCER_CONFIG": str(Path(self.dir.name, f"n{n}.json"))}
+        env.pop("TMPDIR", None)
+        env.pop("WILLOWHITCH_OPERATOR", None)
+        if star.exists():
+            env["WILLOWHITCH_OPERATOR"] = str(star)
+        import sys
+
+        made = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=Path(__file__).parents[3], env=env,
+                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+
+        def copy() -> None:
+            assert made.stdout is not None
+            with open(self.logs[n], "ab") as out:
+                for line in made.stdout:
+                    out.write(line)
+                    out.flush()
+
+        thread = threading.Thread(target=copy, daemon=True)
+        thread.start()
+        self.pipes.append(thread)
+        return made
+
+    def should_run(self, n: int) -> bool:
+        return self.meant[n] != "ended"
+
+    def caller_of(self, nth: int) -> Callers | None:
+        up = [c for n, c in enumerate(self.callers) if self.meant[n] == "run" and c.line is not None]
+        return up[nth % len(up)] if up else None
+
+    def _one_up(self) -> None:
+        super()._one_up()
+        if self.up == self.day.softswitches:
+            self.links.away.clear()
+            self.ready = set(range(len(self.names)))
+            for fault in self.faults:
+                self.reactor.callLater(fault.at_s, self._begin, fault)
+            self._look()
+            self._check()
+
+    # the faults
+
+    def now(self) -> float:
+        return float(self.reactor.seconds()) - self.began
+
+    def _begin(self, fault: Fault) -> None:
+        if self.ending:
+            return
+        event = Event(fault, self.now())
+        self.events.append(event)
+        on = self.links.begin(self.now() * 1000, fault)
+        members = [self.names.index(name) for name in selected(fault.who, self.sites)]
+        for n in members:
+            self._do(n, fault)
+        if fault.what == "flood":
+            self._flood(fault, members)
+        if fault.for_s:
+            self.reactor.callLater(fault.for_s, self._end, event, on, members)
+        else:
+            event.ended = event.began
+
+    def _do(self, n: int, fault: Fault) -> None:
+        program, name = self.programs[n], self.names[n]
+        if fault.what in ("kill", "restart", "leave"):
+            if self.meant[n] == "ended":
+                return
+            if self.meant[n] == "stopped":
+                program.send_signal(signal.SIGCONT)
+            self.meant[n] = "ended"
+            self.links.away.add(name)
+            self.ready.discard(n)
+            self.views.pop(n, None)
+            program.send_signal(signal.SIGKILL if fault.what == "kill" else signal.SIGTERM)
+        elif fault.what == "stop" and self.meant[n] == "run":
+            self.meant[n] = "stopped"
+            self.links.away.add(name)
+            program.send_signal(signal.SIGSTOP)
+        elif fault.what == "disk full":
+            resource.prlimit(program.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+        elif fault.what == "disk read-only":
+            # The folder's place is taken by a file: nothing can be opened or renamed there, whoever asks.
+            folder = Path(self.dir.name, f"state-{n}")
+            if folder.is_dir():
+                folder.rename(folder.with_suffix(".away"))
+                folder.write_bytes(b"")
+
+    def _end(self, event: Event, on: Any, members: list[int]) -> None:
+        if self.ending:
+            return
+        fault, now = event.fault, self.now()
+        if on is not None:
+            self.links.end(now * 1000, on)
+        else:
+            self.links.touch(now * 1000, [self.names[n] for n in members])
+        for n in members:
+            if fault.what in ("kill", "restart", "leave"):
+                self._again(n)
+            elif fault.what == "stop" and self.meant[n] == "stopped":
+                self.meant[n] = "run"
+                self.links.away.discard(self.names[n])
+                self.programs[n].send_signal(signal.SIGCONT)
+            elif fault.what == "disk full" and self.programs[n].poll() is None:
+                resource.prlimit(self.programs[n].pid, resource.RLIMIT_FSIZE,
+                                 (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+            elif fault.what == "disk read-only":
+                folder = Path(self.dir.name, f"state-{n}")
+                if folder.is_file():
+                    folder.unlink()
+                    folder.with_suffix(".away").rename(folder)
+        event.ended = now
+
+    def _again(self, n: int) -> None:
+        """Started anew once the process before has ended."""
+        if self.ending or self.meant[n] == "run":
+            return
+        if self.programs[n].poll() is None:
+            self.reactor.callLater(AGAIN_AFTER, self._again, n)
+            return
+        self.meant[n] = "run"
+        self.programs[n] = self.program(n)
+        self.links.touch(self.now() * 1000, (self.names[n],))
+
+    def _flood(self, fault: Fault, members: list[int]) -> None:
+        """A stranger's datagrams: noise, and messages that look right but for the fleet's name."""
+        import socket
+
+        out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        out.setblocking(False)
+        ends = self.now() + fault.for_s if fault.for_s else 1e9
+        every = 0.02
+
+        def some() -> None:
+            if self.ending or self.now() > ends:
+                return out.close()
+            for n in members:
+                for _ in range(round(fault.per_s * every)):
+                    data = self.rng.randbytes(self.rng.choice((1, 40, 300)))
+                    try:
+                        out.sendto(data, self.peer_at[n])
+                    except OSError:
+                        pass
+            self.reactor.callLater(every, some)
+
+        some()
+
+    # the checker
+
+    def _check(self) -> None:
+        for relay in self.relays.values():
+            relay.check()
+        if not self.ending:
+            self.reactor.callLater(CHECK, self._check)
+
+    def _look(self) -> None:
+        """Asks all at once; what they say is held against each other as it has come."""
+        if self.ending or not self.view:
+            return
+        self._judge()
+        for n in range(len(self.names)):
+            if self.meant[n] == "run" and n not in self.asking:
+                self.asking[n] = self.now()
+                self.looks += 1
+                factory = Asker("/v1/fleet", partial(self._answered, n))
+                self.reactor.connectTCP(*self.mgmt_at[n], factory, timeout=ASKED)
+            elif n in self.asking and self.now() - self.asking[n] > 5.0:
+                del self.asking[n]
+        self.reactor.callLater(LOOK, self._look)
+
+    def _answered(self, n: int, view: Any) -> None:
+        self.asking.pop(n, None)
+        if view is None or "members" not in view:
+            self.unread += 1
+            return
+        if self.meant[n] != "run":
+            return
+        if n not in self.ready:  # the process that was started anew tells its view
+            self.ready.add(n)
+            self.links.away.discard(self.names[n])
+            self.links.touch(self.now() * 1000, (self.names[n],))
+        before, self.views[n] = self.views.get(n), view
+        for member in view["members"]:
+            if member["state"] != "gone" or member["name"] not in self.sites:
+                continue
+            said = f"{self.names[n]} of {member['name']}, incarnation {member['incarnation']}"
+            same = ("name", "state", "incarnation")
+            known = before is not None and any(
+                all(m[key] == member[key] for key in same) for m in before["members"])
+            if not known and not self.links.excused(self.now() * 1000, self.names[n], member["name"]):
+                self.false_gone.setdefault(said)
+
+    def agree(self) -> bool:
+        """All running processes tell one view, and it is true."""
+        running = [n for n in range(len(self.names)) if self.meant[n] == "run"]
+        if any(n not in self.views or n not in self.ready for n in running):
+            return False
+        if len({self.views[n]["digest"] for n in running}) > 1:
+            return False
+        if not running:
+            return True
+        alive = {m["name"] for m in self.views[running[0]]["members"] if m["state"] == "alive"}
+        return alive == {self.names[n] for n in running}
+
+    def _judge(self) -> None:
+        now = self.now()
+        agreed = self.agree()
+        if agreed and self.start_s is None:
+            self.start_s = round(now, 2)
+        for e in self.events:
+            if agreed and e.settled is None and e.ended is not None and now > e.ended + LOOK:
+                e.settled = round(now - e.ended, 2)
+            if e.fault.what in ("kill", "leave", "restart") and e.known is None and now > e.began + LOOK:
+                dead = set(selected(e.fault.who, self.sites))
+                running = [n for n in self.views if self.meant[n] == "run" and n in self.ready
+                           and self.names[n] not in dead]
+                if running and all(m["state"] not in ("alive", "joining") for n in running
+                                   for m in self.views[n]["members"] if m["name"] in dead):
+                    e.known = round(now - e.began, 2)
+
+    def _stop(self) -> None:
+        if not self.ending:
+            self._judge()
+            for n, program in enumerate(self.programs):
+                if self.meant[n] == "stopped" and program.poll() is None:
+                    program.send_signal(signal.SIGCONT)
+        super()._stop()
+
+    def _end_programs(self) -> None:
+        for relay in self.relays.values():
+            relay.stop()
+        super()._end_programs()
+        for thread in self.pipes:
+            thread.join(2.0)
+
+    def seen(self) -> Seen:
+        """Plays the drill and tells what it showed. FleetFailed if a softswitch did not come up or ended."""
+        result = self.play()
+        total = result.total()
+        settled = self.start_s is not None and all(e.settled is not None for e in self.events)
+        return Seen(len(self.names), self.places, self.day.seed, self.day.seconds, settled or not self.view,
+                    self.start_s, self.events, list(self.false_gone), total.calls, total.carried, total.cut,
+                    total.unanswered, total.second_answers, total.wrong_description, self.looks, self.unread)
--- a/willowhitch/standin/faults/virtual.py
+++ b/willowhitch/standin/faults/virtual.py
@@ -17,7 +17,8 @@
 import msgspec
 
 from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
-from willowhitch.fleet.messages import ENDED, Record, State
+from willowhitch.fleet.messages import BITS, ENDED, Record, State
+from willowhitch.standin.faults.links import Links, On
 from willowhitch.standin.faults.schedule import Fault, selected
 
 STARVED_FOR = (150.0, 900.0)  # ms that a starved process sleeps between two looks at what came
@@ -40,8 +41,6 @@
     boots: int = 0
     inbox: list[tuple[Any, ...]] = field(default_factory=list)
     wakes_at: float = 0.0
-    last_fault: float = -1e9  # when it, or a link of its, was last disturbed
-    left: bool = False
     bytes_out: int = 0
     messages: int = 0
     incarnation: int = 0  # the highest of its own so far
@@ -94,7 +93,8 @@
         self.sites = {node.name: node.site for node in self.nodes.values()}
         self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.ordered = 0
-        self.active: list[tuple[Fault, frozenset[str], frozenset[str]]] = []
+        self.links = Links(self.sites, self.rng)
+        self.links.away |= set(self.nodes)
         self.faults = sorted(faults, key=lambda f: f.at_s)
         self.false_gone: dict[tuple[str, int], float] = {}
         self.false_suspect: set[tuple[str, int]] = set()
@@ -136,9 +136,10 @@
         if node.up:
             return
         node.boots += 1
-        node.up, node.left = True, False
+        node.up = True
+        self.links.away.discard(node.name)
         me = Record(
-            node.name, node.address, 1, State.JOINING, self.rng.getrandbits(64), node.site, "1.0", "c0"
+            node.name, node.address, 1, State.JOINING, self.rng.getrandbits(BITS), node.site, "1.0", "c0"
         )
         seeds = [n.address for n in list(self.nodes.values())[:3]]
         node.member = self.make("f", me, seeds, self.periods, self.rng.getrandbits(32), self.now)
@@ -147,7 +148,8 @@
 
     def _end(self, node: Node) -> None:
         node.up, node.member, node.inbox = False, None, []
-        node.last_fault = self.now
+        self.links.away.add(node.name)
+        self.links.touch(self.now, (node.name,))
 
     def _tick(self, node: Node, boot: int) -> None:
         member = node.member
@@ -198,23 +200,13 @@
     # links
 
     def _way(self, src: Node, dst: Node) -> tuple[float, float, bool] | None:
-        """Delay in ms, share lost, whether it may be doubled; None where nothing passes."""
-        delay, lost, double = self.rng.uniform(*self.delay), self.lose, False
-        for fault, who, other in self.active:
-            there, back = src.name in who and dst.name in other, src.name in other and dst.name in who
-            if not there and not back:
-                continue
-            if fault.what == "cut" or fault.what == "cut one way" and there:
-                return None
-            if fault.what == "slow":
-                delay += fault.ms + self.rng.random() * fault.jitter_ms
-            elif fault.what == "lose" or fault.what == "spoil":
-                lost = 1 - (1 - lost) * (1 - fault.share)  # a spoilt one is dropped as garbage
-            elif fault.what == "double":
-                double = self.rng.random() < fault.share
-            elif fault.what == "reorder" and self.rng.random() < fault.share:
-                delay += self.rng.uniform(5.0, 80.0)
-        return delay, lost, double
+        """Delay in ms, share lost, whether it comes twice; None where nothing passes. What is spoilt is
+        dropped as garbage by who gets it."""
+        way = self.links.way(src.name, dst.name)
+        if way is None:
+            return None
+        lost = 1.0 if way.spoilt else 1 - (1 - self.lose) * (1 - way.lost)
+        return self.rng.uniform(*self.delay) + way.delay, lost, way.double
 
     def _send(self, src: Node, to: str, message: Any) -> None:
         size = len(ENCODER.encode(message)) + 28
@@ -260,53 +252,32 @@
 
     def _begin(self, fault: Fault) -> None:
         who = selected(fault.who, self.sites)
-        touched = set(who)
         self.log.append((self.now, f"{fault.what} {' '.join(fault.who)}"))
         for name in who:
             node = self.nodes[name]
             if fault.what in ("kill", "restart", "leave") and node.up:
                 if fault.what != "kill" and node.member is not None and node.stopped_until <= self.now:
                     self._do(node, node.member.leave(self.now))
-                    node.left = True
                 self._end(node)
                 if fault.for_s:
                     self.at(self.now + fault.for_s * 1000, self._start, node)
             elif fault.what == "stop" and node.up:
+                self.links.away.add(name)
                 node.stopped_until = max(node.stopped_until, self.now + fault.for_s * 1000)
                 self.at(node.stopped_until, self._continued, node, node.boots)
-        if fault.what in ("cut", "cut one way", "slow", "lose", "double", "reorder", "spoil"):
-            other = selected(fault.other, self.sites, who)
-            touched |= set(other) if fault.what.startswith("cut") else set()
-            entry = (fault, frozenset(who), frozenset(other))
-            self.active.append(entry)
-            if fault.for_s:
-                self.at(self.now + fault.for_s * 1000, self._over, entry)
-        if fault.what not in ("lose", "double", "reorder", "spoil", "slow"):
-            self._disturbed(touched)
-
-    def _over(self, entry: tuple[Fault, frozenset[str], frozenset[str]]) -> None:
-        self.active.remove(entry)
-        if entry[0].what.startswith("cut"):
-            self._disturbed(entry[1] | entry[2])
+        on = self.links.begin(self.now, fault)
+        if on is not None and fault.for_s:
+            self.at(self.now + fault.for_s * 1000, self._over, on)
+
+    def _over(self, on: On) -> None:
+        self.links.end(self.now, on)
 
     def _continued(self, node: Node, boot: int) -> None:
-        node.last_fault = self.now
+        self.links.touch(self.now, (node.name,))
         if node.up and node.boots == boot and node.stopped_until <= self.now:
+            self.links.away.discard(node.name)
             self._drain(node)
 
-    def _disturbed(self, names: Any) -> None:
-        for name in names:
-            self.nodes[name].last_fault = self.now
-
-    def _excused(self, observer: Node, about: Node) -> bool:
-        """Whether it may be called gone or suspect: it ended, was stopped, or a cut stands or stood
-        between."""
-        if not about.up or about.stopped_until > self.now or observer.stopped_until > self.now:
-            return True
-        if max(about.last_fault, observer.last_fault) > self.now - 15_000.0:
-            return True
-        return any(f.what.startswith("cut") and about.name in who | other for f, who, other in self.active)
-
     # the checker
 
     def _changed(self, node: Node, change: Changed) -> None:
@@ -316,9 +287,9 @@
             return
         if record.state in ENDED:
             self.ended_lives.add((record.key, record.incarnation, record.boot))
-        if record.state is State.GONE and not self._excused(node, about):
+        if record.state is State.GONE and not self.links.excused(self.now, node.name, about.name):
             self.false_gone.setdefault((record.key, record.incarnation), self.now)
-        if record.state is State.SUSPECT and not self._excused(node, about):
+        if record.state is State.SUSPECT and not self.links.excused(self.now, node.name, about.name):
             self.false_suspect.add((record.key, record.incarnation))
         before = node.seen.get(record.key)
         if before is not None and (record.incarnation, record.state) < before:
--- a/willowhitch/standin/fleet.py
+++ b/willowhitch/standin/fleet.py
@@ -151,29 +151,11 @@
                 "name": f"n{n}", "listen": f"127.0.0.1:{port}", "seed": f"{self.day.seed * 31 + n:016x}",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "board": f"{board[0]}:{board[1]}", "known": self.board.known(),
-                "settings": self.day.settings()}))
-            env = os.environ | {"BALANCER_CONFIG": str(config)} | self.day.env
-            env.pop("WILLOWHITCH_OPERATOR", None)
-            if self.day.record_interval:
-                star = Path(self.dir.name, f"n{n}.star")
-                star.write_text(
-                    f'record = {{"file": "n{n}.whtr", "interval_s": {self.day.record_interval:g}, '
-                    f'"slot_s": {self.day.record_slot:g}}}\n'
-                )
-                env["WILLOWHITCH_OPERATOR"] = str(star)
-            log = Path(self.dir.name, f"n{n}.log")
-            self.logs.append(log)
-            with open(log, "wb") as out:
-                self.programs.append(
-                    subprocess.Popen(
-                        [sys.executable, "-m", "willowhitch"],
-                        cwd=ROOT,
-                        env=env,
-                        stdout=out,
-                        stderr=out,
-                        stdin=subprocess.DEVNULL,
-                    )
-                )
+                "settings": self.day.settings()} | self.configured(n)))
+            if tables := self.operator_text(n):
+                Path(self.dir.name, f"n{n}.star").write_text(tables)
+            self.logs.append(Path(self.dir.name, f"n{n}.log"))
+            self.programs.append(self.program(n))
             callers = Callers(self.reactor, ("127.0.0.1", port), self.day.seed * 65537 + n, self.day.patience,
                               self.day.tries, self.day.again, self.day.pause, self.day.honour)
             callers.on_up = self._one_up
@@ -182,6 +164,28 @@
         self.up = 0
         self.deadline = self.reactor.callLater(READY_WITHIN, self._fail, "a softswitch did not come up")
 
+    def configured(self, n: int) -> dict[str, Any]:
+        """Keys of the configuration that this softswitch has besides."""
+        return {}
+
+    def operator_text(self, n: int) -> str:
+        """Its operator file; empty: it has none."""
+        if not self.day.record_interval:
+            return ""
+        return (f'record = {{"file": "n{n}.whtr", "interval_s": {self.day.record_interval:g}, '
+                f'"slot_s": {self.day.record_slot:g}}}\n')
+
+    def program(self, n: int) -> subprocess.Popen[bytes]:
+        """Starts a softswitch, for the first time or again; its log goes on."""
+        star = Path(self.dir.name, f"n{n}.star")
+        env = os.environ | {"BALANCER_CONFIG": str(Path(self.dir.name, f"n{n}.json"))} | self.day.env
+        env.pop("WILLOWHITCH_OPERATOR", None)
+        if star.exists():
+            env["WILLOWHITCH_OPERATOR"] = str(star)
+        with open(self.logs[n], "ab") as out:
+            return subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=env, stdout=out,
+                                    stderr=out, stdin=subprocess.DEVNULL)
+
     def _fail(self, why: str) -> None:
         if not self.failed:
             said = [f"{log.name}: {line}" for log in self.logs
@@ -205,13 +209,19 @@
         while self.next < len(self.plan) and self.plan[self.next][0] <= now:
             at, stream = self.plan[self.next]
             self.fallen_behind = max(self.fallen_behind, now - at)
-            self.callers[self.next % len(self.callers)].place(stream)
+            callers = self.caller_of(self.next)
+            if callers is not None:
+                callers.place(stream)
             self.next += 1
         if self.next < len(self.plan):
             self.reactor.callLater(max(0.0, self.plan[self.next][0] - now), self._place)
         else:
             self.reactor.callLater(max(0.0, self.day.warm + self.day.seconds - now), self._over)
 
+    def caller_of(self, nth: int) -> Callers | None:
+        """Who places the nth call; None: nobody."""
+        return self.callers[nth % len(self.callers)]
+
     def _counted(self) -> None:
         """The warm-up is over: books are begun anew."""
         for callers in self.callers:
@@ -226,13 +236,17 @@
     def _second(self) -> None:
         if self.ending:
             return
-        for program in self.programs:
-            if program.poll() is not None:
-                return self._fail(f"a softswitch ended by itself with {program.returncode}")
+        for n, program in enumerate(self.programs):
+            if program.poll() is not None and self.should_run(n):
+                return self._fail(f"softswitch n{n} ended by itself with {program.returncode}")
         if self.on_second:
             self.on_second(self)
         self.reactor.callLater(1.0, self._second)
 
+    def should_run(self, n: int) -> bool:
+        """Whether it is a fault if this one has ended."""
+        return True
+
     def _over(self) -> None:
         """No more calls: what is open is awaited, so long as it may take."""
         if len(self.marks) == 1:
