--- a/willowhitch/cli/__init__.py
+++ b/willowhitch/cli/__init__.py
@@ -21,6 +21,7 @@
     "reload": ("agents", "have them read their configuration again, and keep serving"),
     "config": ("config", "check and show an operator file"),
     "demo": ("demo", "a softswitch among stand-ins on loopback, for a bounded time"),
+    "fleet": ("fleet", "what softswitches say of their fleet; drills and runs with faults between them"),
     "traffic": ("traffic", "what a traffic record holds"),
     "trunks": ("trunks", "dimension trunk groups: blocking, circuits, estimate, plan, what-if, plots"),
 }
