--- a/willowhitch/cli/fleet.py
+++ b/willowhitch/cli/fleet.py
@@ -230,8 +230,9 @@
             bad(f"{schedule}: {fault.what!r} needs processes: play it by `willowhitch fleet drill`")
     o = play(members, sites, seconds, seed, faults, lose=lose, starved=starved)
     told = {"members": members, "seconds": seconds, "seed": seed, "settled": o.settled,
-            "settle_s": o.settle_s, "known_s": o.know_s, "false_gone": o.false_gone, "falsely_suspected": o.false_suspect,
-            "bytes_s": round(o.bytes_s, 1), "messages_s": round(o.messages_s, 2), "broken": o.broken}
+            "settle_s": o.settle_s, "known_s": o.know_s, "false_gone": o.false_gone,
+            "falsely_suspected": o.false_suspect, "bytes_s": round(o.bytes_s, 1),
+            "messages_s": round(o.messages_s, 2), "broken": o.broken}
     if as_json:
         print(orjson.dumps(told).decode())
     else:
--- a/willowhitch/fleet/member.py
+++ b/willowhitch/fleet/member.py
@@ -59,7 +59,7 @@
     suspicion: float = 3.0  # periods that a suspicion lasts at least, times log10 of the fleet but 1 at least
     longest: float = 3.0  # times as long it lasts at the most, with nobody sharing it
     exchange: float = 5_000.0  # between two exchanges of tables with nothing to say that they differ
-    retry: float = 2_000.0  # between two tries to reach a member that is gone, and seeds while joining
+    retry: float = 1_000.0  # between two tries to reach a member that is gone, and seeds while joining
 
 
 @dataclass(frozen=True, slots=True)
@@ -390,7 +390,7 @@
             self.next_retry = now + self.times.period
             for address in self.seeds:
                 self._exchange(address)
-            if not self.seeds or now - self.began > 2 * self.times.retry:
+            if not self.seeds or now - self.began > 4 * self.times.retry:
                 self._joined(now)  # alone for now: the seeds are asked on
         elif lost:
             for address in self.rng.sample(lost, min(HELPERS, len(lost))):
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -373,7 +373,11 @@
             same = ("name", "state", "incarnation")
             known = before is not None and any(
                 all(m[key] == member[key] for key in same) for m in before["members"])
-            if not known and not self.links.excused(self.now() * 1000, self.names[n], member["name"]):
+            # What is said of a life that truly ended, by one who only now hears of it, accuses nobody.
+            own = self.views.get(self.names.index(member["name"]), {"members": ()})
+            runs = any(m["name"] == member["name"] and m["boot"] == member["boot"] and m["state"] == "alive"
+                       for m in own["members"])
+            if runs and not known and not self.links.excused(self.now() * 1000, self.names[n], member["name"]):
                 self.false_gone.setdefault(said)
 
     def agree(self) -> bool:
