--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -1,10 +1,11 @@
 """The fleet view on virtual time: drawn schedules, planted faults, growth, and plainer ways beside it.
 
-    python benchmarks/fleet_view.py drawn 0 10000      # seeds; every schedule must settle, no rule may break
-    python benchmarks/fleet_view.py planted            # faults in the code, one at a time: each is found, or
-    told python benchmarks/fleet_view.py growth             # bytes and processor time a member, time to
-    settle python benchmarks/fleet_view.py plain              # false accusations beside two plainer ways
+python benchmarks/fleet_view.py drawn 0 10000      # seeds; every schedule must settle, no rule may break
+python benchmarks/fleet_view.py planted            # faults in the code, one at a time: each is found, or
+told python benchmarks/fleet_view.py growth             # bytes and processor time a member, time to
+settle python benchmarks/fleet_view.py plain              # false accusations beside two plainer ways
 """
+
 import json
 import sys
 import time
@@ -29,9 +30,14 @@
     names = [f"n{k}" for k in range(n)]
     sites = {name: "abcd"[k % places] for k, name in enumerate(names)}
     faults = drawn(seed, names, sites, 40.0)
-    o = play(n, places, 40.0, seed, faults, make=make)
+    # One in four runs has lost datagrams all the while, one in four members short of processor.
+    lose, starved = rng.choice((0.0, 0.0, 0.0, 0.1)), rng.choice((0.0, 0.0, 0.0, 0.2))
+    o = play(n, places, 40.0, seed, faults, make=make, lose=lose, starved=starved)
     wrong = o.broken or ("" if o.settled else "not settled")
     wrong = wrong or (f"{o.false_gone} falsely gone" if o.false_gone else "")
+    wrong = wrong or (f"{o.planned_gone} planned stops called gone" if o.planned_gone else "")
+    lossy = lose or starved or any(f.what in ("lose", "spoil", "slow", "reorder") for f in faults)
+    wrong = wrong or (f"{o.false_suspect} suspected falsely" if o.false_suspect > n and not lossy else "")
     return seed, wrong, o.events, o.false_suspect, max(o.settle_s, default=0.0)
 
 
@@ -43,8 +49,10 @@
             if wrong:
                 bad.append((seed, wrong))
     took = time.monotonic() - began
-    print(f"{last - first} schedules, seeds {first} to {last - 1}: {events} steps in {took:.0f} s; "
-          f"{len(bad)} wrong, {suspects} suspected falsely and taken back, longest to settle {longest:.1f} s")
+    print(
+        f"{last - first} schedules, seeds {first} to {last - 1}: {events} steps in {took:.0f} s; "
+        f"{len(bad)} wrong, {suspects} suspected falsely and taken back, longest to settle {longest:.1f} s"
+    )
     for seed, wrong in bad[:20]:
         print(f"  seed {seed}: {wrong}")
     return not bad
@@ -52,13 +60,16 @@
 
 # Planted faults: each makes one line of the code do something else.
 
+
 def planted():
     """Name, and what patches the code; given back is what undoes it."""
+
     def patch(owner, name, made):
         old = getattr(owner, name)
 
         def undo():
             setattr(owner, name, old)
+
         setattr(owner, name, made(old))
         return undo
 
@@ -68,14 +79,20 @@
             if key in self.records and record.incarnation < self.records[key].incarnation:
                 self.drop(key)  # an older word of it holds
             return old(self, now, record)
+
         return put
 
     def ended_revives(old):
         def put(self, now, record):
             held = self.records.get(record.key)
-            if held is not None and held.state in (State.GONE, State.LEFT) and record.state is State.ALIVE:
+            if (
+                held is not None
+                and held.state in (State.GONE, State.LEFT)
+                and record.state is State.ALIVE
+            ):
                 self.drop(record.key)
             return old(self, now, record)
+
         return put
 
     def no_refute(old):
@@ -87,6 +104,7 @@
                 self.table.put(now, self.me)
                 return
             old(self, now, record)
+
         return of_me
 
     def never_confirm(old):
@@ -98,6 +116,7 @@
             record = self.table.records.get(key)
             if record is not None and record.state is State.SUSPECT:
                 self._merge(now, (msgspec.structs.replace(record, state=State.GONE),))
+
         return accuse
 
     def no_standstill(old):
@@ -110,6 +129,7 @@
         def retry(self, now):
             if self.me.state is State.JOINING:
                 old(self, now)
+
         return retry
 
     def no_news(old):
@@ -119,6 +139,7 @@
         def exchange(self, address):
             if self.me.state is State.JOINING:
                 old(self, address)
+
         return exchange
 
     def digest_blind(old):
@@ -132,17 +153,20 @@
             self.leaving = True
             self._speak(now, state=State.GONE)
             return []
+
         return leave
 
     def first_only(old):
         def target(self):
             others = self._others((State.ALIVE, State.SUSPECT, State.JOINING))
             return others[0] if others else None
+
         return target
 
     def ack_all(old):
         def acked(self, now, message):
             self.probe = None
+
         return acked
 
     def forget_ended(old):
@@ -151,6 +175,7 @@
             if record.state in (State.GONE, State.LEFT) and record.key in self.records:
                 self.drop(record.key)
             return found
+
         return put
 
     def incarnation_falls(old):
@@ -158,6 +183,7 @@
             if "incarnation" in changes:
                 changes["incarnation"] = 1
             old(self, now, **changes)
+
         return speak
 
     def ping_wrong(old):
@@ -165,6 +191,7 @@
             old(self, key, seq)
             said = self.acts[-1]
             self.acts[-1] = Send(said.to, msgspec.structs.replace(said.message, to=self.me.key))
+
         return ping
 
     return {
@@ -209,7 +236,9 @@
         finally:
             undo()
         found += hit is not None
-        print(f"{name}: " + (f"found by seed {hit[0]}: {hit[1][:90]}" if hit else f"survives {most} seeds"))
+        print(
+            f"{name}: " + (f"found by seed {hit[0]}: {hit[1][:90]}" if hit else f"survives {most} seeds")
+        )
     print(f"{found} of {len(planted())} found")
 
 
@@ -226,10 +255,17 @@
         base = [(v.bytes_out, v.messages) for v in quiet.nodes.values()]
         quiet.run(32_000)
         sent = sum(v.bytes_out for v in quiet.nodes.values()) - sum(b for b, _ in base)
-        rows.append({"members": n, "start_s": o.settle_s[0] if o.settle_s else None,
-                     "crash_known_s": o.know_s, "bytes_s": round(sent / 20 / n, 1),
-                     "cpu_ms_s": round(1000 * cpu / seconds / n, 3),
-                     "false_gone": o.false_gone, "settled": o.settled})
+        rows.append(
+            {
+                "members": n,
+                "start_s": o.settle_s[0] if o.settle_s else None,
+                "crash_known_s": o.know_s,
+                "bytes_s": round(sent / 20 / n, 1),
+                "cpu_ms_s": round(1000 * cpu / seconds / n, 3),
+                "false_gone": o.false_gone,
+                "settled": o.settled,
+            }
+        )
         print(json.dumps(rows[-1]), flush=True)
     return rows
 
@@ -248,8 +284,9 @@
                     record = self.table.records[key]
                     self._merge(now, (msgspec.structs.replace(record, state=State.GONE),))
                 else:
-                    self.acts.append(Send(self.table.records[key].address,
-                                          Ping(self._head(), self._next_seq(), key)))
+                    self.acts.append(
+                        Send(self.table.records[key].address, Ping(self._head(), self._next_seq(), key))
+                    )
         if now >= self.next_retry:
             self.next_retry = now + self.times.retry
             self._retry(now)
@@ -275,8 +312,10 @@
 
 
 def plain(members, seconds=60.0, seeds=(1, 2, 3)):
-    print(f"{members} members, {seconds:g} s, 5% starved, {len(seeds)} seeds: lives called gone that never "
-          "stopped; bytes a second and member")
+    print(
+        f"{members} members, {seconds:g} s, 5% starved, {len(seeds)} seeds: lives called gone that never "
+        "stopped; bytes a second and member"
+    )
     for lose in (0.0, 0.05, 0.1, 0.2, 0.3):
         line = [f"loss {lose:.0%}"]
         ways = (("this", Member), ("without suspicion", Hasty), ("everyone pings everyone", Plain))
@@ -301,4 +340,3 @@
         plain(int(asked[1]) if len(asked) > 1 else 60)
     else:
         sys.exit(__doc__)
-
--- a/willowhitch/fleet/member.py
+++ b/willowhitch/fleet/member.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import log10
@@ -44,6 +45,7 @@
 DEAF = 6.0  # periods in which nobody at all is heard, after which a process counts as cut off itself
 WORST = 8  # the most that one's own bad health stretches times by
 PIGGYBACK = 8  # records on the back of a probe: they and the head fit a datagram of 1,400 bytes
+RECENT, UNWELL = 4, 4  # own probes, and own health, by which it doubts its own view
 ASKERS = 20  # members, on average, that ask one who is suspected at half of the time
 CONFIRMATIONS = 3  # others that share a suspicion, from which on it lasts its least time
 COUNTED = ("probes", "indirect", "accused", "refuted", "exchanges", "standstills", "gone", "garbage")
@@ -155,6 +157,7 @@
         self.health = 0  # 0: well; raised by what makes one doubt one's own view
         self.expected, self.began = now, now  # expected: when the next tick was due
         self.next_early = now  # an exchange for digests that differ, not before
+        self.recent: deque[bool] = deque(maxlen=RECENT)  # whether the last probes were answered
         self.accuses: dict[str, None] = {}  # suspects that own probes did not reach
         self.counted: tuple[int, int, int] = (-1, 0, 0)  # digest of the table; names there, and the whole
         self.next_probe, self.next_exchange, self.next_retry = now, now, now
@@ -274,6 +277,7 @@
                     )
         if p is not None and now >= p.ends:
             self.probe = None
+            self.recent.append(False)
             # Helpers that are there and heard nothing have said so; those that said nothing make one doubt
             # oneself.
             missed = p.helpers - p.nacks
@@ -332,7 +336,7 @@
         record, suspicion = self.table.records.get(key), self.suspicions[key]
         if record is None or record.state is not State.SUSPECT or record.incarnation != suspicion.incarnation:
             del self.suspicions[key]
-        elif self.cut_off or now - self.heard_at > 2 * self.times.period * self._stretch():
+        elif self.cut_off or self._in_doubt(now):
             # It may be this process that is away: they stay suspects, and are asked on.
             suspicion.held = now + self.times.period
         elif suspicion.asked < 2:
@@ -343,6 +347,13 @@
             self.counts["gone"] += 1
             self._merge(now, (msgspec.structs.replace(record, state=State.GONE),))
 
+    def _in_doubt(self, now: float) -> bool:
+        """Whether it may be this process that is away, although the table does not say so yet: nobody was
+        heard lately, half of its last probes found nobody, or those asked for help were silent too."""
+        silent = now - self.heard_at > 2 * self.times.period * self._stretch()
+        failed = self.recent.count(False)
+        return silent or self.health >= UNWELL or failed > 0 and 2 * failed >= len(self.recent)
+
     def _majority(self, now: float) -> None:
         """Of all members that did not leave, more than half are there, this one among them. The gone ones
         count as long as they are remembered: else a minority would shrink the whole until it is a majority of
@@ -477,6 +488,7 @@
         p = self.probe
         if p is not None and p.seq == message.seq:
             self.probe = None
+            self.recent.append(True)
             self.health = max(0, self.health - 1)
             self.accuses.pop(p.key, None)
             return
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -377,7 +377,8 @@
             own = self.views.get(self.names.index(member["name"]), {"members": ()})
             runs = any(m["name"] == member["name"] and m["boot"] == member["boot"] and m["state"] == "alive"
                        for m in own["members"])
-            if runs and not known and not self.links.excused(self.now() * 1000, self.names[n], member["name"]):
+            excused = self.links.excused(self.now() * 1000, self.names[n], member["name"])
+            if runs and not known and not excused:
                 self.false_gone.setdefault(said)
 
     def agree(self) -> bool:
--- a/willowhitch/standin/faults/virtual.py
+++ b/willowhitch/standin/faults/virtual.py
@@ -39,6 +39,7 @@
     up: bool = False
     starved: bool = False
     boots: int = 0
+    saved: tuple[int, list[str]] | None = None  # its snapshot: own incarnation, addresses of others
     inbox: list[tuple[Any, ...]] = field(default_factory=list)
     wakes_at: float = 0.0
     bytes_out: int = 0
@@ -80,11 +81,13 @@
         periods: Periods | None = None,
         starved: float = 0.0,
         lose: float = 0.0,
+        forget: float = 0.5,
         make: Callable[..., Member] = Member,
         delay: tuple[float, float] = (0.2, 1.5),
     ) -> None:
         self.rng, self.seed, self.now = Random(seed), seed, 0.0
         self.periods, self.make, self.delay, self.lose = periods or Periods(), make, delay, lose
+        self.forget = forget  # share of starts that find an empty disk
         self.nodes = {
             f"n{n}": Node(
                 f"n{n}", f"{'abcdefghijklmnopqrstuvwxyz'[n % sites]}", f"10.0.{n >> 8}.{n & 255}:7000"
@@ -146,11 +149,17 @@
             node.name, node.address, 1, State.JOINING, self.rng.getrandbits(BITS), node.site, "1.0", "c0"
         )
         seeds = [n.address for n in list(self.nodes.values())[:3]]
+        if node.saved and self.rng.random() >= self.forget:  # what its snapshot holds
+            me = msgspec.structs.replace(me, incarnation=node.saved[0] + 1)
+            seeds = list(dict.fromkeys((*seeds, *node.saved[1])))
         node.member = self.make("f", me, seeds, self.periods, self.rng.getrandbits(32), self.now)
         node.incarnation, node.seen, node.called_gone = 0, {}, 0
         self._tick(node, node.boots)
 
     def _end(self, node: Node) -> None:
+        if node.member is not None:
+            known = [r.address for r in node.member.known() if r.state not in ENDED and r.name != node.name]
+            node.saved = (node.member.me.incarnation, known[:256])
         node.up, node.member, node.inbox = False, None, []
         self.links.away.add(node.name)
         self.links.touch(self.now, (node.name,))
@@ -306,7 +315,7 @@
             there = {r.name for r in member.known() if r.state in (State.ALIVE, State.JOINING)}
             whole = there | {r.name for r in member.known() if r.state is not State.LEFT}
             if 2 * len(there) <= len(whole):
-                raise Broken(f"{node.name} at {self.now:.0f} ms: no majority, and {record.key} is called gone")
+                raise Broken(f"{node.name} at {self.now:.0f} ms: no majority, {record.key} called gone")
         if record.state is State.GONE and record.boot in self.planned:
             self.planned_gone.add(record.boot)
         before = node.seen.get(record.key)
