--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -15,4 +15,12 @@
 #     "most_mb": 64,             # then nothing more is written
 # }
 
+# fleet = {                      # one picture of who is there, kept by the softswitches (docs/fleet-view.md)
+#     "name": "tana",            # members of another fleet are refused
+#     "address": "10.1.0.4:7946",    # where the others reach this one, by UDP and TCP
+#     "site": "east",
+#     "seeds": ["10.1.0.4:7946", "10.2.0.4:7946"],
+#     "folder": "state",         # a snapshot of who was there, beside this file
+# }
+
 # logs = {"form": "json"}        # one JSON object a line, with bound fields; "plain" is the default
--- a/willowhitch/cli/fleet.py
+++ b/willowhitch/cli/fleet.py
@@ -156,6 +156,8 @@
 
     names = {f"n{n}": "abcdefghijkl"[n % sites] for n in range(softswitches)}
     faults = faults_of(schedule, seed, names, seconds)
+    if any(fault.what == "disk slow" for fault in faults):
+        bad(f"{schedule}: 'disk slow' can't be put under a real process; `disk full`, `disk read-only` can")
     screen = Console()
     live = None if as_json else Live(console=screen, refresh_per_second=2)
 
