--- /dev/null
+++ b/benchmarks/fleet_cost.py
@@ -0,0 +1,57 @@
+"""What the fleet view costs: processor time a call and mean set-up time with it and without, paired in one
+run; memory of a view of 1,000 members. `python benchmarks/fleet_cost.py [PAIRS] [SECONDS] [SOFTSWITCHES]`."""
+import resource
+import subprocess
+import sys
+import tracemalloc
+from statistics import median
+
+
+def day(on, seconds, softswitches, seed):
+    from willowhitch.standin.faults.drill import Drill
+
+    drill = Drill(softswitches, 2, seconds, seed, (), rate=30.0 * softswitches, view=on, watched=False)
+    result = drill.play()
+    used = resource.getrusage(resource.RUSAGE_CHILDREN)
+    total = result.total()
+    print((used.ru_utime + used.ru_stime) / total.tries, total.delay_s / max(1, total.carried))
+
+
+def played(on, seconds, softswitches, seed):
+    words = [sys.executable, __file__, "day", str(int(on)), seconds, softswitches, str(seed)]
+    ran = subprocess.run(words, capture_output=True, text=True, check=True)
+    return [float(word) for word in ran.stdout.split()]
+
+
+def memory(n=1_000):
+    from willowhitch.fleet.member import Member, Periods
+    from willowhitch.fleet.messages import Record, State
+
+    tracemalloc.start()
+    me = Record("n0", "10.0.0.1:7946", 1, State.JOINING, 1, "east", "0.1.0", "0123456789ab", "10.0.0.1:15000")
+    member = Member("tana", me, (), Periods(), 1, 0.0)
+    for k in range(1, n):
+        at = f"10.{k >> 8}.{k & 255}.1"
+        member.table.put(0.0, Record(f"softswitch-{k}", f"{at}:7946", 1, State.ALIVE, k, "east", "0.1.0",
+                                     "0123456789ab", f"{at}:15000"))
+    print(f"a view of {n} members: {tracemalloc.get_traced_memory()[0] / 1024:.0f} KiB")
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["day"]:
+        day(sys.argv[2] == "1", float(sys.argv[3]), int(sys.argv[4]), int(sys.argv[5]))
+    else:
+        given = sys.argv[1:] + ["4", "12", "4"][len(sys.argv) - 1:]
+        costs, waits = [], []
+        for n in range(int(given[0])):
+            # the order alternates, so that drift of the machine falls on both alike
+            order = (True, False) if n % 2 else (False, True)
+            found = {on: played(on, given[1], given[2], n) for on in order}
+            costs.append(found[True][0] / found[False][0])
+            waits.append(found[True][1] / found[False][1])
+            us = [1e6 * found[on][0] for on in (False, True)]
+            print(f"pair {n}: {us[0]:.0f} us a call without, {us[1]:.0f} with: "
+                  f"{costs[-1]:.3f}; mean set-up {1e3 * found[False][1]:.2f} ms without, "
+                  f"{1e3 * found[True][1]:.2f} with: {waits[-1]:.3f}", flush=True)
+        print(f"median ratio: processor time {median(costs):.3f}, mean set-up {median(waits):.3f}")
+        memory()
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -131,14 +131,17 @@
 
 
 class Drill(Fleet):
-    """Plays one drill. With `view` off the same processes, load and faults without the fleet's part."""
+    """Plays one drill. With `view` off the same processes, load and faults without the fleet's part; with
+    `watched` off nobody asks for the views, so that what they cost by themselves can be measured."""
 
     def __init__(self, softswitches: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault],
-                 rate: float = 24.0, view: bool = True, tables: str = "", periods: str = "",
+                 rate: float = 24.0, view: bool = True, watched: bool = True, tables: str = "",
+                 periods: str = "",
                  on_second: Callable[[Drill], None] | None = None) -> None:
         super().__init__(day_of(softswitches, seconds, seed, rate),
                          (lambda fleet: on_second(self)) if on_second else None)
         self.view, self.tables, self.periods = view, tables, periods
+        self.watched = view and watched
         self.names = [f"n{n}" for n in range(softswitches)]
         self.sites = {name: "abcdefghijkl"[n % sites] for n, name in enumerate(self.names)}
         self.places = sites
@@ -341,7 +344,7 @@
 
     def _look(self) -> None:
         """Asks all at once; what they say is held against each other as it has come."""
-        if self.ending or not self.view:
+        if self.ending or not self.watched:
             return
         self._judge()
         for n in range(len(self.names)):
@@ -429,6 +432,7 @@
         result = self.play()
         total = result.total()
         settled = self.start_s is not None and all(e.settled is not None for e in self.events)
-        return Seen(len(self.names), self.places, self.day.seed, self.day.seconds, settled or not self.view,
+        settled |= not self.watched
+        return Seen(len(self.names), self.places, self.day.seed, self.day.seconds, settled,
                     self.start_s, self.events, list(self.false_gone), total.calls, total.carried, total.cut,
                     total.unanswered, total.second_answers, total.wrong_description, self.looks, self.unread)
