Give each drill and test of processes loopback addresses of its own

Seen: with two suites and a drill at once, a drill of five never agreed (start_s null, nothing unread), and a test of three processes failed in one run of many: an address that was free as it was chosen had been given to a connection that went out meanwhile, and its process waited for it. Fixed ports at 127.x.y.z, by process id, collide with neither.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -12,13 +12,14 @@
 import pytest
 from stage import ROOT, Stage, written
 
+from willowhitch.standin.fleet import own_hosts
+
 PATIENCE = 20.0  # s for a condition to come true
 
 
-def free():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()
+def own():
+    """An address that no other process, nor a connection that goes out, can have taken meanwhile."""
+    return own_hosts(1)[0], 7_946
 
 
 def until(true, why):
@@ -53,7 +54,7 @@
 
 @contextmanager
 def processes(folder, count=3, **more):
-    at = [free() for _ in range(count)]
+    at = [own() for _ in range(count)]
     with ExitStack() as stack:
         made = [Process(folder, n, at[n], at[:2], **more) for n in range(count)]
         for p in made:
@@ -109,7 +110,7 @@
         until(lambda: states(made, *made) == {"n0": "alive", "n1": "alive", "n2": "alive"}, made[0].said)
         stage = made[2].stage
         old = stage.program
-        stage.start({"BALANCER_MGMT": written(free())})
+        stage.start({"BALANCER_MGMT": written(own())})
         until(lambda: "the next process takes the callers" in made[2].said(), made[2].said)
         old.send_signal(signal.SIGTERM)
         assert old.wait(15) == 0
@@ -130,9 +131,9 @@
     with processes(tmp_path, 2) as made, ExitStack() as stack:
         until(lambda: states(made, *made) == {"n0": "alive", "n1": "alive"}, made[0].said)
         seeds = [p.at for p in made]
-        other = Process(tmp_path, 5, free(), seeds, fleet="g")
+        other = Process(tmp_path, 5, own(), seeds, fleet="g")
         stack.enter_context(other.stage)
-        twin = Process(tmp_path, 6, free(), seeds, member="n0")
+        twin = Process(tmp_path, 6, own(), seeds, member="n0")
         stack.enter_context(twin.stage)
         until(lambda: "turned away there: fleet 'g', this one is 'f'" in other.said(), other.said)
         until(lambda: "fleet: name taken: n0 is at " in made[0].said(), made[0].said)
@@ -188,5 +189,5 @@
     assert code == 1 and "is no address; host:port" in said
     code, said = run("simulate", "--schedule", "/none.json")
     assert code == 2 and "/none.json: can't be read" in said
-    code, said = run("view", written(free()), "--json")
+    code, said = run("view", written(own()), "--json")
     assert code == 1 and "not reached" in said
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -26,11 +26,12 @@
 from willowhitch.standin.faults.links import Links
 from willowhitch.standin.faults.relay import CHECK, Relay
 from willowhitch.standin.faults.schedule import Fault, selected
-from willowhitch.standin.fleet import ClassSettings, Day, Fleet, free_port
+from willowhitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
 from willowhitch.standin.traffic import StreamSettings
 
 LOOK = 0.1  # s between two looks at all views
 ASKED = 0.8  # s that a process may take to tell its view
+PEER_PORT, MGMT_PORT = 7_946, 15_000  # at each one's own address
 AGAIN_AFTER = 0.1  # s between two tries to start one whose process before has not ended yet
 
 
@@ -150,8 +151,9 @@
         self.links.away |= set(self.names)
         self.faults = sorted(faults, key=lambda f: f.at_s)
         self.events: list[Event] = []
-        self.peer_at = [("127.0.0.1", free_port()) for _ in self.names]
-        self.mgmt_at = [("127.0.0.1", free_port()) for _ in self.names]
+        hosts = own_hosts(softswitches)
+        self.peer_at = [(host, PEER_PORT) for host in hosts]
+        self.mgmt_at = [(host, MGMT_PORT) for host in hosts]
         self.relays: dict[tuple[int, int], Relay] = {}
         self.views: dict[int, Any] = {}
         self.asking: dict[int, float] = {}
--- a/willowhitch/standin/fleet.py
+++ b/willowhitch/standin/fleet.py
@@ -13,6 +13,7 @@
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from time import time
 from typing import Any
@@ -107,6 +108,17 @@
         return port
 
 
+MADE = count()
+
+
+def own_hosts(most: int) -> list[str]:
+    """Loopback addresses of this run's own: fixed ports there collide neither with another run's, nor with
+    what the system gives to connections that go out, as a port that was free a moment ago may."""
+    pid = os.getpid()
+    block = f"127.{64 + pid % 128}.{(pid >> 7) % 256}"
+    return [f"{block}.{1 + (next(MADE) % 250)}" for _ in range(most)]
+
+
 class Fleet:
     """Plays one day. `on_second` is called about once a second with this object."""
 
