Mend what a last reading of the change found: tombstones, addresses, listening connections

Each was shown first by a small probe: - An ended member dropped after its hour came back from another member's exchange as if new, without end. Exchanges now carry ages; one in its last minute is taken from nobody; what ended over 10 s ago is no news. - A message with port 99999 passed the codec, and sending there raises OverflowError.

--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -74,16 +74,16 @@
         return undo
 
     def merge_any(old):
-        def put(self, now, record):
+        def put(self, now, record, age=0.0):
             key = record.key
             if key in self.records and record.incarnation < self.records[key].incarnation:
                 self.drop(key)  # an older word of it holds
-            return old(self, now, record)
+            return old(self, now, record, age)
 
         return put
 
     def ended_revives(old):
-        def put(self, now, record):
+        def put(self, now, record, age=0.0):
             held = self.records.get(record.key)
             if (
                 held is not None
@@ -91,7 +91,7 @@
                 and record.state is State.ALIVE
             ):
                 self.drop(record.key)
-            return old(self, now, record)
+            return old(self, now, record, age)
 
         return put
 
@@ -170,8 +170,8 @@
         return acked
 
     def forget_ended(old):
-        def put(self, now, record):
-            found = old(self, now, record)
+        def put(self, now, record, age=0.0):
+            found = old(self, now, record, age)
             if record.state in (State.GONE, State.LEFT) and record.key in self.records:
                 self.drop(record.key)
             return found
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -13,7 +13,7 @@
 from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
 from willowhitch.fleet.messages import Ack, Compare, Head, Message, News, Ping, Record, Refused, State
 from willowhitch.fleet.size import Size
-from willowhitch.fleet.table import MOST, Table
+from willowhitch.fleet.table import KEPT_ENDED, MOST, Table
 from willowhitch.standin.faults.schedule import BadSchedule, Fault, drawn, of_json, selected
 from willowhitch.standin.faults.virtual import World, play
 from willowhitch.storage.snapshot import BadSnapshot, Disk, Snapshot
@@ -74,6 +74,48 @@
     assert 0 < passed <= 8 * 10 and not table.fresh  # three times log2 of 9, rounded up
 
 
+def test_a_tombstone_lives_its_time_and_no_longer_whoever_hears_of_it():
+    dead = record("n2", State.GONE)
+    a, b, late = member("n0"), member("n1"), member("n3")
+
+    def exchange(now, one, other):
+        differ, _ = other.asked(now, Compare(one._head(), tuple(one.table.buckets)))
+        rest, _ = one.asked(now, differ)
+        other.asked(now, rest)
+
+    a.table.put(0.0, dead)
+    b.table.put(10_000.0, dead)  # heard of it a little later
+    half = KEPT_ENDED / 2
+    exchange(half, late, a)
+    # as old as it is, and no news
+    assert late.table.since[dead.key] == 0.0 and dead.key not in late.table.fresh
+    now = KEPT_ENDED + 5_000.0
+    a.table.forget(now)
+    assert dead.key not in a.table.records and dead.key in b.table.records
+    exchange(now, a, b)
+    exchange(now, b, a)
+    assert dead.key not in a.table.records  # it does not come back
+    for m in (b, late):
+        m.table.forget(KEPT_ENDED + 11_000.0)
+        assert dead.key not in m.table.records and len(m.table.since) == len(m.table.records)
+    assert sum(a.table.count.values()) == len(a.table.records)
+
+
+NO_SOCKET = ("10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:0", "10.0.0.256:1", "host:7000", "10.0.0.1",
+             "10.0.0.1:7000\n")
+
+
+@pytest.mark.parametrize("address", NO_SOCKET)
+def test_an_address_that_no_socket_takes_is_garbage(address):
+    codec = msgspec.msgpack.Decoder(Message)
+    for good in ("10.0.0.1:65535", "0.0.0.0:1", "255.249.199.99:7946"):
+        sender = msgspec.structs.replace(record("n1"), address=good)
+        assert codec.decode(msgspec.msgpack.encode(News(Head("f", 1, sender, 0), ()))).head.me.address == good
+    sender = msgspec.structs.replace(record("n1"), address=address)
+    with pytest.raises(msgspec.ValidationError):
+        codec.decode(msgspec.msgpack.encode(News(Head("f", 1, sender, 0), ())))
+
+
 # one member
 
 
@@ -284,11 +326,11 @@
         assert wrong()
     old = Table.put
 
-    def revives(self, now, record):
+    def revives(self, now, record, age=0.0):
         held = self.records.get(record.key)
         if held is not None and record.incarnation < held.incarnation:
             self.drop(record.key)
-        return old(self, now, record)
+        return old(self, now, record, age)
 
     with monkeypatch.context() as patch:
         patch.setattr(Table, "put", revives)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -6,6 +6,16 @@
 from willowhitch.core.releases import KEPT_FOR, REPEAT_AFTER, Releases
 
 STAYS = {"lanes": [{"name": "x", "aim": 1500.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 9000.0}]}
+TWO_STAND = """
+    c0 send INVITE 1
+    e0 expect SET_UP {1}
+    e0 send ANSWER 1 33=d
+    c0 expect 200 .*{1}
+    c1 send INVITE 2
+    e0 expect SET_UP {2}
+    e0 send ANSWER 2 33=d
+    c1 expect 200 .*{2}
+    """
 
 
 class World:
@@ -127,15 +137,8 @@
 
 def test_a_release_unread_at_a_close_goes_out_on_another_connection():
     with Stage(settings=STAYS) as s:
+        s.play(TWO_STAND)
         s.play("""
-            c0 send INVITE 1
-            e0 expect SET_UP {1}
-            e0 send ANSWER 1 33=d
-            c0 expect 200 .*{1}
-            c1 send INVITE 2
-            e0 expect SET_UP {2}
-            e0 send ANSWER 2 33=d
-            c1 expect 200 .*{2}
             e0 send RELEASE 1 31=16
             c0 wait 50
             c0 close
@@ -152,15 +155,8 @@
 
 def test_a_release_that_is_not_heard_goes_out_on_another_connection():
     with Stage(settings=STAYS) as s:
+        s.play(TWO_STAND)
         s.play("""
-            c0 send INVITE 1
-            e0 expect SET_UP {1}
-            e0 send ANSWER 1 33=d
-            c0 expect 200 .*{1}
-            c1 send INVITE 2
-            e0 expect SET_UP {2}
-            e0 send ANSWER 2 33=d
-            c1 expect 200 .*{2}
             e0 send RELEASE 2 31=16
             c1 expect ^BYE .*Call-ID: {2}
             c1 send raw SIP/2.0 200 OK\\r\\nCall-ID: {2}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
@@ -201,6 +197,35 @@
         assert s.parties["e0"] in seen, "no more than needed: nothing stands"
 
 
+def test_an_engine_that_hangs_up_on_a_connection_that_listens_does_no_harm():
+    with Stage(settings=STAYS, engines=1) as s:
+        s.play("""
+            c0 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c0 expect 200 .*{1}
+            """)
+        link = s.parties["e0"]
+        link.sock.sendall(b"\x00\x30\x09")  # an answer that stops short
+        while s.parties["e0"] is link:
+            s.pump(0.1)
+        link = s.parties["e0"]
+        for _ in range(20):
+            s.pump(0.1)
+            if s.parties["e0"] is not link:
+                break
+        ear, s.parties["e0"] = s.parties["e0"], link
+        assert ear is not link, s.said()
+        ear.sock.close()
+        s.play("""
+            e0 send STATE 0 21=x0:9;x1:9
+            e0 wait 400
+            e0 send RELEASE 1 31=16
+            c0 expect ^BYE .*Call-ID: {1}
+            """)
+        assert "ERROR" not in s.said(), s.said()
+
+
 def test_a_call_that_ended_before_its_answer_came_fails_and_is_not_set_up_again():
     """Set up again under the same id it would stand while its caller is owed the release of before."""
     with Stage(settings=STAYS) as s:
--- a/willowhitch/fleet/member.py
+++ b/willowhitch/fleet/member.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import chain, repeat
 from math import log10
 from random import Random
 
@@ -170,7 +171,6 @@
         self.heard_at = now  # when anyone was last heard
         self.leaving = False
         self.cut_off = False
-        self.whole_since: float | None = None  # since when a majority was seen without a break
         self.taken: dict[str, None] = {}  # keys of others that claim this name; each told once
         self.refusals: dict[str, int] = {}
         self.counts = dict.fromkeys(COUNTED, 0)
@@ -378,10 +378,6 @@
             for s in self.suspicions.values():  # who is heard again has its time to say so
                 s.began, s.held, s.asked = now, 0.0, 0
                 s.sharers.clear()
-        if cut_off:
-            self.whole_since = None
-        elif self.whole_since is None:
-            self.whole_since = now
 
     # exchanges
 
@@ -412,10 +408,6 @@
         if self.me.state is State.JOINING:
             self._speak(now, state=State.ALIVE)
 
-    def failed(self, now: float, address: str) -> list[Action]:
-        """An exchange did not come about."""
-        return self._take()
-
     # what comes in
 
     def _welcome(self, now: float, head: Head) -> str:
@@ -510,25 +502,27 @@
         if isinstance(message, Compare):
             self._merge(now, (message.head.me,))
             differ = self.table.differing(message.buckets)
-            return Differ(self._head(), differ, self.table.within(differ)), self._take()
+            there = self.table.within(differ)
+            return Differ(self._head(), differ, there, self.table.ages(now, there)), self._take()
         if isinstance(message, Differ):
-            # as it was before: no news to them else
-            rest = Rest(self._head(), self.table.within(message.buckets))
-            self._merge(now, (message.head.me, *message.records))
+            there = self.table.within(message.buckets)  # as it was before: no news to them else
+            rest = Rest(self._head(), there, self.table.ages(now, there))
+            self._merge(now, (message.head.me, *message.records), (0, *message.ages))
             self._joined(now)
             return rest, self._take()
-        self._merge(now, (message.head.me, *message.records))
+        self._merge(now, (message.head.me, *message.records), (0, *message.ages))
         return None, self._take()
 
     # what holds
 
-    def _merge(self, now: float, records: Iterable[Record]) -> None:
-        for record in records:
+    def _merge(self, now: float, records: Iterable[Record], ages: Iterable[int] = ()) -> None:
+        """`ages`: seconds since each came to its end; what has none came to it now."""
+        for record, age in zip(records, chain(ages, repeat(0)), strict=False):
             if record.key == self.me.key:
                 self._of_me(now, record)
                 continue
             new = record.key not in self.table.records
-            old = self.table.put(now, record)
+            old = self.table.put(now, record, 1000.0 * age)
             if old is None and not (new and record.key in self.table.records):
                 continue
             if record.state is State.SUSPECT:
--- a/willowhitch/fleet/messages.py
+++ b/willowhitch/fleet/messages.py
@@ -12,7 +12,10 @@
 BUCKETS = 64  # parts of a table that are compared by digest
 
 Text = Annotated[str, Meta(min_length=1, max_length=64)]
-Address = Annotated[str, Meta(min_length=3, max_length=64, pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
+# host:port; no names to look up, and no port that a socket would not take
+OCTET = r"(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+PORT = r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+Address = Annotated[str, Meta(max_length=21, pattern=rf"^{OCTET}(\.{OCTET}){{3}}:{PORT}\Z")]
 Whole = Annotated[int, Meta(ge=0, lt=1 << 53)]
 Digest = Annotated[int, Meta(ge=0, lt=1 << BITS)]
 
@@ -57,6 +60,9 @@
 
 Some = Annotated[tuple[Record, ...], Meta(max_length=64)]
 Many = Annotated[tuple[Record, ...], Meta(max_length=20_000)]
+# Seconds since each of the records with it came to its end, 0 for those that have not: a tombstone's life
+# goes on, whoever hears of it.
+Ages = Annotated[tuple[Annotated[int, Meta(ge=0, lt=1 << 32)], ...], Meta(max_length=20_000)]
 Indices = Annotated[tuple[Annotated[int, Meta(ge=0, lt=BUCKETS)], ...], Meta(max_length=BUCKETS)]
 Digests = Annotated[tuple[Digest, ...], Meta(min_length=BUCKETS, max_length=BUCKETS)]
 
@@ -124,6 +130,7 @@
     head: Head
     buckets: Indices
     records: Many
+    ages: Ages = ()
 
 
 class Rest(Struct, frozen=True, array_like=True, tag=8):
@@ -131,6 +138,7 @@
 
     head: Head
     records: Many
+    ages: Ages = ()
 
 
 class Refused(Struct, frozen=True, array_like=True, tag=9):
--- a/willowhitch/fleet/table.py
+++ b/willowhitch/fleet/table.py
@@ -15,6 +15,8 @@
 SPREAD = 3.0  # times log2 of the fleet that a piece of news is passed on by each member
 # ms for which an ended member is remembered: tombstones of a whole partition's length
 KEPT_ENDED = 3_600_000.0
+NEARLY = 60_000.0  # ms before the end of that life from which on a tombstone is taken from nobody any more
+LATELY = 10_000.0  # ms; what came to its end longer ago is no news, and left to exchanges
 MOST = 20_000  # members known, ended ones included; one more is not taken
 
 
@@ -42,9 +44,9 @@
         self.count = dict.fromkeys(State, 0)
         self.turned_away = 0
 
-    def put(self, now: float, record: Record) -> Record | None:
-        """Takes a record in. The one that held before where this one now holds instead; None if it changes
-        nothing, or there was none: `key in since` tells which."""
+    def put(self, now: float, record: Record, age: float = 0.0) -> Record | None:
+        """Takes a record in; of an ended one, `age` ms ago. The one that held before where this one now holds
+        instead; None if it changes nothing, or there was none: `key in records` tells which."""
         key = record.key
         old = self.records.get(key)
         if old is not None and record.rank <= old.rank:
@@ -52,18 +54,21 @@
         if old is None and len(self.records) >= MOST:
             self.turned_away += 1
             return None
+        if old is None and record.state in ENDED and age >= KEPT_ENDED - NEARLY:
+            return None  # dropped here, or about to be by all: it would go from one to the other without end
         bucket, change = bucket_of(key), digest_of(record)
         if old is not None:
             change ^= digest_of(old)
             self.count[old.state] -= 1
         if old is None or old.state is not record.state:
-            self.since[key] = now
+            self.since[key] = now - age
         self.count[record.state] += 1
         self.digest ^= change
         self.buckets[bucket] ^= change
         self.inside[bucket][key] = None
         self.records[key] = record
-        self.fresh[key] = 0
+        if age < LATELY:
+            self.fresh[key] = 0
         return old
 
     def drop(self, key: str) -> None:
@@ -104,6 +109,10 @@
     def within(self, buckets: Iterable[int]) -> tuple[Record, ...]:
         return tuple(self.records[key] for n in buckets for key in self.inside[n])
 
+    def ages(self, now: float, records: Iterable[Record]) -> tuple[int, ...]:
+        """Seconds since each of these came to its end, 0 for those that have not."""
+        return tuple(int((now - self.since[r.key]) / 1000) if r.state in ENDED else 0 for r in records)
+
     def present(self) -> int:
         """Members that are not known to have ended."""
         return self.count[State.JOINING] + self.count[State.ALIVE] + self.count[State.SUSPECT]
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -141,19 +141,24 @@
 
     def __init__(self, link: Link) -> None:
         self.link, self.switch, self.server = link, link.switch, link.server
+        self.line: EngineLine | None = None
 
     def buildProtocol(self, addr: object) -> EngineLine:
         return EngineLine(self)
 
     def up(self, line: EngineLine) -> None:
         now = self.switch.wheel.now
-        # what is on its way still comes
-        self.switch.wheel.at(now + EAR_FOR, line.transport.loseWriteConnection)
-        self.switch.wheel.at(now + 3 * EAR_FOR, line.transport.abortConnection)
         self.line = line
+        self.switch.wheel.at(now + EAR_FOR, self._enough)
+        self.switch.wheel.at(now + 3 * EAR_FOR, line.transport.abortConnection)
+
+    def _enough(self) -> None:
+        """Our side closes; what is on its way still comes."""
+        if self.line is not None:
+            self.line.transport.loseWriteConnection()
 
     def down(self, line: EngineLine) -> None:
-        pass
+        self.line = None
 
     def heard(self, kind: int, call: str, said: dict[int, bytes]) -> None:
         self.link.heard_at = self.switch.wheel.now
--- a/willowhitch/net/peers.py
+++ b/willowhitch/net/peers.py
@@ -143,12 +143,10 @@
         self.lines: dict[Line, None] = {}
         self.port: Any = None  # where datagrams come
         self.listener: Any = None  # where exchanges come
-        self.waiting = False  # to bind
         self.said_busy = False
         self.taken_in, self.span = 0, 0.0
         self.due = 0.0
         self.quiet = False  # the process that replaces this one speaks for the member
-        self.changed_at: dict[str, float] = {}
         self.snapshot, self.saving, self.saved, self.failing = self._snapshot(), False, 0, False
         draw = SystemRandom()
         known = self._known()
@@ -241,7 +239,7 @@
 
     def figures(self) -> dict[str, Any]:
         count = self.member.table.count
-        counts = self.count + Counter(self.member.counts)
+        counts = dict(self.count) | self.member.counts  # a copy in one step: a thread may add to it meanwhile
         return {"alive": count[State.ALIVE] + count[State.JOINING], "suspect": count[State.SUSPECT],
                 "gone": count[State.GONE], "left": count[State.LEFT], "cut_off": self.member.cut_off,
                 "size": self.told_size, "health": self.member.health,
@@ -254,7 +252,6 @@
 
     def _bind(self) -> None:
         """Where the process before still holds the address, it is tried again: the two are one member."""
-        self.waiting = False
         if self.port is not None or self.quiet:
             return
         host, _, port = self.table.address.rpartition(":")
@@ -267,7 +264,7 @@
                 self.port = None
             if not self.said_busy:
                 logger.warning("fleet: address not free yet, tried again: {}", e)
-            self.said_busy = self.waiting = True
+            self.said_busy = True
             self.wheel.at(self.wheel.now + AGAIN, self._bind)
             return
         self.said_busy = False
@@ -391,7 +388,6 @@
 
     def _changed(self, change: Changed) -> None:
         record, was = change.record, change.was
-        self.changed_at[record.key] = self.wheel.now
         before = "not known" if was is None else was.name.lower()
         logger.info("fleet: {} {}, {} before, incarnation {}", record.key, record.state.name.lower(), before,
                     record.incarnation)
--- a/willowhitch/operator/tables.py
+++ b/willowhitch/operator/tables.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Annotated, Literal
 
 from msgspec import Meta, Struct
@@ -52,8 +53,13 @@
 
     def __post_init__(self) -> None:
         for what in (self.address, *self.seeds, *self.dial, *self.dial.values()):
-            if not 0 < int(what.rpartition(":")[2]) < 65_536:
+            host, _, port = what.rpartition(":")
+            if not 0 < int(port) < 65_536:
                 raise ValueError(f"`{what}` has no port from 1 to 65535")
+            try:
+                IPv4Address(host)
+            except ValueError:
+                raise ValueError(f"`{what}` is no IPv4 address; no names are looked up") from None
         if self.address.startswith("0.0.0.0:"):
             raise ValueError("`address` is where the others reach this one; 0.0.0.0 is no such place")
         if self.answer_ms > self.period_ms / 2:
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -8,10 +8,12 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
+import sys
 import threading
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -66,8 +68,6 @@
     wrong_descriptions: int
     looks: int
     unread: int  # views that were asked for and did not come
-    log: list[str] = field(default_factory=list)
-    figures: dict[str, Any] = field(default_factory=dict)
 
     def told(self) -> dict[str, Any]:
         faults = [{"what": e.fault.what, "who": list(e.fault.who), "began_s": round(e.began, 2),
@@ -80,7 +80,7 @@
                 "calls": {"placed": self.calls, "stood": self.carried, "cut": self.cut,
                           "unanswered": self.unanswered, "second_answers": self.second_answers,
                           "wrong_descriptions": self.wrong_descriptions},
-                "looks": self.looks, "unread": self.unread, "figures": self.figures}
+                "looks": self.looks, "unread": self.unread}
 
     def schedule(self) -> bytes:
         return msgspec.json.encode([e.fault for e in self.events])
@@ -162,9 +162,7 @@
         self.false_gone: dict[str, None] = {}
         self.looks = self.unread = 0
         self.start_s: float | None = None
-        self.lines: list[str] = []
         self.pipes: list[threading.Thread] = []
-        self.flooding: list[Any] = []
 
     # the processes
 
@@ -197,8 +195,6 @@
         env.pop("WILLOWHITCH_OPERATOR", None)
         if star.exists():
             env["WILLOWHITCH_OPERATOR"] = str(star)
-        import sys
-
         made = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=Path(__file__).parents[3], env=env,
                                 stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
 
@@ -315,8 +311,6 @@
 
     def _flood(self, fault: Fault, members: list[int]) -> None:
         """A stranger's datagrams: noise, and messages that look right but for the fleet's name."""
-        import socket
-
         out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         out.setblocking(False)
         ends = self.now() + fault.for_s if fault.for_s else 1e9
--- a/willowhitch/standin/faults/virtual.py
+++ b/willowhitch/standin/faults/virtual.py
@@ -105,6 +105,7 @@
         self.false_suspect: set[tuple[str, int]] = set()
         self.planned: set[int] = set()  # lives (by boot) that said that they stop, with nothing in the way
         self.planned_gone: set[int] = set()  # those of them that somebody called gone all the same
+        self.words: set[tuple[str, int, int]] = set()  # lives that were called gone while they ran
         self.ended_lives: set[tuple[str, int, int]] = set()
         self.log: list[tuple[float, str]] = []
         self.events = 0
@@ -304,8 +305,13 @@
         runs = about.member is not None and about.member.me.boot == record.boot
         if record.state in ENDED:
             self.ended_lives.add((record.key, record.incarnation, record.boot))
-        if record.state is State.GONE and runs and not self.links.excused(self.now, node.name, about.name):
-            self.false_gone.setdefault((record.key, record.incarnation), self.now)
+        if record.state is State.GONE and runs:
+            # Who says it first accuses; the others pass it on, some only when they wake up long after.
+            word = (record.key, record.incarnation, record.boot)
+            if word not in self.words:
+                self.words.add(word)
+                if not self.links.excused(self.now, node.name, about.name):
+                    self.false_gone.setdefault((record.key, record.incarnation), self.now)
         if record.state is State.SUSPECT and runs and not self.links.excused(self.now, node.name, about.name):
             self.false_suspect.add((record.key, record.incarnation))
         member = node.member
