--- a/tests/stage.py
+++ b/tests/stage.py
@@ -68,8 +68,11 @@
             yield (head + b"||" + body).decode("latin-1").replace("\r\n", "|")
 
     def send(self, words):
-        """`INVITE 1 X-Patience=900 body=..`, `CANCEL 1`, `BYE 1`, or `raw TEXT` with escapes."""
+        """`INVITE 1 X-Patience=900 body=..`, `CANCEL 1`, `BYE 1`, `OK 1` (to a BYE), `raw TEXT` (escapes)."""
         kind, _, rest = words.partition(" ")
+        if kind == "OK":
+            lines = "SIP/2.0 200 OK", f"Call-ID: {call_id(rest)}", "CSeq: 2 BYE", "Content-Length: 0", "", ""
+            return self.sock.sendall("\r\n".join(lines).encode())
         if kind == "raw":
             return self.sock.sendall(rest.encode().decode("unicode_escape").encode("latin-1"))
         n, *more = (rest or "0").split(" ")
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -378,6 +378,7 @@
             e1 expect RELEASE {1}
             e0 send RELEASE 2 31=16
             c0 expect ^BYE .*Call-ID: {2}
+            c0 send OK 2
             e1 send RELEASE 2 31=16
             c1 expect nothing 100
             """)
@@ -391,6 +392,7 @@
             e1 send ANSWER 6 33=d
             c0 expect 200 .*Call-ID: {6}
             c0 expect end
+            c1 wait 200
             e1 send RELEASE 6 31=16
             c1 expect ^BYE .*Call-ID: {6}
             e1 send RELEASE 4 31=16
@@ -402,6 +404,27 @@
         s.play("c2 send INVITE 7\ne0 expect SET_UP {7}")
 
 
+def test_a_release_that_was_not_acknowledged_goes_to_callers_of_the_next_process():
+    with Replaced(engines=1, settings=STAYS) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200")
+        old_engine = s.parties.pop("e0")
+        s.replace()
+        s.ready()
+        s.parties["e1"] = old_engine
+        s.heard("the next process takes the callers")
+        s.play("""
+            c1 send INVITE 2
+            e0 expect SET_UP {2}
+            e0 send ANSWER 2 33=d
+            c1 expect 200 .*Call-ID: {2}
+            e1 send RELEASE 1 31=16
+            c0 expect ^BYE .*Call-ID: {1}
+            c0 close
+            c1 expect ^BYE .*Call-ID: {1}
+            c1 send OK 1
+            """)
+
+
 def test_a_successor_that_dies_gives_the_callers_back():
     with Replaced(engines=1) as s:
         s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
