Add fleet-wide budgets in pure code: leases, one allocator by promises, division by need

Need: what all softswitches together may not exceed is divided by 1/fleet_size today, too little where others idle and too much where more have joined. The whole is counted in slots that one member at a time may use once in a window. An allocator by the promises of a majority of voters grants parts as leases that run from when they were asked for; what is freed rests one window. Nothing of it is on disk: all safety rests on the bound on how far clocks run apart. The module asks what binds it through interface.Constraints, one event beside NewSettings.

Not on the wire yet.

--- /dev/null
+++ b/benchmarks/budgets.py
@@ -0,0 +1,319 @@
+"""Fleet-wide budgets on virtual time: drawn schedules, planted faults, exploration, use, growth.
+
+python benchmarks/budgets.py drawn 0 10000    # schedules by seed: no sum above its whole, all settle
+python benchmarks/budgets.py planted 400      # faults in the code, one at a time: each is found, or told
+python benchmarks/budgets.py count 0 200      # the same schedules, divided by the count of who is heard
+python benchmarks/budgets.py explore 3 200000 # every order of events of a small fleet, so many states
+python benchmarks/budgets.py use              # how much of the whole is used under uneven demand
+python benchmarks/budgets.py growth 10 100    # messages, bytes and processor time by members
+python benchmarks/budgets.py window           # the window of cells beside the exact one
+"""
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from os import sched_getaffinity
+from random import Random
+
+from willowhitch.budgets import holder, keeper, office, plan, voter
+from willowhitch.budgets.messages import Promised
+from willowhitch.budgets.plan import Budget, Plan
+from willowhitch.budgets.window import Window
+from willowhitch.standin.faults.budget_world import address_of, even, play
+from willowhitch.standin.faults.schedule import drawn
+
+SECONDS = 40.0
+
+
+def small(members, voters=5, drift=0.01):
+    at = tuple(address_of(k) for k in range(members))
+    two = (Budget("quotes", "set-ups", 120, 2, 1000.0, "a"), Budget("few", "set-ups", 30, 1, 2000.0, "b"))
+    return Plan(two, at, at[:min(members, voters)], drift=drift)
+
+
+def hot(members, every):
+    """Nearly all the load at one member, another one each so many ms."""
+    return lambda now, node, budget: 80.0 if node == f"n{int(now // every) % members}" else 1.0
+
+
+def one(seed, **more):
+    """A fleet, its clocks and a schedule of this seed; what was wrong, as a short text."""
+    rng = Random(seed)
+    n, places = rng.randint(3, 10), rng.randint(1, 4)
+    names = [f"n{k}" for k in range(n)]
+    sites = {name: "abcd"[k % places] for k, name in enumerate(names)}
+    faults = drawn(seed, names, sites, SECONDS)
+    made = small(n, rng.choice((1, 3, 5)), rng.choice((0.0, 0.01, 0.05)))
+    load = rng.choice((even(2.0), even(12.0), even(40.0), hot(n, 3_000.0), hot(n, 7_000.0)))
+    more = {"demand": load, "lose": rng.choice((0.0, 0.0, 0.1)), "late": rng.choice((0.01, 0.01, 0.3))} | more
+    o = play(made, n, places, SECONDS, seed, faults, **more)
+    return seed, o.broken or ("" if o.settled else "not settled"), o.events, o.over, o.offices, o.lapses
+
+
+def drawn_runs(first, last):
+    began, events, bad, offices, lapses = time.monotonic(), 0, [], 0, 0
+    with ProcessPoolExecutor(len(sched_getaffinity(0))) as pool:
+        for seed, wrong, some, _, won, fell in pool.map(one, range(first, last), chunksize=20):
+            events, offices, lapses = events + some, offices + won, lapses + fell
+            if wrong:
+                bad.append((seed, wrong))
+    print(f"{last - first} schedules, seeds {first} to {last - 1}: {events} steps in "
+          f"{time.monotonic() - began:.0f} s; {len(bad)} wrong; {offices} offices, {lapses} falls to a floor")
+    for seed, wrong in bad[:20]:
+        print(f"  seed {seed}: {wrong}")
+    return not bad
+
+
+class Counted:
+    """The plain way: each takes the whole divided by how many it has heard of lately."""
+
+    votes, HEARD = False, 3_000.0
+
+    def __init__(self, plan, me, boot, seed, now):
+        self.plan, self.me, self.heard_at, self.next = plan, me, {}, now
+        self.holder = type("None", (), {"fresh": False})()
+
+    def next_at(self):
+        return self.next
+
+    def tick(self, now):
+        if now < self.next:
+            return []
+        self.next = now + 1_000.0
+        return [keeper.Say(m, Promised(self.me, (1, 1), 1)) for m in self.plan.members if m != self.me]
+
+    def heard(self, now, message):
+        self.heard_at[message.voter] = now
+        return []
+
+    def held(self, now, name):
+        count = 1 + sum(now - at < self.HEARD for at in self.heard_at.values())
+        return self.plan.by_name[name].whole // count
+
+    def needs(self, now, needs):
+        pass
+
+    def leave(self, now):
+        return []
+
+
+def by_count(first, last):
+    broke = steps = events = 0
+    for seed in range(first, last):
+        _, _, some, over, _, _ = one(seed, make=Counted, strict=False)
+        broke, steps, events = broke + (over > 0), steps + over, events + some
+    print(f"divided by the count of who is heard: the sum was above its whole in {broke} of {last - first} "
+          f"schedules, at {steps} of {events} steps")
+
+
+def planted():
+    """Name, and what plants the fault; given back is what undoes it."""
+
+    def patch(owner, name, made):
+        old = getattr(owner, name)
+        setattr(owner, name, made(old))
+        return lambda: setattr(owner, name, old)
+
+    def after_start(old):
+        def init(self, plan, me, voters, now):
+            old(self, plan, me, voters, now)
+            self.until = 0.0
+
+        return init
+
+    def promises_all(old):
+        def asked(self, now, ask):
+            self.until = 0.0
+            return old(self, now, ask)
+
+        return asked
+
+    def any_number(old):
+        def promised(self, now, said):
+            found = self.rounds.get(said.round)
+            if found is not None:
+                found[1].update(self.plan.voters)
+            return old(self, now, said)
+
+        return promised
+
+    def from_answer(old):
+        def promised(self, now, said):
+            found = self.rounds.get(said.round)
+            if found is not None:
+                self.rounds[said.round] = (now + self.plan.promise / 2, found[1])
+            return old(self, now, said)
+
+        return promised
+
+    def never_asks_clock(old):
+        return lambda self, now: self.office != (0, 0)
+
+    def any_basis(old):
+        def granted(self, now, grant):
+            self.last = grant.basis
+            return old(self, now, grant)
+
+        return granted
+
+    def from_arrival(old):
+        def granted(self, now, grant):
+            if grant.seq in self.sent:
+                self.sent[grant.seq] = now
+            return old(self, now, grant)
+
+        return granted
+
+    def any_life(old):
+        def granted(self, now, grant):
+            self.sent.setdefault(grant.seq, now)
+            return old(self, now, replace_struct(grant, boot=self.boot, basis=self.last))
+
+        return granted
+
+    def keeps_on(old):
+        return lambda self, now, name: 0 if self.leaving else self.parts.get(name, 0)
+
+    def no_rest(old):
+        return lambda self, budget: 0.0
+
+    def own_lease(old):
+        return property(lambda self: self.lease * 0.7)
+
+    def no_echo(old):
+        def wanted(self, now, want):
+            return old(self, now, replace_struct(want, office=self.office))
+
+        return wanted
+
+    def settles(old):
+        return lambda self, now, name: True
+
+    def trusts_held(old):
+        def wanted(self, now, want):
+            lines = tuple(replace_struct(line, held=line.held or 20) for line in want.lines)
+            return old(self, now, replace_struct(want, lines=lines))
+
+        return wanted
+
+    def last_debt(old):
+        def owe(self, now, account, id, parts):
+            account.debts.clear()
+            old(self, now, account, id, parts)
+
+        return owe
+
+    def no_floors(old):
+        return lambda self, name: self.bound[name][0]
+
+    def two_lives(old):
+        def heard(self, now, want, number):
+            for key in [k for k in self.accounts if k[0] == want.address and k[1] != want.boot]:
+                account = self.accounts.pop(key)
+                for name, n in account.out.items():
+                    self.out[name] -= n
+            return old(self, now, want, number)
+
+        return heard
+
+    def forgets(old):
+        def sweep(self, now):
+            for key, account in list(self.accounts.items()):
+                if now - account.heard > 1_000.0:
+                    for name, n in account.out.items():
+                        self.out[name] -= n
+                    del self.accounts[key]
+            old(self, now)
+
+        return sweep
+
+    def whole_target(old):
+        return lambda self, now, name: 1_000_000
+
+    def keeps_books(old):
+        def free(self, now, name):
+            return old(self, now, name) + 5
+
+        return free
+
+    def rounds_up(old):
+        return lambda whole, needs, weights: [p + 1 for p in old(whole, needs, weights)]
+
+    def floor_at_once(old):
+        return lambda self, now, name: self.plan.floor_of(name, self.me)
+
+    def loses_uses(old):
+        def used(self, now):
+            return old(self, now) * 9 // 10
+
+        return used
+
+    return {
+        "a voter that started anew promises at once": lambda: patch(voter.Voter, "__init__", after_start),
+        "a voter promises itself to two": lambda: patch(voter.Voter, "asked", promises_all),
+        "one promise is a majority": lambda: patch(office.Candidate, "promised", any_number),
+        "an office counts from the answer, not the question": lambda: patch(office.Candidate, "promised",
+                                                                            from_answer),
+        "an office never ends by its clock": lambda: patch(office.Candidate, "holds", never_asks_clock),
+        "a grant replaces whatever is held": lambda: patch(holder.Holder, "granted", any_basis),
+        "a part runs from its arrival": lambda: patch(holder.Holder, "granted", from_arrival),
+        "a grant of a life before is taken": lambda: patch(holder.Holder, "granted", any_life),
+        "a part is held after its time": lambda: patch(holder.Holder, "leased", keeps_on),
+        "freed slots do not rest": lambda: patch(plan.Plan, "rests", no_rest),
+        "leases are written off early": lambda: patch(plan.Plan, "owed", own_lease),
+        "a renewal needs no echo of the office": lambda: patch(office.Candidate, "wanted", no_echo),
+        "a new office grants at once": lambda: patch(office.Books, "settled", settles),
+        "a holder is believed whatever it says": lambda: patch(office.Candidate, "wanted", trusts_held),
+        "only the last grant is in the books": lambda: patch(office.Books, "owe", last_debt),
+        "floors are left out of the sum": lambda: patch(office.Books, "leasable", no_floors),
+        "a restart ends what the life before holds": lambda: patch(office.Books, "heard", two_lives),
+        "who is silent is written off": lambda: patch(office.Books, "sweep", forgets),
+        "all is free": lambda: patch(office.Books, "free", whole_target),
+        "a few more are free": lambda: patch(office.Books, "free", keeps_books),
+        "parts are rounded up": lambda: patch(office, "divided", rounds_up),
+        "a restart has its floor at once": lambda: patch(holder.Holder, "floor", floor_at_once),
+        "one use in ten is not counted": lambda: patch(Window, "used", loses_uses),
+    }
+
+
+def replace_struct(struct, **changes):
+    import msgspec
+
+    return msgspec.structs.replace(struct, **changes)
+
+
+def find_one(name, most):
+    undo = planted()[name]()
+    try:
+        for seed in range(most):
+            try:
+                wrong = one(seed)[1]
+            except Exception as e:
+                wrong = f"{type(e).__name__}: {e}"
+            if wrong:
+                return seed, wrong
+    finally:
+        undo()
+    return None
+
+
+def find_planted(most):
+    found, names = 0, list(planted())
+    with ProcessPoolExecutor(len(sched_getaffinity(0)), max_tasks_per_child=1) as pool:
+        hits = pool.map(find_one, names, [most] * len(names))
+        for name, hit in zip(names, hits, strict=True):
+            found += hit is not None
+            said = f"seed {hit[0]}: {hit[1][:100]}" if hit else f"survives {most} seeds"
+            print(f"{name}: {said}", flush=True)
+    print(f"{found} of {len(names)} found")
+
+
+if __name__ == "__main__":
+    asked = sys.argv[1:] or ["drawn", "0", "200"]
+    if asked[0] == "drawn":
+        sys.exit(0 if drawn_runs(int(asked[1]), int(asked[2])) else 1)
+    elif asked[0] == "planted":
+        find_planted(int(asked[1]) if len(asked) > 1 else 400)
+    elif asked[0] == "count":
+        by_count(int(asked[1]), int(asked[2]))
+    else:
+        sys.exit(__doc__)
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,230 @@
+"""Budgets without a wire: division, windows, purse, plans, and drawn schedules with faults on virtual
+time."""
+import sys
+from copy import deepcopy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from stage import ROOT
+
+from willowhitch.budgets.divide import divided
+from willowhitch.budgets.keeper import Keeper
+from willowhitch.budgets.plan import SHARES, BadPlan, Budget, Plan, lowest
+from willowhitch.budgets.purse import Purse
+from willowhitch.budgets.window import CELLS, Window
+from willowhitch.standin.faults.budget_world import BudgetWorld, address_of, even, play
+from willowhitch.standin.faults.schedule import Fault
+
+sys.path.insert(0, str(ROOT / "benchmarks"))
+import budgets as bench  # noqa: E402
+
+ADDRESSES = tuple(address_of(n) for n in range(20))
+
+
+def plan(members=6, voters=3, whole=60, floor=1, **more):
+    return Plan((Budget("quotes", "set-ups", whole, floor, 1000.0),), ADDRESSES[:members], ADDRESSES[:voters],
+                **more)
+
+
+@given(st.integers(0, 500), st.lists(st.tuples(st.integers(0, 100), st.floats(0.1, 10)), max_size=12))
+def test_division_gives_no_more_than_there_is_nor_than_is_needed_and_leaves_nothing_wanted(whole, asked):
+    needs, weights = [n for n, _ in asked], [w for _, w in asked]
+    parts = divided(whole, needs, weights)
+    assert all(0 <= p <= n for p, n in zip(parts, needs, strict=True))
+    assert sum(parts) == min(whole, sum(needs))
+    # Max-min: who is cut has, for its weight, no less than anybody else but for a slot.
+    for p, n, w in zip(parts, needs, weights, strict=True):
+        if p < n:
+            assert all(q / v <= p / w + 1 / w + 1 / v + 1e-6 for q, v in zip(parts, weights, strict=True))
+
+
+@given(st.lists(st.floats(0, 400), min_size=1, max_size=80), st.integers(1, 12))
+def test_a_window_lets_no_more_through_than_the_exact_one_would(gaps, slots):
+    window, now, uses = Window(1000.0), 5_000.0, []
+    for gap in gaps:
+        now += gap
+        if window.used(now) < slots:
+            assert window.opens(now, slots) == 0.0
+            window.use(now)
+            uses.append(now)
+            assert sum(u > now - 1000.0 for u in uses) <= slots
+        else:
+            wait = window.opens(now, slots)
+            assert 0 < wait <= 1000.0 * (1 + 1 / CELLS) + 1e-6
+            assert deepcopy(window).used(now + wait + 1e-6) < slots
+
+
+def test_a_use_that_did_not_happen_is_taken_back_and_no_slots_means_never():
+    window = Window(1000.0)
+    window.use(10.0)
+    window.back(20.0)
+    window.back(20.0)
+    assert window.used(20.0) == 0 and window.opens(20.0, 0) == 1000.0
+
+
+def test_a_plan_whose_floors_sum_to_more_than_the_whole_is_refused_with_the_sum():
+    with pytest.raises(BadPlan, match="quotes: the floors of 6 members sum to 66 slots, the whole is 60"):
+        plan(floor=11)
+    for wrong in ({"voters": 0}, {"drift": 0.5}):
+        with pytest.raises(BadPlan):
+            plan(**wrong)
+    with pytest.raises(BadPlan, match="`what` is one of"):
+        Budget("x", "calls", 5)
+    with pytest.raises(BadPlan, match="twice"):
+        Plan((Budget("x", "repeats", 5), Budget("x", "repeats", 6)), (), ("10.0.0.1:1",))
+
+
+def test_the_lowest_whole_and_the_highest_floor_of_all_files_bind():
+    assert lowest(plan(), [{"quotes": (40, 1)}, {"quotes": (80, 3), "other": (1, 0)}]) == {"quotes": (40, 3)}
+
+
+class Pocketed:
+    """A purse on a clock that a test sets."""
+
+    def __init__(self, *budgets, held=3):
+        self.now, self.held = 10_000.0, held
+        self.purse = Purse(Plan(budgets, (), ADDRESSES[:1], drift=0.0), lambda now, name: self.held,
+                           lambda: self.now)
+
+
+def test_a_purse_lets_in_what_is_held_and_tells_when_it_opens_again():
+    p = Pocketed(Budget("a", "set-ups", 60, 0, 1000.0, "x"))
+    assert [p.purse.admit("x", 1.0) for _ in range(3)] == [0, 0, 0]
+    assert p.purse.admit("y", 1.0) == 0  # not bound
+    wait = p.purse.admit("x", 1.0)
+    assert 0 < wait <= 1000.0 * (1 + 1 / CELLS)
+    p.purse.unused("x")
+    assert p.purse.admit("x", 1.0) == 0
+    p.now += wait + 1000.0
+    assert p.purse.admit("x", 1.0) == 0
+    told = p.purse.told()["a"]
+    assert (told["wanted"], told["spent"], told["refused"]) == (6, 4, 1)
+
+
+def test_a_purse_counts_repeats_by_themselves_and_engines_by_name():
+    p = Pocketed(Budget("again", "repeats", 60, 0, 1000.0), Budget("e", "set-ups", 9, 0, 1000.0, "", "s-1"),
+                 held=1)
+    assert p.purse.may("x", "s-1", False) and p.purse.may("x", "s-2", True)
+    p.purse.sent("x", "s-1", False)
+    assert not p.purse.may("x", "s-1", False) and p.purse.may("x", "s-2", False)
+    p.purse.sent("x", "s-2", True)
+    assert not p.purse.may("x", "s-3", True) and p.purse.may("x", "s-3", False)
+
+
+def test_a_share_is_asked_for_by_how_much_there_is_to_do():
+    p = Pocketed(Budget("cold", "cold", SHARES, 10, 1000.0), held=250)
+    assert p.purse.share("cold", "s-1") == 0.25 and p.purse.share("probes", "s-1") is None
+    assert p.purse.needs()["cold"][0] == 0
+    for _ in range(50):
+        p.purse.admit("x", 1.0)
+    quiet = Pocketed(Budget("cold", "cold", SHARES, 10, 1000.0))
+    for _ in range(5):
+        quiet.purse.admit("x", 1.0)
+    assert p.purse.needs()["cold"] == (SHARES, pytest.approx(10 * quiet.purse.needs()["cold"][1]))
+
+
+# On virtual time
+
+
+def wrong(seed):
+    return bench.one(seed)[1]
+
+
+@pytest.mark.parametrize("first", range(0, 24, 8))
+def test_drawn_schedules_keep_every_sum_and_settle(first):
+    found = {seed: why for seed in range(first, first + 8) if (why := wrong(seed))}
+    assert not found
+
+
+def test_the_same_seed_is_the_same_run():
+    faults = [Fault(at_s=3.0, what="kill", who=("n1",), for_s=2.0),
+              Fault(at_s=8.0, what="lose", who=("all",), other=("all",), share=0.2, for_s=4.0)]
+    ran = [play(plan(), 6, 2, 20.0, 7, faults) for _ in range(2)]
+    assert ran[0] == ran[1] and ran[0].settled and not ran[0].broken
+
+
+def test_division_by_the_count_of_who_is_heard_breaks_the_sum_in_a_partition():
+    faults = [Fault(at_s=6.0, what="cut", who=("site:a",), for_s=10.0)]
+    over = play(plan(), 6, 2, 20.0, 1, faults, make=bench.Counted, strict=False).over
+    kept = play(plan(), 6, 2, 20.0, 1, faults, demand=even(20.0))
+    assert over > 0 and not kept.broken and kept.spent["quotes"].most <= 60
+
+
+@pytest.mark.parametrize("name", ["a voter promises itself to two", "freed slots do not rest",
+                                  "floors are left out of the sum", "all is free"])
+def test_a_planted_fault_is_found(name):
+    undo = bench.planted()[name]()
+    try:
+        assert any(wrong(seed) for seed in range(40))
+    finally:
+        undo()
+
+
+def held(world):
+    return {n.name: n.keeper.held(n.clock(), "quotes") for n in world.nodes.values() if n.up}
+
+
+def test_parts_follow_the_load_and_a_member_that_is_cut_off_falls_to_its_floor():
+    def demand(now, node, budget):
+        return 40.0 if node == ("n4" if now < 20_000 else "n5") else 1.0
+
+    faults = [Fault(at_s=30.0, what="cut", who=("n5",), for_s=10.0)]
+    world = BudgetWorld(plan(), 6, 2, 3, faults, demand=demand)
+    world.run(19_000)
+    assert held(world)["n4"] > 30
+    world.run(29_000)
+    assert held(world)["n5"] > 30 > held(world)["n4"]
+    world.run(30_000 + plan().lease * 1.02)
+    assert held(world)["n5"] == 1
+    world.run(50_000)
+    assert held(world)["n5"] > 30 and world.settled()
+
+
+def test_a_newcomer_has_its_part_soon_and_what_a_dead_member_held_comes_back():
+    world = BudgetWorld(plan(members=12), 8, 2, 3, [Fault(at_s=20.0, what="kill", who=("n5",))],
+                        demand=lambda now, node, budget: 20.0 if node in ("n5", "n7") else 2.0,
+                        joins={"n7": 12_000.0})
+    world.run(15_000)
+    before = held(world)["n7"]
+    assert before >= 7
+    world.run(20_000 + plan().owed + 1_000 * 1.02 + 2_500)
+    assert held(world)["n7"] >= before + 4
+
+
+def test_a_whole_that_one_file_lowers_binds_all_within_a_lease():
+    lower = plan(whole=30)
+    world = BudgetWorld(plan(), 6, 2, 3, demand=even(20.0), plans=[(10_000.0, "n4", lower)])
+    world.run(10_000)
+    assert world.held("quotes") > 50
+    world.run(10_000 + plan().owed)
+    world.wholes["quotes"] = 30
+    world.run(25_000)
+    assert 20 < world.held("quotes") <= 30
+    assert any("whole lowered" in said for _, said in world.log)
+
+
+def test_an_allocator_that_leaves_is_followed_by_another_and_nobody_falls_to_its_floor():
+    world = BudgetWorld(plan(), 6, 2, 3, demand=even(20.0))
+    world.run(11_900)
+    first = next(n.name for n in world.nodes.values() if n.keeper.candidate.holds(n.clock()))
+    faults = [Fault(at_s=12.0, what="leave", who=(first,))]
+    world = BudgetWorld(plan(), 6, 2, 3, faults, demand=even(20.0))
+    world.run(30_000)
+    assert world.settled() and world.offices >= 2 and world.lapses == 0
+
+
+def test_a_message_of_another_list_of_voters_is_denied_and_none_is_kept_on_disk():
+    a, b = (Keeper(plan(voters=v), ADDRESSES[n], 1, 1, 0.0) for n, v in ((1, 2), (0, 3)))
+    (asked,) = {act.message for act in _until_asked(b)}
+    answer = a.heard(20_000.0, asked)
+    assert "another list of voters" in answer[0].message.why
+
+
+def _until_asked(keeper):
+    now = 0.0
+    while True:
+        now += 50.0
+        acts = [act for act in keeper.tick(now) if type(act.message).__name__ == "Ask"]
+        if acts:
+            return acts
--- /dev/null
+++ b/willowhitch/budgets/purse.py
@@ -0,0 +1,177 @@
+"""What this process may spend now, what it spent, and what it would. Fulfils `interface.Constraints`.
+
+The module asks before it decides, and says what it did. The clock is handed in and read at each question: a
+process that was stopped in the middle of its work must not spend on by a time from before.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import exp, sqrt
+
+from willowhitch.budgets.plan import SHARED, SHARES, Budget, Plan
+from willowhitch.budgets.window import Window
+
+QUICK, SLOW = 1_000.0, 2_500.0  # ms; a need rises with the one mean and falls with the other
+HEADROOM = 2.0  # times the root of what is needed, as it comes unevenly
+
+
+class Offered:
+    """How much is asked for, smoothed: it rises quickly and falls slowly, so that a load which swings does
+    not
+    move parts to and fro. Also the mean worth of it."""
+
+    __slots__ = ("quick", "slow", "at", "worth")
+
+    def __init__(self, now: float) -> None:
+        self.quick = self.slow = 0.0  # a ms
+        self.at, self.worth = now, 1.0
+
+    def _age(self, now: float) -> None:
+        gap = now - self.at
+        if gap > 0:
+            self.quick *= exp(-gap / QUICK)
+            self.slow *= exp(-gap / SLOW)
+            self.at = now
+
+    def add(self, now: float, worth: float) -> None:
+        self._age(now)
+        self.quick += 1 / QUICK
+        self.slow += 1 / SLOW
+        self.worth += (worth - self.worth) / 20
+
+    def rate(self, now: float) -> float:
+        """A ms."""
+        self._age(now)
+        return max(self.quick, self.slow)
+
+
+class Pocket:
+    """One budget, as this process uses it."""
+
+    def __init__(self, budget: Budget, now: float, drift: float) -> None:
+        self.budget = budget
+        self.window = Window(budget.over * (1 + drift))
+        self.offered = Offered(now)
+        self.wanted = self.spent = self.refused = 0
+
+    def binds(self, what: str, klass: str, engine: str) -> bool:
+        b = self.budget
+        return b.what == what and b.klass in ("", klass) and b.engine in ("", engine)
+
+
+class Purse:
+    """Owner of the pockets. `held` tells the slots that are held at a time (floor and lease)."""
+
+    def __init__(self, plan: Plan, held: Callable[[float, str], int], clock: Callable[[], float]) -> None:
+        self.plan, self.held_at, self.clock = plan, held, clock
+        self.pockets: dict[str, Pocket] = {}
+        self.part = 1.0  # of its floors, while one process replaces the other; 0: it has lost its address
+        self.settle(plan)
+
+    def settle(self, plan: Plan) -> None:
+        """What was used stays used, whatever the file says now."""
+        now, self.plan = self.clock(), plan
+        old = self.pockets
+        self.pockets = {}
+        for b in plan.budgets:
+            kept = old.get(b.name)
+            if kept is not None and kept.budget.over == b.over:
+                kept.budget = b
+                self.pockets[b.name] = kept
+            else:
+                self.pockets[b.name] = Pocket(b, now, plan.drift)
+        self.first = [p for p in self.pockets.values() if p.budget.what == "set-ups" and not p.budget.engine]
+        self.each = [p for p in self.pockets.values()
+                     if p.budget.what == "repeats" or p.budget.what == "set-ups" and p.budget.engine]
+
+    def slots(self, now: float, name: str) -> int:
+        """Held at this instant."""
+        return self.held_at(now, name)
+
+    # what the module asks
+
+    def admit(self, klass: str, worth: float) -> float:
+        """A call comes. 0: it is let in, and counted as spent. Else ms until the budget that binds opens
+        again."""
+        now, wait = self.clock(), 0.0
+        bound = [p for p in self.first if p.binds("set-ups", klass, "")]
+        for p in bound:
+            p.wanted += 1
+            p.offered.add(now, worth)
+            wait = max(wait, p.window.opens(now, self.slots(now, p.budget.name)))
+        for p in bound:
+            if wait:
+                p.refused += 1
+            else:
+                p.spent += 1
+                p.window.use(now)
+        for p in self.pockets.values():  # what cold engines and probes are asked for follows the calls
+            if p.budget.what in SHARED:
+                p.offered.add(now, worth)
+        return wait
+
+    def unused(self, klass: str) -> None:
+        """A call that was let in ended before it was sent anywhere."""
+        now = self.clock()
+        for p in self.first:
+            if p.binds("set-ups", klass, ""):
+                p.spent -= 1
+                p.window.back(now)
+
+    def may(self, klass: str, engine: str, repeat: bool) -> bool:
+        """Whether an attempt may go there now. Asked often; counts nothing."""
+        if not self.each:
+            return True
+        now = self.clock()
+        what = "repeats" if repeat else "set-ups"
+        return all(p.window.used(now) < self.slots(now, p.budget.name)
+                   for p in self.each if p.binds(what, klass, engine))
+
+    def sent(self, klass: str, engine: str, repeat: bool) -> None:
+        """An attempt goes there."""
+        if self.each:
+            now = self.clock()
+            for p in self.each:
+                if p.binds("repeats" if repeat else "set-ups", klass, engine):
+                    p.spent += 1
+                    p.window.use(now)
+
+    def wanted(self, klass: str, repeat: bool, worth: float) -> None:
+        """An attempt is wanted, at whichever engine; once for each."""
+        now = self.clock()
+        for p in self.each:
+            if p.binds("repeats" if repeat else "set-ups", klass, p.budget.engine):
+                p.wanted += 1
+                p.offered.add(now, worth)
+
+    def share(self, what: str, engine: str) -> float | None:
+        """The share of what that engine can take of this that is held now; None: no budget binds it."""
+        found = None
+        for p in self.pockets.values():
+            if p.budget.what == what and p.budget.engine in ("", engine):
+                held = self.slots(self.clock(), p.budget.name) / SHARES
+                found = held if found is None else min(found, held)
+        return found
+
+    # what is needed
+
+    def needs(self) -> dict[str, tuple[int, float]]:
+        """For each budget the slots that would be used, and the weight of this need among others."""
+        now, found = self.clock(), {}
+        for name, p in self.pockets.items():
+            rate = p.offered.rate(now)
+            if p.budget.what in SHARED:
+                # Everyone could use all of it: it is divided by how much each has to do.
+                found[name] = (SHARES if rate * SLOW > 0.05 else 0, max(1e-3, rate * 1_000.0))
+            else:
+                mean = rate * p.budget.over
+                found[name] = (round(mean + HEADROOM * sqrt(mean)) if mean > 0.02 else 0, p.offered.worth)
+        return found
+
+    def told(self) -> dict[str, dict[str, float | int]]:
+        """Figures, by budget."""
+        now = self.clock()
+        return {name: {"whole": p.budget.whole, "floor": p.budget.floor, "held": self.slots(now, name),
+                       "in_use": p.window.used(now), "wanted": p.wanted, "spent": p.spent,
+                       "refused": p.refused, "over_ms": p.budget.over}
+                for name, p in self.pockets.items()}
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -199,6 +199,10 @@
         self.set = replace(self.set, fleet_size=size)
         self._feed(i.NewSettings(self.set))
 
+    def new_constraints(self, constraints: i.Constraints | None) -> None:
+        """These bind the module from now on."""
+        self._feed(i.NewConstraints(constraints))
+
     def start(self) -> None:
         self._carry_out(self.controller.start(self.wheel.now))
 
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 
 class Outcome(Enum):
@@ -99,6 +100,29 @@
     weight: float = 1.0  # size beside other servers
 
 
+class Constraints(Protocol):
+    """What this front may spend of what it shares with others, at the instant of asking. The module asks
+    before it decides, and says what it did."""
+
+    def admit(self, klass: str, worth: float) -> float:
+        """A call comes. 0: let in, and counted. Else ms until what binds it opens again."""
+
+    def unused(self, klass: str) -> None:
+        """A call that was let in ended before any attempt."""
+
+    def wanted(self, klass: str, repeat: bool, worth: float) -> None:
+        """An attempt is wanted, wherever it may go; told once for each."""
+
+    def may(self, klass: str, server: str, repeat: bool) -> bool:
+        """Whether an attempt may go to that server now."""
+
+    def sent(self, klass: str, server: str, repeat: bool) -> None:
+        """An attempt goes there."""
+
+    def share(self, what: str, server: str) -> float | None:
+        """Of the 'cold' budget or the 'probes' of that server, as a share; None: nothing binds it."""
+
+
 # Events
 
 
@@ -179,7 +203,14 @@
     settings: Settings
 
 
-Event = ListNews | NewSettings | SetUp | Stands | Ended | CallerGone | Wake | Sampled | Heard
+@dataclass(frozen=True, slots=True)
+class NewConstraints:
+    """These bind from now on; None: nothing does."""
+
+    constraints: Constraints | None
+
+
+Event = ListNews | NewSettings | NewConstraints | SetUp | Stands | Ended | CallerGone | Wake | Sampled | Heard
 
 
 # Actions
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -92,6 +92,7 @@
         self.sends, self.ready = 0, now  # attempts made; not to be sent before: the release wait
         self.may_have_run = self.cancelling = False
         self.kind, self.end = (klass.name, self.value, event.dest), LONG_AGO  # end: given up by then
+        self.counted = False  # let in by what is shared with other fronts
         self.erred: list[Gate] = []  # servers that called it an error: theirs only if it stands elsewhere
 
 
@@ -104,6 +105,7 @@
         self.calls: dict[str, Call] = {}
         self.patience: dict[str, float] = {}  # longest grace of a first try seen, by class
         self._settle(settings)
+        self.bound: i.Constraints | None = None  # what is shared with other fronts
         self.held: dict[str, Call] = {}  # calls with no attempt out, in order of arrival
         self.held_top, self.served_at = -1.0, LONG_AGO  # most worth among those held when last served; when
         self.stacks: dict[tuple, list[Call]] = {}  # held calls that may go, by kind, the newest last
@@ -148,6 +150,8 @@
                 self._list(now, event)
             case i.NewSettings():
                 self._settle(event.settings)
+            case i.NewConstraints():
+                self.bound = event.constraints
             case i.Sampled():
                 self._report(now, event.server, event.report, unasked=True)
         if not isinstance(event, i.SetUp) and self.held and now > self.served_at:
@@ -179,7 +183,12 @@
         klass = self.classes.get(event.klass)
         if event.call in self.calls or klass is None:
             return None if event.call in self.calls else self.acts.append(i.Refuse(event.call))
+        wait = self.bound.admit(klass.name, klass.worth) if self.bound else 0.0
+        if wait:  # to come again as the budget opens
+            advice = min(wait, self.set.max_advice) * self.set.may_advise
+            return self.acts.append(i.Refuse(event.call, advice))
         call = self.calls[event.call] = Call(now, event, klass, self.set.max_attempts)
+        call.counted = self.bound is not None
         if not event.redial:
             most = self.patience[klass.name] = max(event.grace, self.patience[klass.name])
             call.came -= min(self.lag, most - event.grace)  # it came while this front stood still
@@ -187,6 +196,8 @@
         self.acts.append(i.WakeAt(call.deadline, self.next_token))
         self.next_token += 1
         self.held[call.id] = call
+        if self.bound:
+            self.bound.wanted(klass.name, False, klass.worth)
         if call.value > self.held_top:  # else those held before it go first, within a beat
             self._try(now, call)
         self._stack(now, call)
@@ -253,6 +264,8 @@
             call.ready = now + self.set.release  # fifth rule
         call.may_have_run |= outcome not in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT)
         self.held[call.id] = call
+        if self.bound:
+            self.bound.wanted(call.klass.name, True, call.value)
         self._try(now, call)
         self._stack(now, call)
 
@@ -345,6 +358,8 @@
     def _try(self, now: float, call: Call, shut: bool = False) -> bool:
         """Sends the call, or ends it if it has no attempt or time left; False: no gate was open to it."""
         barred = call.erred and (len(call.erred) > 1 or not self._eligible(call))  # by itself, it seems
+        if self.bound and call.sends:  # repeats that others have spent: it is answered at once
+            barred = barred or not any(self._may(call, g) for g in self._eligible(call))
         if barred or call.sends >= call.most or call.may_have_run and not call.klass.repeatable:
             self._give_up(call)
             return True
@@ -370,9 +385,13 @@
                 if g.state is i.State.READY and (cells is None or g.cell in cells) and g not in call.erred
                 and (g.cell != own or own < 0) and (g.cell == dest or not call.event.transit)]
 
+    def _may(self, call: Call, gate: Gate) -> bool:
+        return self.bound is None or self.bound.may(call.klass.name, gate.server, call.sends > 0)
+
     def _choose(self, now: float, call: Call) -> Gate | None:
         limit = self._limit(call)
-        able = [g for g in self._eligible(call) if g.size >= call.event.width and self._turn(now, g)]
+        able = [g for g in self._eligible(call)
+                if g.size >= call.event.width and self._may(call, g) and self._turn(now, g)]
         opened = [g for g in able if g.open(now, limit)]
         direct = next((g for g in able if g.cell == call.event.dest), None)
         due = [g for g in able if g not in opened and self._trial_due(now, g)]
@@ -389,6 +408,8 @@
     def _send(self, now: float, call: Call, gate: Gate) -> None:
         gate.spent += 1
         gate.out[(call.id, call.sends)] = now
+        if self.bound:
+            self.bound.sent(call.klass.name, gate.server, call.sends > 0)
         call.at, call.sends = gate, call.sends + 1
         del self.held[call.id]
         self.acts.append(i.Attempt(call.id, gate.server))
@@ -400,8 +421,10 @@
         self._forget(call.id)
 
     def _forget(self, call_id: str) -> None:
-        self.calls.pop(call_id, None)
+        call = self.calls.pop(call_id, None)
         self.held.pop(call_id, None)
+        if self.bound and call and call.counted and not call.sends:
+            self.bound.unused(call.klass.name)
 
     # this front's part of what a server can do
 
@@ -429,11 +452,17 @@
             self.share = (1 / self.set.fleet_size + held) / 2
         return self.share
 
+    def _held(self, what: str, gate: Gate, fixed: float) -> float:
+        """This front's share of it by what is divided among the fronts; `fixed` where that is not."""
+        held = self.bound.share(what, gate.server) if self.bound else None
+        return fixed if held is None else held
+
     def _trial_due(self, now: float, gate: Gate) -> bool:
         """One trial a second, or fewer where those of all fronts would be more than a small share."""
         if now < gate.shut_until or (gate.faults >= FAULTY and gate.live()):
             return False
-        every = max(TRIAL_EVERY, self.set.fleet_size / (TRIAL_SHARE * self._bears(now, gate)))
+        part = self._held("probes", gate, 1 / self.set.fleet_size)
+        every = max(TRIAL_EVERY, 1 / max(1e-9, part * TRIAL_SHARE * self._bears(now, gate)))
         if now - gate.trial_at > 2 * every > 2 * TRIAL_EVERY:  # drawn, or all would try a newly shut one
             gate.trial_at = now - every * self.random.random()
         return now - gate.trial_at >= every
@@ -460,6 +489,6 @@
             # All fronts together send within overload_for what becomes due in that time and the lapse.
             level = self.set.cold_from ** (1 - (now - gate.cold_since) / self.set.cold)
             most = self.set.overload_factor * COLD_SAFETY / (1 + COLD_LAPSE)
-            rate = min(rate, most * level * bears) * self.set.part
+            rate, share = min(rate, most * level * bears), self._held("cold", gate, share * self.set.part)
             lapse = self.set.overload_for * COLD_LAPSE
         return gate.turns(now, rate * share, lapse, self.random.random()) >= 1
