Add a model check of the budgets: all orders to a depth, and long ways drawn at random

From five states of a fleet of three with two budgets: time, timers, messages, a restart and a move of the load in every order. Checked in each: one office, and the most that each held in the last window sums to no more than the whole.

--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -21,7 +21,7 @@
 from willowhitch.standin.faults.budget_world import address_of, even, play
 from willowhitch.standin.faults.schedule import drawn
 
-SECONDS = 40.0
+SECONDS, STEPS = 40.0, 600  # of a drawn schedule; of a way through the model
 
 
 def small(members, voters=5, drift=0.01):
@@ -292,7 +292,14 @@
             except Exception as e:
                 wrong = f"{type(e).__name__}: {e}"
             if wrong:
-                return seed, wrong
+                return f"schedule {seed}", wrong
+        from willowhitch.standin.faults.budget_model import Model
+
+        model = Model(3)
+        for where, start in model.starts().items():
+            for seed in range(most // 4):
+                if wrong := model.wander(start, seed, STEPS):
+                    return f"way {seed} from '{where}'", wrong
     finally:
         undo()
     return None
@@ -304,11 +311,48 @@
         hits = pool.map(find_one, names, [most] * len(names))
         for name, hit in zip(names, hits, strict=True):
             found += hit is not None
-            said = f"seed {hit[0]}: {hit[1][:100]}" if hit else f"survives {most} seeds"
+            said = f"{hit[0]}: {hit[1][:100]}" if hit else f"survives {most} seeds"
             print(f"{name}: {said}", flush=True)
     print(f"{found} of {len(names)} found")
 
 
+def explore_from(task):
+    from willowhitch.standin.faults.budget_model import Model
+
+    members, name, most = task
+    model = Model(members)
+    return name, model.explore(model.starts()[name], most)
+
+
+def wander(task):
+    from willowhitch.standin.faults.budget_model import Model
+
+    members, name, first, last, steps = task
+    model = Model(members)
+    start = model.starts()[name]
+    return [(name, seed, why) for seed in range(first, last) if (why := model.wander(start, seed, steps))]
+
+
+def explore(members, most, ways):
+    """All orders from each start, then long ways drawn at random."""
+    from willowhitch.standin.faults.budget_model import Model
+
+    began, names, states, bad = time.monotonic(), list(Model(members).starts()), 0, 0
+    with ProcessPoolExecutor(len(sched_getaffinity(0))) as pool:
+        explored = pool.map(explore_from, [(members, n, most) for n in names])
+        for name, (seen, depth, broken) in explored:
+            states, bad = states + seen, bad + bool(broken)
+            print(f"{members} members, {name}: {seen} states, all to depth {depth}: {broken or 'kept'}",
+                  flush=True)
+        tasks = [(members, n, k, k + 25, STEPS) for n in names for k in range(0, ways, 25)]
+        found = [hit for some in pool.map(wander, tasks) for hit in some]
+    print(f"{states} states, {bad} starts broken; {ways * len(names)} ways of {STEPS} steps, "
+          f"{len(found)} broken; {time.monotonic() - began:.0f} s")
+    for hit in found[:5]:
+        print("  ", *hit)
+    return not bad and not found
+
+
 if __name__ == "__main__":
     asked = sys.argv[1:] or ["drawn", "0", "200"]
     if asked[0] == "drawn":
@@ -317,5 +361,7 @@
         find_planted(int(asked[1]) if len(asked) > 1 else 400)
     elif asked[0] == "count":
         by_count(int(asked[1]), int(asked[2]))
+    elif asked[0] == "explore":
+        sys.exit(0 if explore(int(asked[1]), int(asked[2]), int(asked[3]) if len(asked) > 3 else 1000) else 1)
     else:
         sys.exit(__doc__)
