Divide by the mean need and give headroom by its root; test what binds the module

Seen: with needs inflated by headroom the max-min level was the same for all (36 and 12 times 11 asked of 120: everyone got 10), so one member with 25% of all calls had no more than the others. Needs are now the mean, which changes only where three standard deviations say that the load has moved; what nobody needs is headroom by the root of the need. Windows have 64 cells in place of 16: at 40 slots the coarse ones alone cost 3 to 6% of the use. tests/test_constraints.py: the module refuses at once, says when to come, counts, and pays for repeats.

--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -10,15 +10,18 @@
 """
 import sys
 import time
+from collections import deque
 from concurrent.futures import ProcessPoolExecutor
 from os import sched_getaffinity
 from random import Random
+from statistics import mean
 
 from willowhitch.budgets import holder, keeper, office, plan, voter
+from willowhitch.budgets.keeper import Keeper
 from willowhitch.budgets.messages import Promised
 from willowhitch.budgets.plan import Budget, Plan
 from willowhitch.budgets.window import Window
-from willowhitch.standin.faults.budget_world import address_of, even, play
+from willowhitch.standin.faults.budget_world import BudgetWorld, address_of, even, play
 from willowhitch.standin.faults.schedule import drawn
 
 SECONDS, STEPS = 40.0, 600  # of a drawn schedule; of a way through the model
@@ -353,6 +356,111 @@
     return not bad and not found
 
 
+class Equal(Counted):
+    """Each has the same fixed part, whatever happens."""
+
+    def held(self, now, name):
+        return self.plan.by_name[name].whole // len(self.plan.members)
+
+    def tick(self, now):
+        self.next = now + 1_000.0
+        return []
+
+
+def pooled(rate, whole, over, seconds, seed):
+    """The best that is possible: one that sees all calls and lets no more than the whole through, exactly."""
+    rng, now, spent, uses = Random(seed), 0.0, 0, deque()
+    while (now := now + rng.expovariate(rate) * 1000) < seconds * 1000:
+        while uses and uses[0] <= now - over:
+            uses.popleft()
+        if len(uses) < whole:
+            uses.append(now)
+            spent += 1
+    return spent
+
+
+def used(make, over, load, moves, share, seed, warm=15.0, seconds=75.0, members=12, rate=120):
+    """Slots spent a second, of the whole."""
+    at = tuple(address_of(k) for k in range(members))
+    whole = round(rate * over)
+    made = Plan((Budget("quotes", "set-ups", whole, max(1, round(over)), over * 1000.0),), at, at[:5])
+
+    def demand(now, node, budget):
+        first = int(now // 10_000) % members if moves else 0
+        mine = share if node == f"n{first}" else (1 - share) / (members - 1)
+        return rate * load * mine
+
+    world = BudgetWorld(made, members, 3, seed, (), demand=demand, make=make, late=0.0)
+    world.run(warm * 1000)
+    before = world.spent["quotes"].spent
+    world.run(seconds * 1000)
+    return (world.spent["quotes"].spent - before) / (seconds - warm) / rate
+
+
+def use():
+    print("12 members, a whole of 120 a second, one member has a share of all calls; 60 s; two seeds each")
+    for over in (1.0, 4.0, 8.0):
+        for load in (0.8, 1.3):
+            best = mean(pooled(120 * load, round(120 * over), over * 1000, 60, s) / 60 / 120 for s in (1, 2))
+            for share, moves in ((0.06, False), (0.25, False), (0.25, True)):
+                seen = [mean(used(make, over, load, moves, share, seed) for seed in (1, 2))
+                        for make in (Keeper, Equal)]
+                moving = ", another each 10 s" * moves
+                print(f"window {over:g} s, load {load:g}, one has {share:.0%}{moving}: used {seen[0]:.3f}; "
+                      f"equal parts {seen[1]:.3f}; best {best:.3f}", flush=True)
+
+
+def growth(sizes):
+    for n in sizes:
+        at = tuple(address_of(k) for k in range(n))
+        two = (Budget("quotes", "set-ups", 20 * n, 1, 1000.0), Budget("again", "repeats", 2 * n, 0, 5000.0))
+        made = Plan(two, at, at[:5])
+        world = BudgetWorld(made, n, 4, 1, (), demand=even(2.0), late=0.0)
+        world._check = lambda: None  # the sum over all at each step is the checker's cost, not the code's
+        world.run(12_000)
+        nodes = list(world.nodes.values())
+        base = [(v.bytes_out, v.messages) for v in nodes]
+        began = time.process_time()
+        world.run(22_000)
+        cpu = time.process_time() - began
+        sent = [(v.bytes_out - b, v.messages - m) for v, (b, m) in zip(nodes, base, strict=True)]
+        first = max(sent)
+        print(f"{n} members: {mean(b for b, _ in sent) / 10:.0f} bytes and "
+              f"{mean(m for _, m in sent) / 10:.2f} messages a second and member; at the allocator "
+              f"{first[0] / 10:.0f} and {first[1] / 10:.1f}; "
+              f"{1000 * cpu / 10 / n:.2f} ms of processor time a second and member, the simulation's in it; "
+              f"settled: {world.settled()}", flush=True)
+
+
+def windows():
+    """Time and memory of a use, and what is let through, beside a time for each use."""
+    from sys import getsizeof
+
+    for rate, over, slots in ((100, 1000.0, 80), (1000, 1000.0, 800), (5000, 10_000.0, 40_000)):
+        rng = Random(1)
+        times, now = [], 0.0
+        for _ in range(200_000):
+            now += rng.expovariate(rate) * 1000
+            times.append(now)
+        cells, exact, let, lets = Window(over), deque(), 0, 0
+        began = time.perf_counter()
+        for at in times:
+            if cells.used(at) < slots:
+                cells.use(at)
+                let += 1
+        middle = time.perf_counter()
+        for at in times:
+            while exact and exact[0] <= at - over:
+                exact.popleft()
+            if len(exact) < slots:
+                exact.append(at)
+                lets += 1
+        end = time.perf_counter()
+        print(f"{rate} a second, {slots} slots in {over / 1000:g} s: cells {(middle - began) * 5:.2f} us, "
+              f"{getsizeof(cells.counts)} bytes, let {let}; exact {(end - middle) * 5:.2f} us, "
+              f"{getsizeof(exact) + 24 * len(exact)} bytes, let {lets}: {let / lets:.3f}")
+
+
 if __name__ == "__main__":
     asked = sys.argv[1:] or ["drawn", "0", "200"]
     if asked[0] == "drawn":
@@ -361,6 +469,12 @@
         find_planted(int(asked[1]) if len(asked) > 1 else 400)
     elif asked[0] == "count":
         by_count(int(asked[1]), int(asked[2]))
+    elif asked[0] == "use":
+        use()
+    elif asked[0] == "growth":
+        growth([int(n) for n in asked[1:]] or [10, 100])
+    elif asked[0] == "window":
+        windows()
     elif asked[0] == "explore":
         sys.exit(0 if explore(int(asked[1]), int(asked[2]), int(asked[3]) if len(asked) > 3 else 1000) else 1)
     else:
--- /dev/null
+++ b/tests/test_constraints.py
@@ -0,0 +1,107 @@
+"""What is shared with other fronts binds the module: refused at once, told when to come, repeats paid for."""
+from helpers import call, ended, entry, front, lines, sends, settings, stands
+
+from willowhitch import interface as i
+
+
+class Bound:
+    """Constraints that a test sets, and a count of what the module said."""
+
+    def __init__(self, wait=0.0, repeats=True, shares=None):
+        self.wait, self.repeats, self.shares = wait, repeats, shares or {}
+        self.said = []
+
+    def admit(self, klass, worth):
+        self.said.append(("admit", klass))
+        return self.wait
+
+    def unused(self, klass):
+        self.said.append(("unused", klass))
+
+    def wanted(self, klass, repeat, worth):
+        self.said.append(("wanted", repeat))
+
+    def may(self, klass, server, repeat):
+        return self.repeats or not repeat
+
+    def sent(self, klass, server, repeat):
+        self.said.append(("sent", server, repeat))
+
+    def share(self, what, server):
+        return self.shares.get(what)
+
+
+def bound_front(bound, servers=("a", "b"), **changes):
+    c = front(servers, **changes)
+    c.handle(1.0, i.NewConstraints(bound))
+    return c
+
+
+def test_a_call_beyond_the_budget_is_refused_at_once_and_told_when_it_opens():
+    c = bound_front(Bound(wait=430.0))
+    assert [a for a in call(c, 10.0, "x") if isinstance(a, i.Refuse)] == [i.Refuse("x", 430.0)]
+    assert not c.calls and not c.held
+    c = bound_front(Bound(wait=9_000.0))
+    assert i.Refuse("x", 2_000.0) in call(c, 10.0, "x")  # no longer than the settings allow to say
+    c = bound_front(Bound(wait=430.0), may_advise=False)
+    assert i.Refuse("x", 0.0) in call(c, 10.0, "x")
+
+
+def test_a_call_that_is_let_in_is_counted_once_and_given_back_only_if_it_went_nowhere():
+    bound = Bound()
+    c = bound_front(bound)
+    assert sends(call(c, 10.0, "x"))
+    stands(c, 50.0, "x", "a")
+    assert bound.said == [("admit", "plain"), ("wanted", False), ("sent", "a", False)]
+    bound = Bound()
+    c = bound_front(bound)
+    for gate in c.gates.values():
+        gate.shut_until = 1e9
+    assert not sends(call(c, 10.0, "y"))
+    c.handle(20.0, i.CallerGone("y"))
+    assert bound.said[-1] == ("unused", "plain")
+
+
+def test_a_repeat_that_is_not_paid_for_is_answered_at_once():
+    bound = Bound(repeats=False)
+    c = bound_front(bound)
+    (sent,) = sends(call(c, 10.0, "x"))
+    said = ended(c, 20.0, "x", sent.server, i.Outcome.FULL)
+    assert not sends(said) and any(isinstance(a, i.Refuse) for a in said) and ("wanted", True) in bound.said
+    free = front()
+    (sent,) = sends(call(free, 10.0, "x"))
+    assert sends(ended(free, 20.0, "x", sent.server, i.Outcome.FULL))
+
+
+def cold_sends(share):
+    """Set-ups that go to a cold server within its overload window, of many that are asked for."""
+    c = front(("a",), may_cancel=False)
+    c.handle(1.0, i.NewConstraints(Bound(shares={"cold": share})))
+    c.handle(2.0, i.ListNews(i.ListKind.CHANGES, (entry("a", 0, started=2.0),)))
+    lines(c, 3.0, "a", free=480.0)
+    sent = 0
+    for n in range(1_000):
+        now = 10.0 + 8 * n
+        went = sends(call(c, now, f"c{n}", grace=1_400.0))
+        if c.beat_due is not None and now >= c.beat_due:
+            went += sends(c.handle(now, i.Wake(0)))
+        for a in went:
+            sent += 1
+            stands(c, now + 1.0, a.call, a.server, took=1.0)
+    return sent
+
+
+def test_a_cold_server_gets_the_share_that_is_held_and_none_where_none_is():
+    none, little, much = (cold_sends(share) for share in (0.0, 0.2, 0.8))
+    assert none == 0 < little < much
+    assert much > 2 * little
+
+
+def test_without_constraints_nothing_is_asked():
+    c = front()
+    assert c.bound is None and c.set == settings()
+    bound = Bound()
+    c.handle(1.0, i.NewConstraints(bound))
+    c.handle(2.0, i.NewConstraints(None))
+    call(c, 10.0, "x")
+    assert bound.said == []
--- a/willowhitch/budgets/office.py
+++ b/willowhitch/budgets/office.py
@@ -15,6 +15,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import sqrt
 from random import Random
 
 from willowhitch.budgets.divide import divided
@@ -37,7 +38,7 @@
 MOST_HOLDERS = 20_000
 DIVIDE = 200.0  # ms between two divisions
 STEADY = 1 / 8  # a part that would change by no more than this share of it stays: what moves rests unused
-SPARE = 3 / 4  # of what nobody needs, given out as headroom; the rest waits for newcomers
+SPARE = 15 / 16  # of what nobody needs, given out as headroom; the rest waits for newcomers
 ANSWER = 400.0  # ms that voters have to answer a candidate
 SOON = 350.0  # ms after which a holder that has less than its target asks again
 ROUNDS = 4  # rounds of promises that may still be answered
@@ -173,9 +174,10 @@
             spare = whole - sum(parts)
             short = sum(needs) > whole
             if b.what not in SHARED and not short and here:
-                room = int(spare * SPARE)
-                among = sum(needs) + len(here)
-                parts = [p + room * (n + 1) // among for p, n in zip(parts, needs, strict=True)]
+                # Headroom by the root of the need: so much does what comes by itself vary.
+                roots = [sqrt(n + 1) for n in needs]
+                each = spare * SPARE / sum(roots)
+                parts = [p + int(each * root) for p, root in zip(parts, roots, strict=True)]
             before = [a.out.get(b.name, 0) for a in here]
             steady = [p if not o or abs(p - o) > max(1, o * STEADY) else o
                       for p, o in zip(parts, before, strict=True)]
--- a/willowhitch/budgets/purse.py
+++ b/willowhitch/budgets/purse.py
@@ -6,19 +6,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import exp, sqrt
+from math import ceil, exp, sqrt
 
 from willowhitch.budgets.plan import SHARED, SHARES, Budget, Plan
 from willowhitch.budgets.window import Window
 
-QUICK, SLOW = 1_000.0, 2_500.0  # ms; a need rises with the one mean and falls with the other
-HEADROOM = 2.0  # times the root of what is needed, as it comes unevenly
+QUICK, SLOW = 1_500.0, 10_000.0  # ms; two means of what is asked for
+CHANGED = 3.0  # standard deviations of the quick mean from the slow one, from which on the load has moved
 
 
 class Offered:
-    """How much is asked for, smoothed: it rises quickly and falls slowly, so that a load which swings does
-    not
-    move parts to and fro. Also the mean worth of it."""
+    """How much is asked for, and its mean worth. A slow mean, so that what comes unevenly by itself moves no
+    parts; once the quick one differs by more than that can explain, the load has moved, and it holds."""
 
     __slots__ = ("quick", "slow", "at", "worth")
 
@@ -42,7 +41,11 @@
     def rate(self, now: float) -> float:
         """A ms."""
         self._age(now)
-        return max(self.quick, self.slow)
+        # Such a mean of events that come by themselves has half the variance of their number in that time.
+        spread = CHANGED * sqrt(max(self.quick, self.slow) * QUICK / 2) + 1
+        if abs(self.quick - self.slow) * QUICK > spread:
+            self.slow = self.quick
+        return self.slow
 
 
 class Pocket:
@@ -165,7 +168,7 @@
                 found[name] = (SHARES if rate * SLOW > 0.05 else 0, max(1e-3, rate * 1_000.0))
             else:
                 mean = rate * p.budget.over
-                found[name] = (round(mean + HEADROOM * sqrt(mean)) if mean > 0.02 else 0, p.offered.worth)
+                found[name] = (ceil(mean) if mean > 0.02 else 0, p.offered.worth)
         return found
 
     def told(self) -> dict[str, dict[str, float | int]]:
--- a/willowhitch/budgets/window.py
+++ b/willowhitch/budgets/window.py
@@ -7,7 +7,7 @@
 """
 from __future__ import annotations
 
-CELLS = 16
+CELLS = 64
 
 
 class Window:
