Tell callers of a release whose end never came from its engine

The log: 'engine s-: message cut short, connection closed'. So the engine wrote it in pieces, fell silent before the last one, and counts it as told. Ruled out: a release lost on the caller's side (it was never owed: no 'caller told'), one that comes again on connections that listen (the orphan's ears were open for seconds, and the engine wrote it to none). At fault: EngineLine.spoil and connectionLost, which threw away what had come of the message.

Now a release of which the call came counts, if that call stands at this engine. The test of three cases fails without it (no BYE at all).

--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -23,4 +23,12 @@
 #     "folder": "state",         # a snapshot of who was there, beside this file
 # }
 
+# _all = ["10.1.0.4:7946", "10.2.0.4:7946", "10.3.0.4:7946"]
+# budgets = [                    # what all may spend together, divided among them (docs/budgets.md)
+#     {"name": "quotes", "whole": 120, "floor": 2, "class": "save-quote"},   # set-ups a second
+#     {"name": "again", "what": "repeats", "whole": 20, "over_s": 5},
+#     {"name": "cold", "what": "cold", "whole": 1, "floor": 0.02},           # shares of what a cold engine bears
+# ]
+# allocation = {"members": _all, "voters": _all}
+
 # logs = {"form": "json"}        # one JSON object a line, with bound fields; "plain" is the default
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -1,7 +1,8 @@
 """The life of a release: drawn interleavings on a model of callers, and the front on sockets."""
 import random
 
-from stage import Stage
+import pytest
+from stage import Stage, call_id
 
 from willowhitch.core.releases import KEPT_FOR, REPEAT_AFTER, Releases
 
@@ -197,6 +198,24 @@
         assert s.parties["e0"] in seen, "no more than needed: nothing stands"
 
 
+@pytest.mark.parametrize(("left", "closes"), [(2, False), (30, False), (2, True)])
+def test_a_release_that_was_begun_and_never_ended_reaches_its_caller(left, closes):
+    """The engine has told it, as far as it knows: it writes it to no other connection."""
+    with Stage(settings=STAYS, engines=1) as s:
+        s.play(TWO_STAND)
+        whole = bytes.fromhex("0c" + call_id("1")) + b"\x1f\x00\x01\x10\x15\x00\x1e" + b"x0:9;x1:9".ljust(30)
+        link = s.parties["e0"]
+        link.sock.sendall((len(whole).to_bytes(2, "big") + whole)[:-left])
+        if closes:
+            link.sock.close()
+            s.parties.pop("e0")
+        s.play("""
+            c0 expect ^BYE .*Call-ID: {1}.*cause=16
+            c0 send OK 1
+            c1 expect nothing 400
+            """)
+
+
 def test_an_engine_that_hangs_up_on_a_connection_that_listens_does_no_harm():
     with Stage(settings=STAYS, engines=1) as s:
         s.play("""
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -10,7 +10,7 @@
 from twisted.protocols.basic import Int16StringReceiver
 
 from willowhitch import interface as i
-from willowhitch.core.switch import Call, Switch
+from willowhitch.core.switch import NORMAL, Call, Switch
 from willowhitch.settings import report_of
 
 SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED = 1, 6, 9, 12, 16, 43, 52, 53
@@ -65,6 +65,20 @@
     return kind, data[1:9].hex(), found
 
 
+def begun_release(data: bytes) -> tuple[str, int] | None:
+    """Call and cause of a release of which a part has come, from its length on; None if it is none, or if not
+    even the call is told yet. The cause is NORMAL where it did not come."""
+    if len(data) < 11 or data[2] != RELEASE:
+        return None
+    at, cause = 11, NORMAL
+    while at + 3 <= len(data):
+        code, size = unpack_from(">BH", data, at)
+        at += 3 + size
+        if code == CAUSE and size == 1 and at <= len(data):
+            cause = data[at - 1]
+    return data[3:11].hex(), cause
+
+
 class EngineLine(Int16StringReceiver):
     """One connection to a quote engine."""
 
@@ -101,7 +115,16 @@
             self.transport.abortConnection()
             self.link.down(self)
 
+    def cut_short(self) -> None:
+        """No more will come of the message that was begun. If it was a release, the engine has told it, as
+        far as it knows, and does so no more: what came of it has to do."""
+        begun = begun_release(self.recvd) if self.recvd else None
+        if begun is not None:
+            self.link.begun(*begun)
+
     def connectionLost(self, reason: object = None) -> None:
+        if not self.spoilt:
+            self.cut_short()
         self.link.down(self)
 
     # A producer's three calls: the engine reads too slowly, reads again, or the connection is over.
@@ -160,6 +183,9 @@
     def down(self, line: EngineLine) -> None:
         self.line = None
 
+    def begun(self, call: str, cause: int) -> None:
+        self.link.begun(call, cause)
+
     def heard(self, kind: int, call: str, said: dict[int, bytes]) -> None:
         self.link.heard_at = self.switch.wheel.now
         if kind == RELEASE:
@@ -268,6 +294,14 @@
             self.switch.count["engine connections that listen"] += 1
             self.engines.connect(self, Ear(self))
 
+    def begun(self, call: str, cause: int) -> None:
+        """A release whose end did not come. Only a call that stands here is over by it: an open set-up is
+        repeated or failed with the link."""
+        known = self.switch.calls.get(call)
+        if known is not None and known.stands and known.server == self.server:
+            self.switch.count["releases cut short"] += 1
+            self.released(call, {CAUSE: bytes((cause,))})
+
     def released(self, call: str, said: dict[int, bytes]) -> None:
         self.out.discard(call)
         report = self.engines.report(said[REPORT]) if REPORT in said else ()
@@ -335,6 +369,7 @@
     def sweep(self, now: float) -> None:
         """A silent engine is tested, and given up in time for its calls to be released."""
         if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
+            self.line.cut_short()
             return self.line.spoil("message cut short")
         if now - self.last < self.beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
             return
