Give what a steady division leaves over to those who still need it

Parts that change by under an eighth stay, and what they left was nobody's. Now it goes to who needs more; and a change between an eighth and a half has to last a window before it moves.

--- a/willowhitch/budgets/office.py
+++ b/willowhitch/budgets/office.py
@@ -32,12 +32,14 @@
     Waive,
     Want,
 )
-from willowhitch.budgets.plan import SHARED, Plan, lowest
+from willowhitch.budgets.plan import SHARED, Budget, Plan, lowest
 
 BITS = 62
 MOST_HOLDERS = 20_000
 DIVIDE = 200.0  # ms between two divisions
-STEADY = 1 / 8  # a part that would change by no more than this share of it stays: what moves rests unused
+# What moves rests unused for a window. So a part that would change by no more than STEADY of it stays; by
+# more than that, up to LARGE, only if it would all through a window; by more than LARGE at once.
+STEADY, LARGE = 1 / 8, 1 / 2
 SPARE = 15 / 16  # of what nobody needs, given out as headroom; the rest waits for newcomers
 ANSWER = 400.0  # ms that voters have to answer a candidate
 SOON = 350.0  # ms after which a holder that has less than its target asks again
@@ -67,6 +69,7 @@
     weight: dict[str, float] = field(default_factory=dict)
     told: dict[str, tuple[int, int]] = field(default_factory=dict)  # whole and floor by its own file
     target: dict[str, int] = field(default_factory=dict)
+    off: dict[str, float] = field(default_factory=dict)  # since when a target is off by more than STEADY
     gone: bool = False  # it gave all back
 
 
@@ -178,15 +181,26 @@
                 roots = [sqrt(n + 1) for n in needs]
                 each = spare * SPARE / sum(roots)
                 parts = [p + int(each * root) for p, root in zip(parts, roots, strict=True)]
-            before = [a.out.get(b.name, 0) for a in here]
-            steady = [p if not o or abs(p - o) > max(1, o * STEADY) else o
-                      for p, o in zip(parts, before, strict=True)]
+            steady = [self._steady(now, b, a, p) for a, p in zip(here, parts, strict=True)]
             if sum(steady) <= whole:
-                parts = steady
+                # What stays as it is may leave something over: it goes to those who still need more.
+                lacking = [max(0, n - p) for p, n in zip(steady, needs, strict=True)]
+                more = divided(whole - sum(steady), lacking, weights)
+                parts = [p + m for p, m in zip(steady, more, strict=True)]
             for account, part in zip(here, parts, strict=True):
                 account.target[b.name] = part
 
 
+    def _steady(self, now: float, budget: Budget, account: Account, part: int) -> int:
+        """The part, or what is out already where the difference is not worth the move, or not yet."""
+        out = account.out.get(budget.name, 0)
+        if not out or abs(part - out) <= max(1, out * STEADY):
+            account.off.pop(budget.name, None)
+            return out or part
+        since = account.off.setdefault(budget.name, now)
+        return part if abs(part - out) > max(2, out * LARGE) or now - since >= budget.over else out
+
+
 class Candidate:
     """This voter's way into the office, and in it. Owner of the promises that it was given."""
 
