--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,14 +2,19 @@
 time."""
 import sys
 from copy import deepcopy
+from random import Random
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from stage import ROOT
 
 from willowhitch.budgets.divide import divided
+from willowhitch.budgets.holder import Holder
 from willowhitch.budgets.keeper import Keeper
+from willowhitch.budgets.messages import NOBODY, NOTHING, Grant, Line, Promised, See, Want
+from willowhitch.budgets.office import Candidate
 from willowhitch.budgets.plan import SHARES, BadPlan, Budget, Plan, lowest
 from willowhitch.budgets.purse import Purse
 from willowhitch.budgets.window import CELLS, Window
@@ -229,3 +234,76 @@
         acts = [act for act in keeper.tick(now) if type(act.message).__name__ == "Ask"]
         if acts:
             return acts
+
+
+# What drawn schedules seldom meet: one role at a time
+
+
+def office(made=None, now=10_000.0):
+    """A candidate that has just taken office, and its plan."""
+    made = made or plan(voters=1)
+    candidate = Candidate(made, ADDRESSES[0], 1, Random(1), now)
+    (ask,) = candidate.tick(now + 60_000.0, "")
+    assert candidate.promised(now + 60_001.0, Promised(ADDRESSES[0], ask.office, ask.round))
+    return candidate, now + 60_001.0
+
+
+def want(n=1, boot=1, seq=1, office=NOBODY, basis=NOTHING, held=0, need=50):
+    return Want(ADDRESSES[n], boot, seq, office, basis, (Line("quotes", 60, 1, held, need),))
+
+
+def test_a_grant_runs_from_when_it_was_asked_for_however_late_it_comes():
+    made = plan()
+    holder = Holder(made, ADDRESSES[1], 1, Random(1), 0.0)
+    _, said = holder.want(5_000.0)
+    grant = Grant(1, said.seq, (1, 9), ADDRESSES[0], (9, 1), said.basis, (("quotes", 20),), made.lease, 500.0)
+    assert not deepcopy(holder).granted(5_000.0 + made.lease, grant)
+    assert holder.granted(5_000.0 + made.lease - 1.0, grant)
+    assert holder.leased(5_000.0 + made.lease - 0.5, "quotes") == 20
+    assert holder.leased(5_000.0 + made.lease, "quotes") == 0
+
+
+def test_a_grant_that_names_another_basis_or_another_life_is_not_taken():
+    made = plan()
+    holder = Holder(made, ADDRESSES[1], 7, Random(1), 0.0)
+    _, said = holder.want(100.0)
+    for wrong in ({"basis": (9, 4)}, {"boot": 8}, {"seq": 99}):
+        grant = Grant(7, said.seq, (1, 9), ADDRESSES[0], (9, 5), said.basis, (("quotes", 20),), made.lease,
+                      500.0)
+        assert not holder.granted(200.0, msgspec.structs.replace(grant, **wrong))
+        assert holder.leased(200.0, "quotes") == 0
+
+
+def test_a_floor_begins_a_window_after_the_start():
+    holder = Holder(plan(), ADDRESSES[1], 1, Random(1), 1_000.0)
+    assert holder.held(1_000.0 + 1_009.0, "quotes") == 0 and holder.held(1_000.0 + 1_010.0, "quotes") == 1
+
+
+def test_a_new_office_renews_what_an_echo_tells_and_raises_nothing_before_all_is_over():
+    candidate, now = office()
+    stranger = candidate.wanted(now, want(held=20, basis=(5, 3)))  # it may have been sent long before
+    assert isinstance(stranger, See) and stranger.office == candidate.office
+    renewed = candidate.wanted(now, want(seq=2, office=candidate.office, held=20, basis=(5, 3)))
+    assert dict(renewed.parts) == {"quotes": 20} and renewed.basis == (5, 3)
+    new = candidate.wanted(now, want(n=2, office=candidate.office))
+    assert dict(new.parts) == {"quotes": 0}
+    later = now + candidate.plan.owed + 1_011.0
+    candidate.until = later + 1.0
+    raised = candidate.wanted(later, want(n=2, seq=2, office=candidate.office, basis=new.id))
+    assert dict(raised.parts)["quotes"] > 0
+
+
+def test_what_a_life_before_holds_stays_in_the_books_until_it_is_surely_over():
+    candidate, now = office()
+    now += candidate.plan.owed + 1_011.0
+    candidate.until = now + 60_000.0
+    first = candidate.wanted(now, want(office=candidate.office, need=60))
+    out = dict(first.parts)["quotes"]
+    assert out > 40
+    again = candidate.wanted(now + 100.0, want(boot=2, office=candidate.office, need=60))
+    assert dict(again.parts)["quotes"] <= 54 - out
+    over = now + candidate.plan.owed + 1.0
+    candidate.books.divide(over)
+    assert candidate.books.resting["quotes"] >= out - 1  # and rests for a window
+    assert candidate.books.free(over, "quotes") <= 54 - out
+    assert candidate.books.free(over + 1_011.0, "quotes") >= out
