Test a whole lowered by SIGHUP and a budget's holder during a replacement, on processes

Two softswitches: one file lowers the whole from 40 to 20, and what both hold is no more within a lease; a file whose floors sum to more is refused with the sum; while a process is replaced the two floors sum to the one.

--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -1,5 +1,6 @@
 """Budgets of real processes: what is refused when, the command, an allocator that dies, files that can't be
 kept, and a drill that adds up what was held, spent and seen at the engines."""
+import http.client
 import json
 import signal
 import subprocess
@@ -86,3 +87,48 @@
     with pytest.raises(BadOperatorFile, match="f.star") as refused:
         of_text(text, "f.star")
     assert said in str(refused.value)
+
+
+def test_a_whole_lowered_by_sighup_binds_all_and_a_process_and_its_successor_are_one_holder(tmp_path):
+    quotes = {"name": "quotes", "whole": 40, "floor": 2, "class": "x"}
+    with budgeted(tmp_path, [quotes], 2) as made:
+        def logs():
+            return "\n".join(p.said() for p in made)
+
+        def held():
+            code, found = budgets(*made)
+            assert code == 0 or found["errors"], found
+            return found["budgets"].get("quotes", {"sum": 0, "whole": 0, "held": {}})
+
+        until(lambda: held()["sum"] > 30, logs)
+        star = tmp_path / "o1.star"
+        star.write_text(star.read_text().replace('"whole": 40', '"whole": 20'))
+        made[1].stage.program.send_signal(signal.SIGHUP)
+        until(lambda: "whole lowered: quotes: 20 slots" in logs() or held()["whole"] == 20, logs)
+        until(lambda: 4 < held()["sum"] <= 20, logs)
+        # A file that can't be kept changes nothing, and says why.
+        star.write_text(star.read_text().replace('"floor": 2', '"floor": 12'))
+        made[1].stage.program.send_signal(signal.SIGHUP)
+        until(lambda: "floors of 2 members sum to 24 slots, the whole is 20" in made[1].said(), logs)
+        # While one process replaces the other each has half of the floor, and then one has all again.
+        stage = made[0].stage
+        old, before = stage.program, made[0].mgmt
+        at = own()
+        stage.start({"BALANCER_MGMT": written(at)})
+        until(lambda: "the next process takes the callers" in made[0].said(), logs)
+        both = [budgets_of(m)["quotes"] for m in (before, written(at))]
+        assert sum(b["held"] - b["leased"] for b in both) <= 2, both
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(15) == 0
+        now = written(at)
+        until(lambda: (b := budgets_of(now)["quotes"])["held"] - b["leased"] == 2 and b["leased"], logs)
+        assert sum(budgets_of(m)["quotes"]["held"] for m in (written(at), made[1].mgmt)) <= 20
+
+
+def budgets_of(mgmt):
+    host, _, port = mgmt.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=5)
+    connection.request("GET", "/v1/budgets")
+    told = json.loads(connection.getresponse().read())["budgets"]
+    connection.close()
+    return told
