--- a/willowhitch/standin/engine.py
+++ b/willowhitch/standin/engine.py
@@ -9,9 +9,11 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import sqrt
 from random import Random
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int16StringReceiver
 
@@ -58,6 +60,14 @@
     state_every: float = 0.5  # seconds between two states told unasked
     reserve: int = 0  # circuits kept for calls whose number begins with `own`
     own: str = ""
+    # A started engine is cold for so long; it bears `cold_from` of `bears` set-ups a second at first, then
+    # more. More than `overload_factor` times what it bears then, within `overload_for`, push it over.
+    bears: float = 0.0  # 0: it is warm at once
+    cold: float = 6.0
+    cold_from: float = 0.3
+    overload_factor: float = 3.0
+    overload_for: float = 1.0
+    down_for: float = 2.0  # seconds after a fall until it is started again
 
     def __post_init__(self) -> None:
         if self.circuits < 1 or self.reserve < 0 or self.reserve >= self.circuits:
@@ -129,23 +139,77 @@
         self.queued, self.working = 0.0, False  # seconds of work that wait
         self.slow = 1.0  # times as slow as it is
         self.port: Any = None
+        self.at: tuple[str, int] | None = None
+        self.born: float | None = None  # when it was started, where it began cold
+        self.on_born: Callable[[Engine], None] | None = None
+        self.lately: deque[float] = deque()  # set-ups of the last `overload_for`, while it is cold
         self.beat: Any = None
         self.waiting: dict[str, EngineSide] = {}  # set-ups in the processor's queue
 
     def listen(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
         self.port = self.reactor.listenTCP(port, self, interface=host, backlog=64)
         self._state()
-        return host, self.port.getHost().port
+        self.at = host, self.port.getHost().port
+        return self.at
+
+    def restart(self) -> None:
+        """A new process at the same address, cold."""
+        if self.port is not None:
+            self.stop()
+        self.born = self.reactor.seconds()
+        self.lately.clear()
+        self._again()
+
+    def _again(self) -> None:
+        assert self.at is not None
+        try:
+            self.listen(*self.at)
+        except CannotListenError:  # the socket of before is closed at the end of this turn of the reactor
+            self.reactor.callLater(0.01, self._again)
+            return
+        if self.on_born is not None:
+            self.on_born(self)
+
+    def warmth(self) -> float:
+        """The share of what it bears when warm that it bears now."""
+        age = self.reactor.seconds() - self.born if self.born is not None else self.set.cold
+        if not self.set.bears or age >= self.set.cold:
+            return 1.0
+        return float(self.set.cold_from ** (1 - age / self.set.cold))
+
+    def _falls(self) -> bool:
+        """Whether this set-up is the one too many for a cold engine."""
+        now, warmth = self.reactor.seconds(), self.warmth()
+        if warmth >= 1.0:
+            return False
+        self.lately.append(now)
+        while self.lately[0] <= now - self.set.overload_for:
+            self.lately.popleft()
+        bears = self.set.overload_factor * self.set.bears * warmth * self.set.overload_for
+        self.count["most of what a cold engine bears, %"] = max(
+            self.count["most of what a cold engine bears, %"], round(100 * len(self.lately) / bears))
+        # What comes by itself varies by the root of its number; only what lies beyond that pushes it over.
+        return len(self.lately) > bears + 3 * sqrt(bears) + 3
+
+    def _fall(self) -> None:
+        self.count["fell"] += 1
+        self.stop()
+        self.reactor.callLater(self.set.down_for, self.restart)
 
     def stop(self) -> None:
         """A crash: connections are reset, calls are gone."""
+        if self.port is None:
+            return
         for timer in (self.beat, *(c.end for c in self.calls.values())):
             if timer is not None and timer.active():
                 timer.cancel()
         self.port.stopListening()
+        self.port = None
         for line in list(self.lines):
             line.transport.abortConnection()
+        self._use(-self.used)
         self.calls.clear()
+        self.waiting.clear()
 
     def buildProtocol(self, addr: object) -> EngineSide:
         return EngineSide(self)
@@ -164,7 +228,7 @@
     def _work(self, share: float, what: Callable[[], None], new: bool = False) -> None:
         """Queues a piece of work, in shares of a set-up's. With a processor that costs nothing, it is
         done."""
-        cost = share * self.set.work * self.slow
+        cost = share * self.set.work * self.slow / self.warmth()
         if cost <= 0 and not self.working:
             what()
             return
@@ -220,6 +284,8 @@
             self.watch("set-up", call)
             if self.came is not None:
                 self.came(call, said.get(CLASS, b"").decode("latin-1"))
+            if self._falls():
+                return self._fall()
             if self.queued > self.set.longest_wait:
                 self.count["refused: processor"] += 1
                 self._work(self.set.refuse_work, lambda: self._refuse(line, call, NO_CIRCUIT, b"cpu_full"))
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -143,9 +143,9 @@
     def __init__(self, softswitches: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault],
                  rate: float = 24.0, view: bool = True, watched: bool = True, tables: str = "",
                  periods: str = "", budgets: Sequence[dict[str, Any]] = (), heavy: float = 0.0,
-                 moves_s: float = 0.0,
+                 moves_s: float = 0.0, engines: int = 3,
                  on_second: Callable[[Drill], None] | None = None) -> None:
-        super().__init__(day_of(softswitches, seconds, seed, rate),
+        super().__init__(day_of(softswitches, seconds, seed, rate, engines),
                          (lambda fleet: on_second(self)) if on_second else None)
         self.view, self.tables, self.periods = view, tables, periods
         self.watched = view and watched
