Learn how far apart engines tell their state up to 2 s, and test no link in between

Counters of single softswitches by 5 s (20 softswitches): 'tests 215 attempts 392 ... gaps med 1933 p90 1936 beats [1300, 1300, ...]': engines tell their state each 1.93 s, the learned beat was held to FIRST_BEAT, 1.3 s, so every link with a call was tested in the middle of each beat: half a test a call. At fault: min(..., FIRST_BEAT) in Link.heard. FIRST_BEAT stays what holds until a beat is seen; MOST_BEAT is what may be learned, a little over the longest seen.

--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -23,10 +23,10 @@
 CUT_SHORT = 300.0  # ms that the next piece of a message may take
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
 # Ms of silence of a link with something at stake. Engines tell their state at a beat of their own, which is
-# seen; a link that misses it is tested, and given up for a new one after one and a half. SILENT_AFTER: the
+# seen, up to MOST_BEAT; a link that misses it is tested, and given up for a new one after one and a half. SILENT_AFTER: the
 # engine was silent on any link, and the calls that stand there are cut.
 TEST_SLACK = 75.0
-FIRST_BEAT, LEAST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 6_500.0
+FIRST_BEAT, LEAST_BEAT, MOST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 2_000.0, 6_500.0
 # Ms. A release has to reach its caller within 1 s: so far apart are connections that only listen, and so long
 # are they open; for so long that often, then rarely, then no more.
 EAR_EVERY, EAR_FOR, OFTEN_FOR, RARELY, ORPHANS_FOR = 450.0, 250.0, 12_000.0, 3_000.0, 120_000.0
@@ -358,7 +358,7 @@
             self.released(call, said)
         elif kind == STATE or kind == TESTED:
             if kind == STATE and self.told:
-                gap = min(max(self.last - self.told, LEAST_BEAT), FIRST_BEAT)
+                gap = min(max(self.last - self.told, LEAST_BEAT), MOST_BEAT)
                 self.beat = max(gap, 0.9 * self.beat)
             self.told = self.last if kind == STATE else self.told
             cause = said.get(CAUSE, b"\1")
