--- a/willowhitch/budgets/office.py
+++ b/willowhitch/budgets/office.py
@@ -261,7 +261,7 @@
         self.rounds[self.round] = (now, set())
         while len(self.rounds) > ROUNDS:
             del self.rounds[min(self.rounds)]
-        self.next_round = now + min(self.plan.promise / 5, ANSWER / 2)
+        self.next_round = now + (ANSWER / 2 if self.office == NOBODY else self.plan.promise / 4)
         return Ask(self.me, self.asking, self.round, self.voters)
 
     def promised(self, now: float, said: Promised) -> bool:
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -23,8 +23,8 @@
 CUT_SHORT = 300.0  # ms that the next piece of a message may take
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
 # Ms of silence of a link with something at stake. Engines tell their state at a beat of their own, which is
-# seen, up to MOST_BEAT; a link that misses it is tested, and given up for a new one after one and a half. SILENT_AFTER: the
-# engine was silent on any link, and the calls that stand there are cut.
+# seen, up to MOST_BEAT; a link that misses it is tested, and given up for a new one after one and a half.
+# SILENT_AFTER: the engine was silent on any link, and the calls that stand there are cut.
 TEST_SLACK = 75.0
 FIRST_BEAT, LEAST_BEAT, MOST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 2_000.0, 6_500.0
 # Ms. A release has to reach its caller within 1 s: so far apart are connections that only listen, and so long
