--- a/willowhitch/budgets/voter.py
+++ b/willowhitch/budgets/voter.py
@@ -36,8 +36,8 @@
             return no(f"promised to {to} for {self.until - now:.0f} ms")
         if ask.office == self.waived:
             return no("it gave up this office")
-        # Terms tell offices apart for readers; that there is one at a time rests on the promise alone. A voter
-        # that was cut off and tried for itself has seen higher ones; that is nothing against an office.
+        # Terms tell offices apart for readers; that there is one at a time rests on the promise alone. A
+        # voter that was cut off and tried for itself has seen higher ones: nothing against an office.
         self.term, self.to, self.at = max(self.term, ask.office[0]), ask.office, ask.address
         self.until = now + self.plan.promise
         return Promised(self.me, ask.office, ask.round)
