Mend what a last reading of the budgets found: windows, times, datagrams, pauses

Found by reading, each with a test that fails without it where one can: - A call given up unsent gave back the newest use of a window, which could be another call's: the window then counted too few. A call that was let in now counts, whatever becomes of it; less state in the module and the purse. - SIGHUP could change over_s under slots that are out. What a budget is now changes at the next start. - Voters with other times (promise_s, lease_s, drift) could count on each other. Dead code, one copy of asking many softswitches, broken docstrings. - Off, the module makes no call for each engine any more.

--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -81,6 +81,8 @@
     (FLEET + ALLOCATION + 'budgets = [{"name": "a", "whole": 0.4}]\n', "make `over_s` longer"),
     (FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "cold", "whole": 2}]\n', "`whole` is 1 at most"),
     (FLEET + ALLOCATION + 'budgets = [{"name": "a"}, {"name": "a"}]\n', "twice"),
+    (FLEET + 'allocation = {"voters": ["n1:7946"]}\nbudgets = [{"name": "a"}]\n',
+     "`n1:7946` is no IPv4 address"),
     (FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "calls"}]\n', "Invalid enum value 'calls'"),
 ])
 def test_a_file_that_can_not_be_kept_is_refused_with_the_reason(text, said):
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -140,6 +140,7 @@
             raise BadConfiguration(str(e)) from None
         if self.mgmt:
             self.mgmt.more, self.mgmt.parts = host.calls, made
+        self.host = host
         return made
 
     def start(self) -> None:
@@ -283,6 +284,8 @@
 
     def _reload_parts(self, tables: Any) -> list[str]:
         """What of the operator file changes at the next start only."""
+        if self.parts:
+            self.host.tables = tables
         said = [part.reload(getattr(tables, name, None), self.settings) for name, part in self.parts.items()]
         return [f"the operator file's {what}" for what in said if what]
 
--- a/willowhitch/budgets/holder.py
+++ b/willowhitch/budgets/holder.py
@@ -2,8 +2,7 @@
 
 A part runs from when it was asked for, by the holder's own clock, so a grant that comes late runs shorter and
 one of a life before does not fit. A grant replaces the one that it names as its basis and no other: grants
-that
-overtake each other can't bring back what was given up.
+that overtake each other can't bring back what was given up.
 """
 from __future__ import annotations
 
@@ -14,6 +13,7 @@
 from willowhitch.budgets.plan import Plan
 
 KEPT = 16  # wants whose grants may still come
+LEAST = 50.0  # ms between two wants, whatever is heard: voters may each point at the other
 AGAIN = 300.0  # ms after which a want that nobody answered goes out again
 GROWN = 1.25  # times the need told last, from which on it is told at once
 DEAF = 3  # wants that an allocator leaves unanswered before another voter is asked
@@ -80,16 +80,21 @@
         self.needs = needs
         grown = any(slots > GROWN * self.told.get(name, 0) + 1 for name, (slots, _) in needs.items())
         if grown and self.sent:
-            self.next_want = min(self.next_want, max(now, next(reversed(self.sent.values())) + AGAIN))
+            self._soon(now, AGAIN)
+
+    def _soon(self, now: float, after: float) -> None:
+        """The next want goes out as soon as so many ms have passed since the last one."""
+        last = next(reversed(self.sent.values()), now - after)
+        self.next_want = min(self.next_want, max(now, last + after))
 
     def seen(self, now: float, see: See) -> None:
         """Somebody says who the allocator is. The allocator itself says which office it holds."""
         if see.office != NOBODY:
             self.office, self.at, self.unanswered = see.office, see.at, 0
-            self.next_want = min(self.next_want, now)
+            self._soon(now, LEAST)
         elif see.at and see.at != self.at:
             self.at, self.unanswered = see.at, 0
-            self.next_want = min(self.next_want, now)
+            self._soon(now, LEAST)
 
     def granted(self, now: float, grant: Grant) -> bool:
         """False: it is of another life, came too late, or does not follow on what is held."""
@@ -105,8 +110,9 @@
         less = any(parts.get(name, 0) < part for name, part in self.parts.items())
         self.last, self.parts, self.until, self.fresh = grant.id, parts, until, False
         self.counts["grants"] += 1
-        # What it gave up is free for others as soon as it says so.
-        self.next_want = now if less else now + grant.again * self.rng.uniform(0.85, 1.1)
+        self.next_want = now + grant.again * self.rng.uniform(0.85, 1.1)
+        if less:  # what it gave up is free for others as soon as it says so
+            self._soon(now, LEAST)
         return True
 
     def lapsed(self, now: float) -> bool:
--- a/willowhitch/budgets/keeper.py
+++ b/willowhitch/budgets/keeper.py
@@ -25,8 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Note:
-    """For operators. `what`: 'office taken', 'office lost', 'at the floor', 'granted again', 'whole
-    lowered'."""
+    """For operators. `what`: 'office taken' or 'lost', 'at the floor', 'granted again', 'whole lowered'."""
 
     what: str
     why: str = ""
@@ -36,7 +35,8 @@
 
 
 def voters_digest(plan: Plan) -> int:
-    said = " ".join(sorted(plan.voters)).encode()
+    """Of all that voters must agree on: who they are, and the times that the proof of one office rests on."""
+    said = f"{sorted(plan.voters)} {plan.promise} {plan.lease} {plan.drift}".encode()
     return int.from_bytes(blake2b(said, digest_size=7).digest(), "big")
 
 
@@ -168,11 +168,19 @@
         return self._take(now)
 
     def now_is(self, now: float, plan: Plan) -> list[Act]:
-        """Another file holds from now on. Wholes and floors change at once, and a floor only rises once the
-        next start; who votes and the times change at the next start only."""
-        floors = {b.name: b.floor for b in self.plan.budgets}
-        budgets = tuple(replace(b, floor=min(b.floor, floors.get(b.name, 0))) for b in plan.budgets)
-        self.plan = replace(self.plan, budgets=budgets)
+        """Another file holds from now on. Wholes change at once, and floors that fall. What a budget is, a
+        floor that rises, who votes and the times change at the next start only: they are what slots were
+        counted by that are out."""
+        budgets = []
+        for new in plan.budgets:
+            old = self.plan.by_name.get(new.name)
+            if old is None:
+                budgets.append(replace(new, floor=0))
+            elif replace(new, whole=old.whole, floor=old.floor) != old:
+                budgets.append(old)
+            else:
+                budgets.append(replace(new, floor=min(new.floor, old.floor)))
+        self.plan = replace(self.plan, budgets=tuple(budgets))
         self.holder.plan = self.voter.plan = self.candidate.plan = self.plan
         if self.candidate.office != NOBODY:  # the books are of the old budgets: the office is given up
             given_up = self.candidate.asking
--- a/willowhitch/budgets/messages.py
+++ b/willowhitch/budgets/messages.py
@@ -7,7 +7,7 @@
 
 from willowhitch.fleet.messages import Address, Digest, Whole
 
-MOST_BUDGETS = 64
+MOST_BUDGETS = 16  # so many fit one datagram, whatever their names and figures
 Name = Annotated[str, Meta(min_length=1, max_length=32)]
 Slots = Annotated[int, Meta(ge=0, le=10_000_000)]
 Office = tuple[Whole, Digest]  # term, and a number drawn for this office: no two offices are the same
@@ -64,7 +64,7 @@
     address: Address
     office: Office
     round: Whole
-    voters: Digest  # of the list of voters
+    voters: Digest  # of what voters have to agree on
 
 
 class Promised(Struct, frozen=True, array_like=True, tag=5):
--- a/willowhitch/budgets/office.py
+++ b/willowhitch/budgets/office.py
@@ -2,14 +2,12 @@
 
 At most one process is in office at any instant of true time: it needs the promises of a majority of the
 voters, counts on each for less than the voter keeps it, and asks its clock before each grant. A part counts
-in
-the books until the holder has said that it holds another one instead, or can't hold it any more by any clock
-within the bound on drift; then its slots rest once more for as long as one can have been used before.
+in the books until the holder has said that it holds another one instead, or can't hold it any more by any
+clock within the bound on drift; then its slots rest once more for as long as one can have been used before.
 
 The books of the office before are not read: nothing new is granted until all that it granted has lapsed. What
 a holder still holds from it is renewed meanwhile, if the holder says so after having heard of this office:
-the
-office before ended first, so it can't have given that to somebody else.
+the office before ended first, so it can't have given that to somebody else.
 """
 from __future__ import annotations
 
--- a/willowhitch/budgets/plan.py
+++ b/willowhitch/budgets/plan.py
@@ -1,9 +1,8 @@
 """Budgets as the operator file names them, in slots; and the times that all members have to share.
 
 A whole is counted in slots. A slot can be used once in `over` ms, by one member at a time; so in any `over`
-ms
-no more is spent than there are slots. A share of something (what cold engines bear, probes) is divided into
-SHARES slots that are held and not used up.
+ms no more is spent than there are slots. A share of something (what cold engines bear, probes) is divided
+into SHARES slots that are held and not used up.
 """
 from __future__ import annotations
 
--- a/willowhitch/budgets/purse.py
+++ b/willowhitch/budgets/purse.py
@@ -66,42 +66,30 @@
     """Owner of the pockets. `held` tells the slots that are held at a time (floor and lease)."""
 
     def __init__(self, plan: Plan, held: Callable[[float, str], int], clock: Callable[[], float]) -> None:
-        self.plan, self.held_at, self.clock = plan, held, clock
+        self.held, self.clock = held, clock
         self.pockets: dict[str, Pocket] = {}
-        self.part = 1.0  # of its floors, while one process replaces the other; 0: it has lost its address
         self.settle(plan)
 
     def settle(self, plan: Plan) -> None:
-        """What was used stays used, whatever the file says now."""
-        now, self.plan = self.clock(), plan
-        old = self.pockets
-        self.pockets = {}
+        """What was used stays used, whatever the file says now: a budget's window does not change."""
+        old, self.pockets = self.pockets, {}
         for b in plan.budgets:
-            kept = old.get(b.name)
-            if kept is not None and kept.budget.over == b.over:
-                kept.budget = b
-                self.pockets[b.name] = kept
-            else:
-                self.pockets[b.name] = Pocket(b, now, plan.drift)
+            pocket = self.pockets[b.name] = old.get(b.name) or Pocket(b, self.clock(), plan.drift)
+            pocket.budget = b
         self.first = [p for p in self.pockets.values() if p.budget.what == "set-ups" and not p.budget.engine]
         self.each = [p for p in self.pockets.values()
                      if p.budget.what == "repeats" or p.budget.what == "set-ups" and p.budget.engine]
 
-    def slots(self, now: float, name: str) -> int:
-        """Held at this instant."""
-        return self.held_at(now, name)
-
     # what the module asks
 
     def admit(self, klass: str, worth: float) -> float:
-        """A call comes. 0: it is let in, and counted as spent. Else ms until the budget that binds opens
-        again."""
+        """A call comes. 0: it is let in, and counted as spent. Else ms until the budget that binds opens."""
         now, wait = self.clock(), 0.0
         bound = [p for p in self.first if p.binds("set-ups", klass, "")]
         for p in bound:
             p.wanted += 1
             p.offered.add(now, worth)
-            wait = max(wait, p.window.opens(now, self.slots(now, p.budget.name)))
+            wait = max(wait, p.window.opens(now, self.held(now, p.budget.name)))
         for p in bound:
             if wait:
                 p.refused += 1
@@ -113,21 +101,13 @@
                 p.offered.add(now, worth)
         return wait
 
-    def unused(self, klass: str) -> None:
-        """A call that was let in ended before it was sent anywhere."""
-        now = self.clock()
-        for p in self.first:
-            if p.binds("set-ups", klass, ""):
-                p.spent -= 1
-                p.window.back(now)
-
     def may(self, klass: str, engine: str, repeat: bool) -> bool:
         """Whether an attempt may go there now. Asked often; counts nothing."""
         if not self.each:
             return True
         now = self.clock()
         what = "repeats" if repeat else "set-ups"
-        return all(p.window.used(now) < self.slots(now, p.budget.name)
+        return all(p.window.used(now) < self.held(now, p.budget.name)
                    for p in self.each if p.binds(what, klass, engine))
 
     def sent(self, klass: str, engine: str, repeat: bool) -> None:
@@ -152,7 +132,7 @@
         found = None
         for p in self.pockets.values():
             if p.budget.what == what and p.budget.engine in ("", engine):
-                held = self.slots(self.clock(), p.budget.name) / SHARES
+                held = self.held(self.clock(), p.budget.name) / SHARES
                 found = held if found is None else min(found, held)
         return found
 
@@ -174,7 +154,7 @@
     def told(self) -> dict[str, dict[str, float | int]]:
         """Figures, by budget."""
         now = self.clock()
-        return {name: {"whole": p.budget.whole, "floor": p.budget.floor, "held": self.slots(now, name),
+        return {name: {"whole": p.budget.whole, "floor": p.budget.floor, "held": self.held(now, name),
                        "in_use": p.window.used(now), "wanted": p.wanted, "spent": p.spent,
                        "refused": p.refused, "over_ms": p.budget.over}
                 for name, p in self.pockets.items()}
--- a/willowhitch/budgets/voter.py
+++ b/willowhitch/budgets/voter.py
@@ -14,7 +14,7 @@
     """Owner of one promise."""
 
     def __init__(self, plan: Plan, me: str, voters: int, now: float) -> None:
-        self.plan, self.me, self.voters = plan, me, voters  # voters: digest of their list
+        self.plan, self.me, self.voters = plan, me, voters  # voters: digest of what they agree on
         self.term = 0
         self.to: Office = NOBODY  # the office that the promise was given to
         self.at = ""  # the address of its allocator
@@ -30,7 +30,7 @@
             return Denied(self.me, ask.office, ask.round, self.term, why)
 
         if ask.voters != self.voters:
-            return no("another list of voters is in use here")
+            return no("another list of voters, or other times, are in use here")
         if now < self.until and ask.office != self.to:
             to = self.at or "whoever was before the start"
             return no(f"promised to {to} for {self.until - now:.0f} ms")
--- a/willowhitch/budgets/window.py
+++ b/willowhitch/budgets/window.py
@@ -43,16 +43,6 @@
         self.counts[self.at % (CELLS + 1)] += 1
         self.count += 1
 
-    def back(self, now: float) -> None:
-        """The newest use did not happen."""
-        self._turn(now)
-        for back in range(CELLS + 1):
-            place = (self.at - back) % (CELLS + 1)
-            if self.counts[place]:
-                self.counts[place] -= 1
-                self.count -= 1
-                return
-
     def opens(self, now: float, slots: int) -> float:
         """Ms until fewer than so many are counted, 0 if that is so now; `over` where there are no slots."""
         self._turn(now)
--- a/willowhitch/cli/fleet.py
+++ b/willowhitch/cli/fleet.py
@@ -25,7 +25,17 @@
     return app
 
 
-def ask(address: str, seconds: float, what: str = "fleet", key: str = "members") -> dict[str, Any]:
+def ask_all(addresses: list[str], seconds: float, what: str, key: str) -> dict[str, dict[str, Any]]:
+    """What each of them says, in the order given; each is asked once, many at a time."""
+    addresses = list(dict.fromkeys(addresses))
+    if len(addresses) > MOST_ADDRESSES:
+        bad(f"{len(addresses)} addresses; at most {MOST_ADDRESSES} are asked at once")
+    with ThreadPoolExecutor(min(32, len(addresses))) as pool:
+        said = pool.map(lambda a: ask(a, seconds, what, key), addresses)
+        return dict(zip(addresses, said, strict=True))
+
+
+def ask(address: str, seconds: float, what: str, key: str) -> dict[str, Any]:
     """What the softswitch whose management address this is says of its fleet, or of `what`; `error` says why
     there is nothing."""
     host, _, port = address.rpartition(":")
@@ -102,17 +112,13 @@
     as_json: AsJson = False,
 ) -> None:
     """What the softswitches say of their fleet, and where they disagree. Exit 0 only if all agree."""
-    addresses = list(dict.fromkeys(addresses))
-    if len(addresses) > MOST_ADDRESSES:
-        bad(f"{len(addresses)} addresses; at most {MOST_ADDRESSES} are asked at once")
-    with ThreadPoolExecutor(min(32, len(addresses))) as pool:
-        views = dict(zip(addresses, pool.map(lambda a: ask(a, seconds), addresses), strict=True))
+    views = ask_all(addresses, seconds, "fleet", "members")
     found = compared(views)
     if as_json:
         print(orjson.dumps(found).decode())
     else:
         screen = Console()
-        screen.print(table_of(found, len(addresses)))
+        screen.print(table_of(found, len(views)))
         for address, why in found["errors"].items():
             screen.print(f"{address}: {why}", markup=False)
         for address in found["cut_off"]:
@@ -133,12 +139,7 @@
     above its whole."""
     from willowhitch.cli.budgets import summed, tables
 
-    addresses = list(dict.fromkeys(addresses))
-    if len(addresses) > MOST_ADDRESSES:
-        bad(f"{len(addresses)} addresses; at most {MOST_ADDRESSES} are asked at once")
-    with ThreadPoolExecutor(min(32, len(addresses))) as pool:
-        said = pool.map(lambda a: ask(a, seconds, "budgets", "budgets"), addresses)
-        found = summed(dict(zip(addresses, said, strict=True)))
+    found = summed(ask_all(addresses, seconds, "budgets", "budgets"))
     if as_json:
         print(orjson.dumps(found).decode())
     else:
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -105,10 +105,7 @@
     before it decides, and says what it did."""
 
     def admit(self, klass: str, worth: float) -> float:
-        """A call comes. 0: let in, and counted. Else ms until what binds it opens again."""
-
-    def unused(self, klass: str) -> None:
-        """A call that was let in ended before any attempt."""
+        """A call comes. 0: let in, and counted, whatever becomes of it. Else ms until what binds it opens."""
 
     def wanted(self, klass: str, repeat: bool, worth: float) -> None:
         """An attempt is wanted, wherever it may go; told once for each."""
--- a/willowhitch/net/budgets.py
+++ b/willowhitch/net/budgets.py
@@ -15,7 +15,7 @@
 
 from willowhitch.budgets.keeper import Keeper, Note, Say
 from willowhitch.budgets.messages import Message
-from willowhitch.budgets.plan import BadPlan, Plan, plan_of
+from willowhitch.budgets.plan import BadPlan, plan_of
 from willowhitch.budgets.purse import Purse
 from willowhitch.core.lifecycle import Phase
 from willowhitch.net.peers import Peers
@@ -36,13 +36,14 @@
     has them. While one process replaces the other each has half. What is gained counts only after the slots
     have rested that the other process may have used."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, longest: float) -> None:
+        self.longest = longest  # ms, the longest that slots of any budget rest
         self.part = self.before = 0.0
         self.since = now
 
     def now_is(self, now: float, part: float) -> None:
         if part != self.part:
-            self.before, self.part, self.since = self.part, part, now
+            self.before, self.part, self.since = self.of(now, self.longest), part, now
 
     def of(self, now: float, rests: float) -> float:
         return min(self.before, self.part) if now < self.since + rests else self.part
@@ -61,12 +62,6 @@
                     self.kept[p.budget.name].append(self.clock())
         return wait
 
-    def unused(self, klass: str) -> None:
-        super().unused(klass)
-        for p in self.first:
-            if p.binds("set-ups", klass, "") and self.kept[p.budget.name]:
-                self.kept[p.budget.name].pop()
-
     def sent(self, klass: str, engine: str, repeat: bool) -> None:
         super().sent(klass, engine, repeat)
         for p in self.each:
@@ -79,12 +74,12 @@
 
     def __init__(self, table: Any, host: Host, peers: Peers) -> None:
         self.table, self.host, self.peers, self.wheel = table, host, peers, host.switch.wheel
-        allocation = host.tables.allocation
+        self.allocation = allocation = host.tables.allocation
         plan, draw = plan_of(table, allocation), SystemRandom()
         now = clock()
         self.me = peers.table.address
         self.keeper = Keeper(plan, self.me, draw.getrandbits(62), draw.getrandbits(64), now)
-        self.floors = Floors(now)
+        self.floors = Floors(now, max(plan.rests(b) for b in plan.budgets))
         self.purse = (Recorded if allocation.record else Purse)(plan, self.held, clock)
         if isinstance(self.purse, Recorded):
             self.purse.kept = {b.name: deque(maxlen=allocation.record) for b in plan.budgets}
@@ -121,26 +116,34 @@
         plan = self.keeper.plan
         logger.info("budgets: {}; {} voters, {}", ", ".join(b.name for b in plan.budgets)[:200],
                     len(plan.voters), "one of them" if self.keeper.votes else "not one of them")
+        self._unknown_classes(self.host.settings)
         self._needs()
         self._tick(self.wheel.now)
 
     def reload(self, table: Any, settings: Any) -> str:
+        later = "allocation" if self.host.tables.allocation != self.allocation else ""
         if table is None:
             return "budgets"
-        allocation = self.host.tables.allocation
+        self._unknown_classes(settings)
         try:
-            plan = plan_of(table, allocation)
+            plan = plan_of(table, self.allocation)
         except BadPlan as e:
             logger.error("budgets: not taken, the old ones stay: {}", e)
             return "budgets"
-        if table != self.table:
-            self.table = table
-            self._do(self.keeper.now_is(clock(), plan))
-            self.purse.settle(self.keeper.plan)
-            if isinstance(self.purse, Recorded):
-                for b in plan.budgets:
-                    self.purse.kept.setdefault(b.name, deque(maxlen=allocation.record))
-        return ""
+        self._do(self.keeper.now_is(clock(), plan))
+        self.purse.settle(self.keeper.plan)
+        if isinstance(self.purse, Recorded):
+            for b in self.keeper.plan.budgets:
+                self.purse.kept.setdefault(b.name, deque(maxlen=self.allocation.record))
+        if self.keeper.plan != plan:
+            later += " and " * bool(later) + "what budgets count, or floors that rise,"
+        return later
+
+    def _unknown_classes(self, settings: Any) -> None:
+        known = {c.name for c in settings.classes}
+        for b in self.host.tables.budgets:
+            if b.klass and b.klass not in known:
+                logger.warning("budgets: {} binds class {}, which the settings do not have", b.name, b.klass)
 
     def figures(self) -> dict[str, Any]:
         holder, candidate, now = self.keeper.holder, self.keeper.candidate, clock()
@@ -240,6 +243,3 @@
     if not isinstance(peers, Peers):
         raise ValueError("needs `fleet`: they are divided among its members")
     return Budgets(table, host, peers)
-
-
-__all__ = ["Budgets", "Plan", "clock", "make"]
--- a/willowhitch/operator/tables.py
+++ b/willowhitch/operator/tables.py
@@ -38,6 +38,17 @@
 Address = Annotated[str, Meta(min_length=3, max_length=64, pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$")]
 
 
+def reached(address: str) -> None:
+    """ValueError unless that is where a process can be reached: IPv4 and a port, no names to look up."""
+    host, _, port = address.rpartition(":")
+    if not 0 < int(port) < 65_536:
+        raise ValueError(f"`{address}` has no port from 1 to 65535")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        raise ValueError(f"`{address}` is no IPv4 address; no names are looked up") from None
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The view of the fleet (docs/fleet-view.md)."""
 
@@ -53,13 +64,7 @@
 
     def __post_init__(self) -> None:
         for what in (self.address, *self.seeds, *self.dial, *self.dial.values()):
-            host, _, port = what.rpartition(":")
-            if not 0 < int(port) < 65_536:
-                raise ValueError(f"`{what}` has no port from 1 to 65535")
-            try:
-                IPv4Address(host)
-            except ValueError:
-                raise ValueError(f"`{what}` is no IPv4 address; no names are looked up") from None
+            reached(what)
         if self.address.startswith("0.0.0.0:"):
             raise ValueError("`address` is where the others reach this one; 0.0.0.0 is no such place")
         if self.answer_ms > self.period_ms / 2:
@@ -108,6 +113,8 @@
     def __post_init__(self) -> None:
         if len(set(self.voters)) != len(self.voters) or len(set(self.members)) != len(self.members):
             raise ValueError("`voters` and `members` name nobody twice")
+        for address in (*self.voters, *self.members):
+            reached(address)
 
 
 class Logs(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -122,7 +129,7 @@
     record: Record | None = None
     calls: Calls | None = None
     fleet: Fleet | None = None
-    budgets: Annotated[tuple[Budget, ...], Meta(min_length=1, max_length=64)] | None = None
+    budgets: Annotated[tuple[Budget, ...], Meta(min_length=1, max_length=16)] | None = None
     allocation: Allocation | None = None
     logs: Logs = Logs()
 
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -92,7 +92,6 @@
         self.sends, self.ready = 0, now  # attempts made; not to be sent before: the release wait
         self.may_have_run = self.cancelling = False
         self.kind, self.end = (klass.name, self.value, event.dest), LONG_AGO  # end: given up by then
-        self.counted = False  # let in by what is shared with other fronts
         self.erred: list[Gate] = []  # servers that called it an error: theirs only if it stands elsewhere
 
 
@@ -188,7 +187,6 @@
             advice = min(wait, self.set.max_advice) * self.set.may_advise
             return self.acts.append(i.Refuse(event.call, advice))
         call = self.calls[event.call] = Call(now, event, klass, self.set.max_attempts)
-        call.counted = self.bound is not None
         if not event.redial:
             most = self.patience[klass.name] = max(event.grace, self.patience[klass.name])
             call.came -= min(self.lag, most - event.grace)  # it came while this front stood still
@@ -358,8 +356,8 @@
     def _try(self, now: float, call: Call, shut: bool = False) -> bool:
         """Sends the call, or ends it if it has no attempt or time left; False: no gate was open to it."""
         barred = call.erred and (len(call.erred) > 1 or not self._eligible(call))  # by itself, it seems
-        if self.bound and call.sends:  # repeats that others have spent: it is answered at once
-            barred = barred or not any(self._may(call, g) for g in self._eligible(call))
+        if self.bound and call.sends and not barred:  # repeats that others have spent: it is answered at once
+            barred = not self._paid(call, self._eligible(call))
         if barred or call.sends >= call.most or call.may_have_run and not call.klass.repeatable:
             self._give_up(call)
             return True
@@ -385,13 +383,15 @@
                 if g.state is i.State.READY and (cells is None or g.cell in cells) and g not in call.erred
                 and (g.cell != own or own < 0) and (g.cell == dest or not call.event.transit)]
 
-    def _may(self, call: Call, gate: Gate) -> bool:
-        return self.bound is None or self.bound.may(call.klass.name, gate.server, call.sends > 0)
+    def _paid(self, call: Call, gates: list[Gate]) -> list[Gate]:
+        """Those of them where what is shared with other fronts lets it go now."""
+        name, repeat = call.klass.name, call.sends > 0
+        return [g for g in gates if self.bound.may(name, g.server, repeat)] if self.bound else gates
 
     def _choose(self, now: float, call: Call) -> Gate | None:
         limit = self._limit(call)
-        able = [g for g in self._eligible(call)
-                if g.size >= call.event.width and self._may(call, g) and self._turn(now, g)]
+        able = [g for g in self._paid(call, self._eligible(call))
+                if g.size >= call.event.width and self._turn(now, g)]
         opened = [g for g in able if g.open(now, limit)]
         direct = next((g for g in able if g.cell == call.event.dest), None)
         due = [g for g in able if g not in opened and self._trial_due(now, g)]
@@ -421,10 +421,8 @@
         self._forget(call.id)
 
     def _forget(self, call_id: str) -> None:
-        call = self.calls.pop(call_id, None)
+        self.calls.pop(call_id, None)
         self.held.pop(call_id, None)
-        if self.bound and call and call.counted and not call.sends:
-            self.bound.unused(call.klass.name)
 
     # this front's part of what a server can do
 
