Answer what comes until a stop is over, read before closing, and keep signals of the start

From the end of a stop on it is refused at once, callers' connections end as they fall idle, and the process goes when they have, 150 ms later at most. - A connection shed for want of descriptors, or closed as idle, was closed with a set-up unread: the listener was told of first (sip.buildProtocol, _sweep). What lies unread is read before; connections that are being closed go first. - A close with bytes unread is a reset. Our side is closed first and theirs read to its end (sip.shut). - SIGHUP ended a process that was still importing, and one between reading its files and serving was ignored (signal.SIG_IGN in main). Signals are kept from the first line on and carried out once it serves; SIGTERM before anybody was let in ends it with 0. Ruled out: that the order of epoll saves the idle connection (it tells of the listener first where that was ready first).

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,154 @@
+"""What is still owed at the instant in which something ends. Each bad order is made by events: peers are
+held, the program is stopped by SIGSTOP while things happen, or the set-ups come without pause."""
+import signal
+import socket
+import time
+
+import pytest
+from stage import INFO, ROOT, Sip, Stage, call_id
+
+SHORT = {"lanes": [{"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}]}
+SLOW = {"limits": INFO["limits"] | {"connect_timeout": 8000.0}}
+
+
+def invite(n, patience=900, **fields):
+    """An INVITE as bytes."""
+    class Kept:
+        def sendall(self, data):
+            self.data = data
+
+    kept = Kept()
+    more = "".join(f" {k}={v}" for k, v in fields.items())
+    Sip(None, kept).send(f"INVITE {n} X-Patience={patience}{more}")
+    return kept.data
+
+
+def read_to_end(sock, seconds=5.0):
+    """What comes until the other side closes; a reset is a fault of its own."""
+    sock.settimeout(seconds)
+    came = b""
+    while data := sock.recv(65536):
+        came += data
+    return came
+
+
+class Frozen:
+    """The program stands still within: what is done meanwhile has all happened when it goes on."""
+
+    def __init__(self, stage):
+        self.program = stage.program
+
+    def __enter__(self):
+        self.program.send_signal(signal.SIGSTOP)
+        while open(f"/proc/{self.program.pid}/stat").read().split(")")[1].split()[0] != "T":
+            time.sleep(0.001)
+
+    def __exit__(self, *_):
+        self.program.send_signal(signal.SIGCONT)
+
+
+# SIGTERM
+
+def test_what_comes_until_the_very_end_of_a_stop_is_answered():
+    # the engine answers nothing; set-ups come every few ms until the program closes the connection
+    with Stage(engines=1, settings=SHORT) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200")
+        c, sent, came = s.parties.pop("c0").sock, {}, b""
+        c.setblocking(False)
+        s.program.send_signal(signal.SIGTERM)
+        n, open_ = 100, True
+        while open_:
+            n += 1
+            try:
+                c.sendall(invite(n))
+                sent[call_id(n)] = time.monotonic()
+            except ConnectionError:
+                break
+            until = time.monotonic() + 0.005
+            while time.monotonic() < until and open_:
+                s.pump(0.002)
+                try:
+                    data = c.recv(65536)
+                    came, open_ = came + data, bool(data)
+                except BlockingIOError:
+                    pass
+                except ConnectionError:
+                    open_ = False
+        ended = time.monotonic()
+        lost = [call for call, at in sent.items() if ended - at > 0.05 and call.encode() not in came]
+        assert len(sent) > 50 and not lost, (len(lost), len(sent))
+        assert s.program.wait(2) == 0
+
+
+# callers' connections
+
+def crowd(stage, n):
+    """So many connections on which something was answered, and which are idle."""
+    for k in range(n):
+        stage.play(f"c{k} send OPTIONS\nc{k} expect 200")
+
+
+def test_a_set_up_that_lies_unread_is_served_though_its_connection_is_the_first_to_go():
+    with Stage(engines=1, config={"limits": {"sockets": 64}}) as s:
+        crowd(s, 12)  # all that there is room for, beside the call-control API
+        with Frozen(s):
+            more = [socket.create_connection(s.sip) for _ in range(3)]  # the listener is told of first
+            s.play("c0 send INVITE 1")
+        s.play("e0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE")
+        for sock in more:
+            sock.close()
+
+
+def test_a_connection_that_is_closed_with_bytes_unread_still_brings_the_answer_and_no_reset():
+    with Stage() as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        c = s.parties.pop("c0").sock
+        c.sendall(b"NOTHING\r\n" + b"no colon\r\n\r\n" + b"x" * 300_000)
+        came = read_to_end(c)
+        assert b"400" in came and b"Call-ID: " + call_id(1).encode() in came, came
+
+
+# SIGHUP and the start
+
+# Runs a module as `python -m` does, and raises a signal as the named module is imported the first time.
+RAISES = """
+import os, runpy, signal, sys
+class Finder:
+    def find_spec(self, name, *_):
+        if name == {at!r}:
+            sys.meta_path.remove(self)
+            {act}
+            os.kill(os.getpid(), signal.{signal})
+sys.meta_path.insert(0, Finder())
+runpy.run_module("willowhitch", run_name="__main__", alter_sys=True)
+"""
+
+
+def started(at, name, act="pass"):
+    text = RAISES.format(at=at, signal=name, act=act)
+    return Stage(engines=1, command=("-c", text))
+
+
+@pytest.mark.parametrize("at", ["willowhitch.lean", "twisted.internet", "willowhitch.settings",
+                                "willowhitch.net.sip"])
+def test_sighup_during_the_start_is_carried_out_once_it_serves(at):
+    with started(at, "SIGHUP") as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        assert s.said().count("configuration reloaded") == 1, s.said()
+
+
+@pytest.mark.parametrize("at", ["willowhitch.lean", "willowhitch.net.sip"])
+def test_sigterm_during_the_start_ends_it_in_good_order_before_anybody_was_let_in(at):
+    stage = started(at, "SIGTERM")
+    try:
+        assert stage.program.wait(5) == 0, stage.said()
+        assert "serves at" not in stage.said()
+    finally:
+        stage.__exit__()
+
+
+def test_the_deploy_file_keeps_sighup_from_ending_what_has_no_handler_yet():
+    import tomllib
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    before, _, _ = run.partition("exec ")
+    assert before.startswith("trap '' HUP; "), run  # an ignored signal stays ignored across exec
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -37,7 +37,7 @@
     import tomllib
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert re.search(r"(^|= )exec \.venv/bin/python -m willowhitch$", deploy["run"])
-    assert not re.search(r"[;&|]", deploy["run"])
+    assert not re.search(r"[;&|]", deploy["run"].removeprefix("trap '' HUP; "))  # a builtin: starts nothing
     assert tomllib.loads((ROOT / "deploy" / "control.toml").read_text())["listen"] == ""
     for path in deploy["policy"] + deploy["node"]:
         assert os.path.exists(ROOT / path), path
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -1,7 +1,12 @@
 """One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
-from __future__ import annotations  # noqa: I001
+# ruff: noqa: E402, I001
+from __future__ import annotations
 
-import willowhitch.lean  # noqa: F401  # first of all: what follows imports what it keeps out
+from willowhitch import signals
+
+signals.keep()  # before all that takes time
+
+import willowhitch.lean  # noqa: F401  # what follows imports what it keeps out
 
 import gc
 import os
@@ -12,6 +17,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -53,6 +59,8 @@
 # Ms. SIGKILL may come 0.7 s after SIGTERM and the longest deadline, which counts as 3 s where longer or not
 # told, and as 5 s where the next process has taken over.
 MOST_DEADLINE, MOST_REPLACED, ANSWERED_BY = 3_000.0, 5_000.0, 300.0
+# Ms from the end of a stop: for what is written last to engines; for callers to read it and to go.
+ALOUD, GONE_BY = 50.0, 150.0
 
 
 def monotonic_ms() -> float:
@@ -303,7 +311,7 @@
             life.hand_over(now)
             reactor.callLater(0, self.sip.port.stopListening)  # what waits in its queue is taken in first
         most = MOST_REPLACED if life.handed_over else MOST_DEADLINE
-        deadline = max(c.deadline for c in self.settings.classes) or most
+        deadline = max(c.deadline or most for c in self.settings.classes)  # 0: none is told
         life.stop(now, now + max(STILL_COMING, min(deadline, most) + ANSWERED_BY))
         self._end_when_done(now + STILL_COMING)
 
@@ -311,14 +319,22 @@
         now = self.wheel.now
         held = self.switch.calls or self.switch.lifecycle.handed_over and self.sip.lines
         if now >= self.switch.lifecycle.ends_at or not held and now >= earliest:
+            self.switch.lifecycle.close(now)  # what still comes is refused, and callers go
             self.switch.refuse_rest()
             self.switch.cut_rest()
             if self.control:
                 self.control.stop()
-            reactor.callLater(0.1, reactor.stop)  # what was written last still goes out
+            self._leave(now + GONE_BY)
         else:
             self.wheel.at(now + 20.0, self._end_when_done, earliest)
 
+    def _leave(self, at_last: float) -> None:
+        """What was written last still goes out, and what lies unread is read and answered."""
+        if self.wheel.now < at_last and (self.sip.lines or self.wheel.now < at_last - GONE_BY + ALOUD):
+            self.wheel.at(self.wheel.now + 2 * self.settings.tick, self._leave, at_last)
+        else:
+            reactor.stop()
+
 
 def say_faults(event: dict[str, Any]) -> None:
     """A fault in a callback of the reactor is one line in the log, no crash."""
@@ -329,7 +345,6 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it serves: what it reads then is new anyway
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False,
                level=os.environ.get("WILLOWHITCH_LOG", "INFO"), filter=Quiet())
@@ -341,6 +356,8 @@
             logger.add(sys.stderr, serialize=True, backtrace=False, diagnose=False,
                        level=os.environ.get("WILLOWHITCH_LOG", "INFO"), filter=Quiet())
             logger.configure(extra={"softswitch": config["name"]})
+        if signals.asked_to_stop():
+            return 0  # nobody was let in yet
         try:
             softswitch = Softswitch(config, tables)
             softswitch.start()
@@ -355,10 +372,9 @@
         return 2
     globalLogBeginner.beginLoggingTo([say_faults], redirectStandardIO=False, discardBuffer=True)
     reactor.addSystemEventTrigger("before", "shutdown", softswitch.counters)
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(softswitch.stop))
-    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(softswitch.stop))
-    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(softswitch.counters))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(softswitch.reload))
+    signals.carry_out({number: partial(reactor.callFromThread, act) for number, act in (
+        (signal.SIGTERM, softswitch.stop), (signal.SIGINT, softswitch.stop),
+        (signal.SIGUSR1, softswitch.counters), (signal.SIGHUP, softswitch.reload))})
     gc.collect()
     gc.set_threshold(10_000, 20, 20)
     gc.freeze()  # what is here now stays: a full collection need not look at it, and pauses stay short
--- a/willowhitch/core/lifecycle.py
+++ b/willowhitch/core/lifecycle.py
@@ -28,6 +28,7 @@
         self.asked_to_drain = False
         self.since = 0.0  # when the phase before this one was left
         self.ends_at: float | None = None  # when a stop is over at the latest
+        self.closed = False  # the stop is over: what is owed is answered, and callers go
         self.handed_over = False  # a successor takes the new connections
         self.on_change: list[Callable[[Phase], None]] = []
         self._phase = Phase.STARTING
@@ -90,14 +91,22 @@
             self.ends_at = ends_at
             self._settle(now)
 
+    def close(self, now: float) -> None:
+        """The stop is over but for what is on its way: nothing more is taken in."""
+        self.closed = True
+        for tell in self.on_change:
+            tell(self._phase)
+
     @property
     def yes(self) -> bool:
         """What the test at the callers' address is told: during a replacement the two processes are one."""
         return self.ready or self.handed_over and not self.asked_to_drain
 
     def admits(self, now: float) -> bool:
-        """Whether a set-up that comes now is served. While stopping it is, to the last: the platform's front
-        still sends, and what is not answered at SIGKILL is lost."""
+        """Whether a set-up that comes now is served. While stopping it is, until the stop is over: the
+        platform's front still sends, and what is not answered at SIGKILL is lost."""
+        if self.closed:
+            return False
         if self._phase is Phase.DRAINED:
             return now - self.since < ADMITS_FOR
         return not self.handed_over or self.ends_at is None or now < self.ends_at - LAST_CALL
@@ -114,4 +123,5 @@
     @property
     def empties(self) -> bool:
         """Whether callers' connections are to close as they fall idle."""
-        return self._phase is Phase.DRAINED or self._phase is Phase.STOPPING and self.handed_over
+        leaving = self.handed_over and self._phase is Phase.STOPPING
+        return self.closed or leaving or self._phase is Phase.DRAINED
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
 
 from willowhitch.core.lifecycle import LINGERS_FOR, NEWCOMER, Phase
 from willowhitch.core.releases import Releases, Tell
@@ -28,6 +29,7 @@
 WHOLE_BY = 5_000.0  # ms that one message may take
 CLOSED_BY = 1_000.0  # ms that a close may take
 OWED = 100.0  # ms between two looks at the releases that were not heard
+LOOKS = 8  # connections that are looked at for one that can go
 CHOKED_FOR = 5_000.0  # ms that a caller may leave its answers unread
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes nan, 1_0, 1e99 and far digits too
@@ -86,6 +88,7 @@
         self.name = ""
         # came: what is being read, at the earliest; read_at: when this was last read, or could be again
         self.since = self.came = self.read_at = front.switch.wheel.now
+        self.reads = 0  # pieces that came
         self.full = False  # more may have waited behind the last read
         self.newcomer = True  # nothing was answered here, or is owed an answer
         self.stood = False  # whether a call stood here
@@ -107,11 +110,13 @@
         self.front.closed(self)
 
     def dataReceived(self, data: bytes) -> None:
+        if self.closed_at is not None:
+            return  # read, so that our close is no reset, which would take what we wrote last
         wheel = self.front.switch.wheel
         if data:
             behind = self.full and wheel.now - self.read_at <= wheel.lag + TURN  # else it came only now
             self.came = max(self.came, wheel.now - OLDEST) if behind else wheel.now - wheel.lag
-            self.full, self.read_at = len(data) >= READ, wheel.now
+            self.full, self.read_at, self.reads = len(data) >= READ, wheel.now, self.reads + 1
         if self.newcomer:
             self.front.moved(self)
         super().dataReceived(data)
@@ -122,6 +127,17 @@
         if self.choked_at is None and self.closed_at is None and self in self.front.lines:
             super().resumeProducing()
 
+    def look(self) -> bool:
+        """Reads what lies unread here; False: something did, or does, or this connection is over."""
+        if self in self.front.put_off:
+            return False
+        before, over = self.reads, None
+        if self.choked_at is None:
+            over = self.transport.doRead()
+        if over is not None:
+            self.transport.connectionLost(Failure(over))
+        return over is None and self.reads == before
+
     # A producer's three calls. A caller that doesn't read its answers isn't read from either.
     def pauseProducing(self) -> None:
         self.choked_at = self.front.switch.wheel.now
@@ -250,6 +266,7 @@
         self.idle: dict[SipLine, float] = {}  # no call ever stood there
         self.proven: dict[SipLine, float] = {}  # a call stood there
         self.put_off: dict[SipLine, None] = {}  # those with more to read, in turn
+        self.leaving: dict[SipLine, None] = {}  # our side is closed, theirs not yet; the longest so first
         self.asked_by: dict[str, tuple[SipLine, dict[str, str], list[str], str]] = {}  # open set-ups
         self.stood_on: dict[str, tuple[SipLine, str]] = {}  # calls that stand: their connection and number
         self.releases, self.looks = Releases(), False  # looks: a look at the releases is due
@@ -263,17 +280,32 @@
     def buildProtocol(self, addr: object) -> SipLine | None:
         if self.port is not None:
             self.port.numberAccepts = ACCEPTS  # else a flood is taken in whole before any of it can be closed
-        if len(self.lines) >= self.most:
-            victim = self._victim()
-            if victim is None:
-                self.switch.count["connections turned away"] += 1
-                return None
-            self.switch.count["connections shed"] += 1
-            self.shut(victim)
+        if len(self.lines) >= self.most and not self._make_room():
+            self.switch.count["connections turned away"] += 1
+            return None
         return SipLine(self)
 
     # connections
 
+    def _make_room(self) -> bool:
+        """Ends a connection at once: one that is being closed, else an idle one, once what lies unread there
+        was read: a set-up may have come long before we get to look."""
+        if self.leaving:
+            line = next(iter(self.leaving))
+            del self.leaving[line]
+            line.transport.abortConnection()
+            return True
+        for _ in range(LOOKS):
+            victim = self._victim()
+            if victim is None:
+                return False
+            if victim.look():
+                self.switch.count["connections shed"] += 1
+                self.shut(victim, at_once=True)
+            if victim not in self.lines or victim.closed_at is not None:
+                return True
+        return False
+
     def _victim(self) -> SipLine | None:
         """Guards the descriptors, and good callers from a crowd: those who connect and say nothing go first,
         then those whose first message has stopped coming, then those who asked something and stayed, the
@@ -335,7 +367,10 @@
         self.switch.wheel.at(self.switch.wheel.now + 2 * self.switch.set.tick, self._leave, line)
 
     def _leave(self, line: SipLine) -> None:
-        if line not in self.lines or line.calls or line.began is not None or line.closed_at is not None:
+        if line not in self.lines or line.closed_at is not None:
+            return
+        line.look()
+        if line not in self.lines or line.calls or line.began is not None or line in self.put_off:
             return
         life = self.switch.lifecycle
         if life.empties and not (self._last(line) and life.lingers(self.switch.wheel.now)):
@@ -359,8 +394,9 @@
                 self._leave_soon(line)
             self.switch.wheel.at(self.switch.wheel.now + LINGERS_FOR, self._leave_rest)
 
-    def shut(self, line: SipLine) -> None:
-        """Closes a connection. What is still owed an answer there gets one: closing must lose no call."""
+    def shut(self, line: SipLine, at_once: bool = False) -> None:
+        """Closes a connection. What is still owed an answer there gets one: closing must lose no call. Our
+        side closes first and theirs is read to its end: unread bytes would make a reset of the close."""
         if line.closed_at is not None:
             return
         line.closed_at = self.switch.wheel.now
@@ -370,10 +406,17 @@
         self._unlist(line)
         self.put_off.pop(line, None)
         line.clearLineBuffer()
-        line.transport.loseConnection()
+        line.transport.unregisterProducer()
+        if at_once:
+            line.transport.loseConnection()
+        else:
+            self.leaving[line] = None
+            line.transport.loseWriteConnection()
+            line.transport.resumeProducing()
 
     def closed(self, line: SipLine) -> None:
         self.lines.pop(line, None)
+        self.leaving.pop(line, None)
         if self.switch.lives:
             self.switch.lives.note("", "caller's connection over", line.name)
         self.put_off.pop(line, None)
@@ -552,7 +595,11 @@
             few = KEPT * self.most if what == "idle" else 0.0
             while len(kept) > few and now - next(iter(kept.values())) > most:
                 line = next(iter(kept))
-                self._too_slow(line, what)
+                del kept[line]
+                if line.look():
+                    self._too_slow(line, what)
+                elif line in self.lines and not line.calls and line.closed_at is None and not line.newcomer:
+                    self.rests(line)
         for line, moved in list(self.begun.items()):
             if now - line.since > (BEGUN_BY if now - moved > PAUSE else WHOLE_BY):
                 self._too_slow(line, "silent")
