Send nothing on for a caller that left while its set-up lay unread; probe only where allowed

SipLine read one piece, and the module decided before the next (sip._invite). What lies behind a piece that waited over 100 ms is read first; a read's set-ups are decided once it is parsed whole (Switch.take, Switch.decide). A drain left set-ups waiting for its connection. Without tests a link is given up after one and a half beats, of up to 3.5 s. - A call that was never sent on and whose connection we close is refused, not failed.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -21,6 +21,9 @@
         self.switch.start()
         self.switch.news(i.ListKind.WHOLE, tuple(i.Entry(s, n, i.State.READY) for n, s in enumerate(servers)))
 
+    def drains(self, server):
+        """Nothing waits to be written here."""
+
     def __getattr__(self, name):
         if name not in ("set_up", "give_up", "release", "stands", "turned_away", "released"):
             raise AttributeError(name)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,6 +2,7 @@
 held, the program is stopped by SIGSTOP while things happen, or the set-ups come without pause."""
 import signal
 import socket
+import struct
 import time
 
 import pytest
@@ -152,3 +153,107 @@
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     before, _, _ = run.partition("exec ")
     assert before.startswith("trap '' HUP; "), run  # an ignored signal stays ignored across exec
+
+
+# callers that have left while their set-ups waited: nothing of theirs is sent on
+
+def cancel(stage, n):
+    stage.play(f"c0 send CANCEL {n}\nc0 expect 200 .*CANCEL")
+
+
+def close(stage, n):
+    stage.parties.pop("c0").sock.close()
+
+
+def reset(stage, n):
+    sock = stage.parties.pop("c0").sock
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def patience_over(stage, n):
+    """It waits no longer by its own word: it was told at the set-up."""
+    stage.play("c0 expect SIP/2.0 (5|4)\\d\\d .*INVITE")
+
+
+LEAVES = pytest.mark.parametrize("leave", [cancel, close, reset, patience_over])
+PATIENCE = 700
+
+
+def nothing_more(stage, engine, calls):
+    """Within 1.2 s no set-up of these calls came to the engine; another caller's does, so it is there."""
+    stage.play(f"{engine} wait 1200")
+    party = stage.party(engine)
+    came = [m for m in (party.got if party else []) if m.startswith("SET_UP")]
+    late = [m for m in came if m.split()[1] in map(call_id, calls)]
+    assert not late, f"{len(late)} of {len(calls)} were sent on"
+
+
+@LEAVES
+def test_left_while_held_because_no_engine_takes_it(leave):
+    with Stage(engines=1) as s:
+        s.play("b expect after 3\nb send 4 draining e0\nc0 wait 50")
+        for n in (1, 2, 3):
+            s.play(f"c0 send INVITE {n} X-Patience={PATIENCE}")
+        s.play("c1 send OPTIONS\nc1 expect 200\ne0 expect nothing 100")  # they are taken in, and held
+        for n in (1, 2, 3) if leave in (cancel, patience_over) else (0,):
+            leave(s, n)
+        s.play("b send 5 ready e0\nc1 send INVITE 4\ne0 expect SET_UP {4}")
+        nothing_more(s, "e0", [1, 2, 3])
+
+
+@LEAVES
+def test_left_during_the_quiet_time_after_an_attempt(leave):
+    with Stage(engines=2, settings={"family_info": INFO["family_info"] | {"clear_wait": 600.0}}) as s:
+        s.play(f"c0 send INVITE 1 X-Patience={PATIENCE}\ne0 expect SET_UP {{1}}\n"
+               "e0 send RELEASE 1 31=41\ne0 wait 50")
+        leave(s, 1)
+        nothing_more(s, "e1", [1])
+        nothing_more(s, "e0", [1])
+
+
+def fill(door):
+    """From now on no connection to this listener comes up before one is taken from its queue."""
+    door.listen(0)
+    kept = []
+    while True:
+        sock = socket.socket()
+        sock.settimeout(0.2)
+        try:
+            sock.connect(door.getsockname())
+        except TimeoutError:
+            return kept
+        kept.append(sock)
+
+
+@LEAVES
+def test_left_while_waiting_for_a_connection_that_comes_up_late(leave):
+    with Stage(engines=1, settings=SLOW) as s:
+        s.play("e0 wait 50")
+        door = s.doors.pop("e0")
+        filling = fill(door)
+        s.parties.pop("e0").sock.close()  # the program opens a new one, which does not come up
+        s.play(f"c0 wait 100\nc0 send INVITE 1 X-Patience={PATIENCE}\nc0 send OPTIONS\nc0 expect 200")
+        leave(s, 1)
+        for sock in filling:
+            door.accept()[0].close()
+            sock.close()
+        door.listen(64)
+        s.doors["e0"] = door  # now it may; the kernel tries again within a second or two
+        s.play("c8 send INVITE 2\ne0 expect SET_UP {2}")
+        nothing_more(s, "e0", [1])
+
+
+@pytest.mark.parametrize("leave", [cancel, close, reset])
+def test_left_while_the_set_up_lay_unread(leave):
+    with Stage(engines=1) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200\nc1 send OPTIONS\nc1 expect 200")
+        with Frozen(s):
+            s.play("c0 send INVITE 1")
+            if leave is cancel:
+                s.play("c0 send CANCEL 1")
+            else:
+                leave(s, 1)
+            time.sleep(0.3)  # it waited so long before it is read
+        s.play("c1 send INVITE 2\ne0 expect SET_UP {2}")
+        nothing_more(s, "e0", [1])
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -73,12 +73,15 @@
 class Engines(Protocol):
     """What the switch asks of its quote engines. Answers come back by the switch's own methods."""
 
-    def set_up(self, server: str, call: Call, left: float) -> None: ...
+    def set_up(self, server: str, call: Call) -> None: ...
 
     def give_up(self, server: str, call: str) -> None: ...
 
     def release(self, server: str, call: str, cause: int) -> None: ...
 
+    def drains(self, server: str) -> None:
+        """It takes nothing new: set-ups that are not written yet come back as unreachable."""
+
 
 class Watcher(Protocol):
     """Who is told of each call for the traffic record."""
@@ -145,6 +148,7 @@
     server: str | None = None  # where an attempt is out, or where the call stands
     sent: float = 0.0
     ready: float = 0.0  # no send before this (release rule)
+    decided: bool = False  # whether the module knows it
     stands: bool = False
     stood: float = 0.0  # since when
     first: str = ""  # where its first attempt went
@@ -210,6 +214,21 @@
 
     def set_up(self, order: Order, caller: Caller, waited: float = 0.0) -> Verdict | None:
         """Takes a call in, which waited so many ms. None: its one answer comes through the caller."""
+        verdict = self.take(order, caller, waited)
+        if verdict is None:
+            self.decide(order.call)
+        return verdict
+
+    def decide(self, call_id: str) -> None:
+        """A call that was taken in goes to the module, if its caller still waits."""
+        call = self.calls.get(call_id)
+        if call is not None and not call.decided:
+            call.decided, order = True, call.order
+            grace = max(0.0, call.deadline - MARGIN - self.wheel.now)
+            self._feed(i.SetUp(call_id, order.klass, order.dest, grace, order.redial, False, order.width))
+
+    def take(self, order: Order, caller: Caller, waited: float = 0.0) -> Verdict | None:
+        """Takes a call in, on which nothing is decided before `decide`."""
         self.count["set-ups"] += 1
         if order.call in self.calls:
             self.count["repeated"] += 1
@@ -234,7 +253,6 @@
         self.wheel.at(now + grace + GUARD, self._overdue, order.call)
         if self.watcher:
             self.watcher.came(self.calls[order.call])
-        self._feed(i.SetUp(order.call, order.klass, order.dest, grace, order.redial, False, order.width))
         return None
 
     def no_room(self, order: Order, verdict: Verdict = Verdict.TABLE_FULL) -> Verdict:
@@ -408,6 +426,8 @@
                 self.states[e.server], self.started[e.server] = e.state, e.started
                 self.cells[e.server] = e.cell
         self._feed(i.ListNews(kind, entries))
+        for server in [s for s, state in self.states.items() if state is not i.State.READY]:
+            self.engines.drains(server)
         for e in entries:
             if e.state is i.State.GONE:
                 self.died(e.server)
@@ -471,7 +491,7 @@
             self.lives.note(a.call, "attempt", f"{call.attempt} {a.server} {a.timeout:.0f}")
         if a.timeout > 0:
             self.wheel.at(now + a.timeout, self._timed_out, a.call, call.attempt)
-        self.engines.set_up(a.server, call, max(1.0, call.deadline - now))
+        self.engines.set_up(a.server, call)
 
     def _timed_out(self, call_id: str, attempt: int) -> None:
         call = self.calls.get(call_id)
@@ -585,7 +605,8 @@
         """The front can't keep the call, whose caller still waits: it is answered, and all of it is over."""
         call = self.calls.get(call_id)
         if call is not None and call.caller is by and not call.stands:
-            self._turn_away(call_id, Verdict.FAILED, 0.0)
+            never_sent = call.attempt < 0
+            self._turn_away(call_id, Verdict.REFUSED if never_sent else Verdict.FAILED, 0.0)
             self._feed(i.CallerGone(call_id))
 
     def _settled(self, call: Call, outcome: str) -> None:
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -60,6 +60,7 @@
     report_fields: tuple[str, ...] = ()  # of free, size, queue, latency_ms, qps and others
     may_cancel: bool = False
     may_tell: bool = False
+    may_probe: bool = False
     may_advise: bool = False  # refusals may say how long to stay away
     max_advice: float = 0.0  # ms
     max_attempts: int = 1  # for one call
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -27,6 +27,7 @@
 # SILENT_AFTER: the engine was silent on any link, and the calls that stand there are cut.
 TEST_SLACK = 75.0
 FIRST_BEAT, LEAST_BEAT, MOST_BEAT, SILENT_AFTER = 1_300.0, 300.0, 2_000.0, 6_500.0
+UNTESTED_BEAT = 3_500.0  # the longest beat, and the first, where engines may not be tested
 # Ms. A release has to reach its caller within 1 s: so far apart are connections that only listen, and so long
 # are they open; for so long that often, then rarely, then no more.
 EAR_EVERY, EAR_FOR, OFTEN_FOR, RARELY, ORPHANS_FOR = 450.0, 250.0, 12_000.0, 3_000.0, 120_000.0
@@ -133,6 +134,7 @@
 
     def resumeProducing(self) -> None:
         self.link.choked = False
+        self.link.flush()
 
     def stopProducing(self) -> None:
         pass
@@ -175,6 +177,9 @@
         self.switch.wheel.at(now + EAR_FOR, self._enough)
         self.switch.wheel.at(now + 3 * EAR_FOR, line.transport.abortConnection)
 
+    def flush(self) -> None:
+        """Nothing waits to be written here."""
+
     def _enough(self) -> None:
         """Our side closes; what is on its way still comes."""
         if self.line is not None:
@@ -207,10 +212,12 @@
         self.opening = self.choked = self.closing = self.waiting = False
         self.backlog = 0  # bytes written since the engine was last seen to read
         self.out: set[str] = set()  # set-ups written to the connection that is up
-        self.later: dict[str, bytes] = {}  # set-ups and releases for the next connection
+        # What waits to be written: calls to be set up, which can still be withdrawn, and releases.
+        self.later: dict[str, Call | bytes] = {}
         self.last = self.heard_at = self.switch.wheel.now  # when this link, or the engine, last gave a sign
         self.tested = self.not_before = self.told = 0.0
-        self.beat = FIRST_BEAT  # how far apart it tells its state; told: when it last did, on this link
+        # beat: how far apart it tells its state; told: when it last did, on this link
+        self.beat = FIRST_BEAT if engines.set.may_probe else UNTESTED_BEAT
         self.back_off = BACK_OFF
         self.orphans: set[str] = set()  # calls that stand and were set up on a connection that is over
         self.orphaned, self.listens = 0.0, False  # since when; whether a look at them is due
@@ -239,20 +246,27 @@
         self.last, self.told = self.switch.wheel.now, 0.0
         if self.switch.lives:
             self.switch.lives.note("", "link up", self.server)
-        later, self.later = self.later, {}
-        for call, data in later.items():
-            self._write(call, data)
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes what waited, as far as it is read. A set-up tells how long its caller waits from now."""
+        while self.line is not None and not self.choked and self.later:
+            call = next(iter(self.later))
+            what = self.later.pop(call)
+            self._write(call, what if isinstance(what, bytes) else self.engines.written(what))
+
+    def leave(self) -> None:
+        """The engine takes nothing new: set-ups that still wait here go elsewhere."""
+        for call in [call for call, what in self.later.items() if isinstance(what, Call)]:
+            del self.later[call]
+            self.switch.unreachable(self.server, call)
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
         self.opening = False
-        waiting, self.later = self.later, {}
-        for call, data in waiting.items():
-            if data[0] == SET_UP:
-                self.switch.unreachable(self.server, call)
+        self.leave()
         if reason.check(Refused):
             # Nobody listens there: the process is gone, and what stood there with it.
             self.switch.died(self.server)
-        self.later |= {call: data for call, data in waiting.items() if data[0] == RELEASE}
         self._again()
 
     def down(self, line: EngineLine) -> None:
@@ -313,14 +327,15 @@
         if self.engines.wanted(self.server):
             self.open()
 
-    def write(self, call: str, data: bytes) -> None:
-        if self.line is not None:
-            self._write(call, data)
-        elif len(self.later) < LATER:
-            self.later[call] = data
+    def write(self, call: str, what: Call | bytes) -> None:
+        if len(self.later) >= LATER:
+            if isinstance(what, Call):
+                self.switch.unreachable(self.server, call)
+            return
+        self.later[call] = what
+        self.flush()
+        if self.line is None:
             self.open()
-        elif data[0] == SET_UP:
-            self.switch.unreachable(self.server, call)
 
     def _write(self, call: str, data: bytes) -> None:
         if data[0] == SET_UP:
@@ -341,8 +356,7 @@
 
     def withdraw(self, call: str) -> bool:
         """Takes back a set-up that was never written."""
-        kept = self.later.get(call)
-        if kept is not None and kept[0] == SET_UP:
+        if isinstance(self.later.get(call), Call):
             del self.later[call]
             return True
         return False
@@ -358,7 +372,8 @@
             self.released(call, said)
         elif kind == STATE or kind == TESTED:
             if kind == STATE and self.told:
-                gap = min(max(self.last - self.told, LEAST_BEAT), MOST_BEAT)
+                most = MOST_BEAT if self.engines.set.may_probe else UNTESTED_BEAT
+                gap = min(max(self.last - self.told, LEAST_BEAT), most)
                 self.beat = max(gap, 0.9 * self.beat)
             self.told = self.last if kind == STATE else self.told
             cause = said.get(CAUSE, b"\1")
@@ -382,14 +397,15 @@
                 self.line.transport.abortConnection()
         elif self.line is not None and now - self.last >= 1.5 * self.beat + 2 * TEST_SLACK:
             # Guards against a link that stays open and brings nothing: it took engines out for many seconds.
-            self.line.spoil("silent though tested")
-        elif self.line is not None and self.tested <= self.last:
+            self.line.spoil("silent though tested" if self.engines.set.may_probe else "silent")
+        elif self.line is not None and self.tested <= self.last and self.engines.set.may_probe:
             self.tested = now
             self.switch.count["tests sent"] += 1
             self._write("", message(TEST, "00" * 8, (CAUSE, b"\0")))
 
     def close(self) -> None:
         self.closing = True
+        self.leave()
         if self.line is not None:
             self.line.transport.loseConnection()
 
@@ -419,19 +435,29 @@
         """An engine of the list; called before the switch has the news."""
         link = self.links.get(server)
         if link is None or link.address != address:
-            if link is not None:
-                link.close()
-            link = self.links[server] = Link(self, server, address)
+            old, link = link, Link(self, server, address)
+            self.links[server] = link
+            if old is not None:  # what it was told to release goes to where it is now
+                old.close()
+                link.later, old.later = old.later | link.later, {}
         link.open()
 
-    def set_up(self, server: str, call: Call, left: float) -> None:
-        link, order = self.links.get(server), call.order
+    def set_up(self, server: str, call: Call) -> None:
+        link = self.links.get(server)
         if link is None:
-            self.switch.unreachable(server, order.call)
-            return
-        link.write(order.call, message(
-            SET_UP, order.call, (CLASS, order.klass.encode()), (LEFT, b"%d" % left),
-            (NUMBER, order.number.encode()), (DESCRIPTION, order.description)))
+            self.switch.unreachable(server, call.order.call)
+        else:
+            link.write(call.order.call, call)
+
+    def written(self, call: Call) -> bytes:
+        order, left = call.order, max(1.0, call.deadline - self.switch.wheel.now)
+        return message(SET_UP, order.call, (CLASS, order.klass.encode()), (LEFT, b"%d" % left),
+                       (NUMBER, order.number.encode()), (DESCRIPTION, order.description))
+
+    def drains(self, server: str) -> None:
+        """The list says so: set-ups that are not written yet go elsewhere."""
+        if server in self.links:
+            self.links[server].leave()
 
     def give_up(self, server: str, call: str) -> None:
         link = self.links.get(server)
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -29,7 +29,8 @@
 WHOLE_BY = 5_000.0  # ms that one message may take
 CLOSED_BY = 1_000.0  # ms that a close may take
 OWED = 100.0  # ms between two looks at the releases that were not heard
-LOOKS = 8  # connections that are looked at for one that can go
+LOOKS = 8  # connections that are looked at for one that can go; pieces that are read behind a stale one
+STALE = 100.0  # ms unread after which a caller may have left: nothing is sent before all it said is read
 CHOKED_FOR = 5_000.0  # ms that a caller may leave its answers unread
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes nan, 1_0, 1e99 and far digits too
@@ -89,6 +90,7 @@
         # came: what is being read, at the earliest; read_at: when this was last read, or could be again
         self.since = self.came = self.read_at = front.switch.wheel.now
         self.reads = 0  # pieces that came
+        self.taken: list[str] = []  # set-ups of the piece that is being read: nothing was decided on them yet
         self.full = False  # more may have waited behind the last read
         self.newcomer = True  # nothing was answered here, or is owed an answer
         self.stood = False  # whether a call stood here
@@ -120,6 +122,13 @@
         if self.newcomer:
             self.front.moved(self)
         super().dataReceived(data)
+        if self.taken and wheel.now - self.came > STALE:
+            for _ in range(LOOKS):  # long unread: what its caller said since may lie behind
+                if self.look():
+                    break
+        taken, self.taken = self.taken, []
+        for call in taken:
+            self.front.switch.decide(call)
 
     def go_on(self) -> None:
         """Reads on what was put off."""
@@ -476,9 +485,11 @@
         self.asked_by[order.call] = (line, headers, vias, order.number)
         line.calls.add(order.call)
         self.rests(line)
-        verdict = self.switch.set_up(order, self, self.switch.wheel.now - line.came)
+        verdict = self.switch.take(order, self, self.switch.wheel.now - line.came)
         if verdict is not None:
             self.turned_away(order.call, verdict, 0.0)
+        else:
+            line.taken.append(order.call)
         if order.klass not in self.switch.classes:
             line.strike(0.25)
 
--- a/willowhitch/settings.py
+++ b/willowhitch/settings.py
@@ -37,6 +37,7 @@
         report_fields=tuple(FIELDS.get(f, f) for f in stats.get("fields") or ()),
         may_cancel=bool(limits.get("may_cancel")),
         may_tell=bool(limits.get("peers")),
+        may_probe=bool(limits.get("probes")),
         may_advise=bool(limits.get("retry_after")),
         max_advice=limits.get("max_retry_after", 0.0),
         max_attempts=limits.get("send_cap", 1),
@@ -85,6 +86,7 @@
 PARTS = {
     "": {"fleet_size": (*COUNT, False), "registry_mode": (*TEXT, False), "tick": (*POSITIVE, False)},
     "limits": {"may_cancel": (*FLAG, False), "peers": (*FLAG, False), "retry_after": (*FLAG, False),
+               "probes": (*FLAG, False),
                "max_retry_after": (*DURATION, False), "send_cap": (*COUNT, False),
                "connect_timeout": (*POSITIVE, False)},
     "rules": {"cold": (*DURATION, False), "cold_from": (lambda v: _number(v) and 0 < v <= 1,
--- a/willowhitch/standin/fleet.py
+++ b/willowhitch/standin/fleet.py
@@ -76,8 +76,8 @@
                             "holding": [c.hold * 1000 for c in self.classes]},
             "lanes": [{"name": c.name, "aim": c.aim * 1000, "credit": c.worth, "late_value": c.late_share,
                        "hard_limit": c.given_up * 1000} for c in self.classes],
-            "limits": {"may_cancel": False, "send_cap": self.max_attempts, "retry_after": True,
-                       "max_retry_after": 2000.0},
+            "limits": {"may_cancel": False, "probes": True, "send_cap": self.max_attempts,
+                       "retry_after": True, "max_retry_after": 2000.0},
             "rules": {"cold": 1000.0, "cold_from": 0.3, "overload_factor": 3.0, "overload_for": 1000.0},
             "stats": {"fields": ["x0", "x1", "qps"], "how": "answers"}, "tick": 5.0,
         }
