Send releases again that a reset took, decide nothing on a set-up read in part, honour retry_after

Seen by review of the paths that end things, each shown by a test on a real process that fails on the tree before: - A caller's BYE whose RELEASE lay unread as the engine's connection was reset: nobody told the engine, and the call stood on (Link.down forgot what it had written). A release of a call that stood is kept for 1 s or until it is acknowledged, and written to the next connection; one that gives up an open set-up ends with its connection and is not. - A set-up that waited over 100 ms with its CANCEL behind it, read when callers had had their part of the turn: it was decided before the rest of the piece was parsed (SipLine.dataReceived). It waits until that is read. Looks behind no longer nest. - From the 4,096th call that ended since the start, releases of calls of the process before were taken for late copies (Switch._ended): at 200 calls a second after 20 s.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,6 +3,7 @@
 from helpers import settings
 
 from willowhitch import interface as i
+from willowhitch.core import switch
 from willowhitch.core.switch import MARGIN, MOST_CALLS, Order, Switch, Verdict
 from willowhitch.core.wheel import Wheel
 
@@ -224,6 +225,20 @@
     assert not b.switch.over
 
 
+def test_many_calls_ended_since_the_start_keep_no_release_from_callers_of_the_process_before(monkeypatch):
+    # they did: from the 4,096th call that ended on, a busy softswitch took them all for late copies
+    monkeypatch.setattr(switch, "MOST_OVER", 3)
+    b, heard = Bench(), []
+    b.switch.on_heir_release, b.survives = lambda *said: heard.append(said), True
+    for n in range(1, 6):
+        b.call(n)
+        b.switch.answered(A, f"{n:016x}", b"d")
+        b.switch.cleared(A, f"{n:016x}", 16)
+    b.switch.cleared(A, f"{5:016x}", 16)  # a late copy of a call that ended lately
+    b.switch.cleared(B, f"{9:016x}", 41)
+    assert heard == [(f"{9:016x}", 41)] and len(b.switch.over) == 3
+
+
 def test_a_planned_stop_leaves_calls_standing_that_the_next_process_carries_on():
     b = Bench()
     b.survives = True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -81,6 +81,39 @@
         assert s.program.wait(2) == 0
 
 
+def test_answers_that_a_caller_has_not_read_yet_are_not_cut_off_by_the_end_of_a_stop():
+    with Stage(engines=1) as s:
+        body, stood = "x" * 15_000, []
+
+        def answer(name, said):
+            if said.startswith("SET_UP"):
+                stood.append(said.split()[1])
+                s.parties["e0"].send(f"ANSWER {stood[-1]} 33={body}")
+
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 50")
+        s.hook = answer
+        c = s.parties.pop("c0").sock  # from now on it reads nothing
+        c.setblocking(False)
+        for n in range(1, 1_000):
+            try:
+                c.sendall(invite(n, patience=3000))
+            except BlockingIOError:
+                break  # nor is it read from by now
+            s.pump(0.002)
+            s.pump(0.0)
+        for _ in range(20):
+            s.pump(0.01)
+        for call in stood:  # nothing stands any more, and the stop need not wait for it
+            s.parties["e0"].send(f"RELEASE {call} 31=16")
+        s.program.send_signal(signal.SIGTERM)
+        s.play("e0 wait 1500")  # then it reads: longer than the stop itself takes
+        came = read_to_end(c, 5.0)
+        cut = [call for call in stood if f"Call-ID: {call}".encode() not in came]
+        whole = came.count(body.encode())
+        assert len(stood) > 100 and not cut and whole == len(stood), (len(stood), len(cut), whole)
+        assert s.program.wait(5) == 0
+
+
 # callers' connections
 
 def crowd(stage, n):
@@ -259,6 +292,63 @@
         nothing_more(s, "e0", [1])
 
 
+def test_left_while_the_rest_of_what_was_read_is_put_off_to_a_later_turn():
+    with Stage(engines=1) as s:
+        noise = b"NOTIFY sip:a@net SIP/2.0\r\nContent-Length: 0\r\n\r\n" * 300
+        crowd(s, 40)
+        s.play("c50 send OPTIONS\nc50 expect 200\nc51 send OPTIONS\nc51 expect 200")
+        with Frozen(s):
+            for k in range(40):  # more than one turn of the loop gives to callers
+                s.parties[f"c{k}"].sock.sendall(noise)
+            s.play("c50 send INVITE 1\nc50 send CANCEL 1")
+            time.sleep(0.3)  # it waited so long before it is read
+        s.play("c50 expect 200 .*CANCEL\nc51 send INVITE 2\ne0 expect SET_UP {2}")
+        nothing_more(s, "e0", [1])
+
+
+# engines' connections
+
+def written_to(sock, pattern):
+    """Waits until this lies unread in the socket."""
+    until = time.monotonic() + 5.0
+    while pattern not in sock.recv(65536, socket.MSG_PEEK):
+        assert time.monotonic() < until
+        time.sleep(0.002)
+
+
+@pytest.mark.parametrize("heard", [False, True])
+def test_a_release_that_a_reset_took_with_it_is_written_again(heard):
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE")
+        e = s.parties.pop("e0")  # it reads nothing of what follows
+        s.play("c0 send BYE 1\nc0 expect 200 OK.*BYE")
+        written_to(e.sock, bytes((12,)) + bytes.fromhex(call_id(1)))
+        if heard:
+            e.send("HEARD 1")
+            s.play("c0 send INVITE 2")
+            written_to(e.sock, bytes((1,)) + bytes.fromhex(call_id(2)))
+            e.send("ANSWER 2 33=d")
+            s.play("c0 expect 200 OK.*INVITE")  # it comes behind
+        e.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        e.sock.close()
+        if heard:
+            s.play("e0 expect nothing 300")
+        else:
+            s.play("e0 expect RELEASE {1} 31=16")
+
+
+def test_an_idle_link_that_its_engine_closes_as_a_set_up_crosses_costs_one_attempt_and_its_quiet_time():
+    with Stage(engines=2) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 50")
+        e = s.parties.pop("e0")
+        s.play("c0 send INVITE 1")
+        written_to(e.sock, bytes((1,)) + bytes.fromhex(call_id(1)))
+        e.sock.close()  # unread: a reset, as where both closed at once
+        began = time.monotonic()
+        s.play("e1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE")
+        assert time.monotonic() - began >= INFO["family_info"]["clear_wait"] / 1000
+
+
 # the notice board
 
 @pytest.mark.parametrize("frame", [
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -261,7 +261,7 @@
         "settings.limits.send_cap: 0": {"limits": limits | {"send_cap": 0}},
         "settings.limits.send_cap: '3'": {"limits": limits | {"send_cap": "3"}},
         "settings.limits.send_cap: 1.5": {"limits": limits | {"send_cap": 1.5}},
-        "settings.limits.send_cap is missing": {"limits": {"may_cancel": True}},
+        "settings.limits.send_cap is missing": {"limits": {k: limits[k] for k in limits if k != "send_cap"}},
         "settings.rules.cold_from: 2": {"rules": INFO["rules"] | {"cold_from": 2}},
     }
     for part in (list(bad.items())[:6], list(bad.items())[6:]):  # of one kind, ten lines in ten seconds
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -59,8 +59,9 @@
 # Ms. SIGKILL may come 0.7 s after SIGTERM and the longest deadline, which counts as 3 s where longer or not
 # told, and as 5 s where the next process has taken over.
 MOST_DEADLINE, MOST_REPLACED, ANSWERED_BY = 3_000.0, 5_000.0, 300.0
-# Ms from the end of a stop: for what is written last to engines; for callers to read it and to go.
-ALOUD, GONE_BY = 50.0, 150.0
+# Ms from the end of a stop: for what is written last to engines; for callers to read it and to go. Answers
+# that a caller has not read yet are kept until UNSENT_BY after the last end that a stop may have.
+ALOUD, GONE_BY, UNSENT_BY = 50.0, 150.0, 300.0
 
 
 def monotonic_ms() -> float:
@@ -330,7 +331,9 @@
 
     def _leave(self, at_last: float) -> None:
         """What was written last still goes out, and what lies unread is read and answered."""
-        if self.wheel.now < at_last and (self.sip.lines or self.wheel.now < at_last - GONE_BY + ALOUD):
+        now, unsent_by = self.wheel.now, self.switch.lifecycle.ends_at + UNSENT_BY
+        if (now < at_last and (self.sip.lines or now < at_last - GONE_BY + ALOUD)
+                or now < unsent_by and any(line.unsent for line in self.sip.lines)):
             self.wheel.at(self.wheel.now + 2 * self.settings.tick, self._leave, at_last)
         else:
             reactor.stop()
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -565,14 +565,17 @@
     def _heir(self, call_id: str) -> bool:
         """Whether it can be a call of the process before us."""
         return (self.on_heir_release is not None and self.wheel.now < self.heir_until
-                and len(self.over) < MOST_OVER and call_id not in self.over)
+                and call_id not in self.over)
 
     def _ended(self, call_id: str) -> None:
-        if self.wheel.now >= self.heir_until or len(self.over) >= MOST_OVER:
-            self.heir_until = 0.0  # from now on an unknown id is a late copy
-            self.over.clear()
-        else:
-            self.over[call_id] = None
+        if self.wheel.now >= self.heir_until:
+            self.over.clear()  # from now on an unknown id is a late copy
+            return
+        # The oldest goes: a late copy of its release would be passed on, which is harmless. To stop here
+        # would leave callers of the process before without theirs.
+        if len(self.over) >= MOST_OVER:
+            del self.over[next(iter(self.over))]
+        self.over[call_id] = None
 
     def _call_off(self, call: Call, outcome: i.Outcome) -> None:
         """The call has its answer, or needs none: an attempt still out is given up."""
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -21,6 +21,7 @@
 BACKLOG = 1 << 20  # bytes that may wait to be written to an engine that does not read
 SWEEP = 100.0  # ms between two looks at the links
 CUT_SHORT = 300.0  # ms that the next piece of a message may take
+UNHEARD_FOR = 1_000.0  # ms after which a release that was written is taken to have arrived
 STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
 # Ms of silence of a link with something at stake. Engines tell their state at a beat of their own, which is
 # seen, up to MOST_BEAT; a link that misses it is tested, and given up for a new one after one and a half.
@@ -214,6 +215,9 @@
         self.out: set[str] = set()  # set-ups written to the connection that is up
         # What waits to be written: calls to be set up, which can still be withdrawn, and releases.
         self.later: dict[str, Call | bytes] = {}
+        # Releases of calls that stood, written lately and not acknowledged: when and what, the oldest first.
+        # A connection that is reset takes them with it, and nothing else would tell the engine.
+        self.unheard: dict[str, tuple[float, bytes]] = {}
         self.last = self.heard_at = self.switch.wheel.now  # when this link, or the engine, last gave a sign
         self.tested = self.not_before = self.told = 0.0
         # beat: how far apart it tells its state; told: when it last did, on this link
@@ -266,6 +270,7 @@
         self.leave()
         if reason.check(Refused):
             # Nobody listens there: the process is gone, and what stood there with it.
+            self.later.clear()
             self.switch.died(self.server)
         self._again()
 
@@ -280,9 +285,14 @@
             self.switch.broken(self.server, call)
         if line.spoilt:  # given up by us: the engine may not know. One that closes or dies does
             self._orphan()
+        self._lapse(self.switch.wheel.now)
+        for call, (_, data) in self.unheard.items():
+            self.switch.count["releases to engines sent again"] += 1
+            self.later.setdefault(call, data)
+        self.unheard.clear()
         if self.switch.wheel.now - line.since < STEADY_AFTER:
             self._again()  # guards against a loop with an engine that hangs up on each new connection
-        elif self.engines.wanted(self.server):
+        elif self.later or self.engines.wanted(self.server):
             self.back_off = BACK_OFF
             self.open()  # at once: releases that we missed come on the next connection
 
@@ -324,9 +334,14 @@
     def _again(self) -> None:
         self.not_before = self.switch.wheel.now + self.back_off
         self.back_off = min(2 * self.back_off, MOST_BACK_OFF)
-        if self.engines.wanted(self.server):
+        if self.later or self.engines.wanted(self.server):
             self.open()
 
+    def _lapse(self, now: float) -> None:
+        """Releases that were written so long ago have arrived."""
+        while self.unheard and now - self.unheard[first := next(iter(self.unheard))][0] > UNHEARD_FOR:
+            del self.unheard[first]
+
     def write(self, call: str, what: Call | bytes) -> None:
         if len(self.later) >= LATER:
             if isinstance(what, Call):
@@ -344,7 +359,10 @@
                 self.switch.lives.note(call, "set-up written", self.server)
             self.switch.relayed(call)
         elif data[0] == RELEASE:
-            self.out.discard(call)
+            if call in self.out:
+                self.out.discard(call)  # the end of this connection gives it up as well
+            else:
+                self.unheard[call] = (self.switch.wheel.now, data)
             if self.switch.lives:
                 self.switch.lives.note(call, "release written", self.server)
         self.backlog = self.backlog + len(data) if self.choked else 0
@@ -378,14 +396,17 @@
             self.told = self.last if kind == STATE else self.told
             cause = said.get(CAUSE, b"\1")
             self.switch.sampled(self.server, kind == STATE or cause[:1] == b"\1", report)
+        elif kind == HEARD:
+            self.unheard.pop(call, None)
         else:
-            self.switch.count["engine messages that mean nothing"] += kind not in (PROGRESS, HEARD)
+            self.switch.count["engine messages that mean nothing"] += kind != PROGRESS
 
     def sweep(self, now: float) -> None:
         """A silent engine is tested, and given up in time for its calls to be released."""
         if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
             self.line.cut_short()
             return self.line.spoil("message cut short")
+        self._lapse(now)
         if now - self.last < self.beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
             return
         silent = now - self.heard_at
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -90,7 +90,8 @@
         # came: what is being read, at the earliest; read_at: when this was last read, or could be again
         self.since = self.came = self.read_at = front.switch.wheel.now
         self.reads = 0  # pieces that came
-        self.taken: list[str] = []  # set-ups of the piece that is being read: nothing was decided on them yet
+        self.taken: list[str] = []  # set-ups that were read: nothing was decided on them yet
+        self.looking = False  # what lies behind them is being read
         self.full = False  # more may have waited behind the last read
         self.newcomer = True  # nothing was answered here, or is owed an answer
         self.stood = False  # whether a call stood here
@@ -122,19 +123,36 @@
         if self.newcomer:
             self.front.moved(self)
         super().dataReceived(data)
+        if self.looking:
+            return  # within a look below, which decides
         if self.taken and wheel.now - self.came > STALE:
-            for _ in range(LOOKS):  # long unread: what its caller said since may lie behind
-                if self.look():
+            self.looking = True  # long unread: what its caller said since may lie behind
+            for _ in range(LOOKS):
+                if self in self.front.put_off or self.look():
                     break
+            self.looking = False
+            if self in self.front.put_off:
+                return  # decided once that was read
+        self._decide()
+
+    def _decide(self) -> None:
         taken, self.taken = self.taken, []
         for call in taken:
             self.front.switch.decide(call)
 
+    @property
+    def unsent(self) -> bool:
+        """Whether some of what was written here has not left the process."""
+        way = self.transport
+        return len(way.dataBuffer) > way.offset or way._tempDataLen > 0
+
     def go_on(self) -> None:
         """Reads on what was put off."""
         self.read_at = self.front.switch.wheel.now
         if self.choked_at is None and self.closed_at is None and self in self.front.lines:
             super().resumeProducing()
+        else:
+            self._decide()
 
     def look(self) -> bool:
         """Reads what lies unread here; False: something did, or does, or this connection is over."""
--- a/willowhitch/settings.py
+++ b/willowhitch/settings.py
@@ -39,7 +39,7 @@
         may_tell=bool(limits.get("peers")),
         may_probe=bool(limits.get("probes")),
         may_advise=bool(limits.get("retry_after")),
-        max_advice=limits.get("max_retry_after", 0.0),
+        max_advice=limits.get("max_retry_after", 0.0) if limits.get("retry_after") else 0.0,
         max_attempts=limits.get("send_cap", 1),
         list_pushed=info.get("registry_mode", "automatic") == "automatic",
         release=fam.get("clear_wait", 0.0),
@@ -142,7 +142,7 @@
         if lane["name"] in (other["name"] for other in lanes[:n]):
             raise BadSettings(f"settings.lanes[{n}].name: {lane['name']!r:.40} is there twice")
     for name, keys in PARTS.items():
-        part = (info.get(name) or {}) if name else info
+        part = info if not name else {} if info.get(name) is None else info[name]
         _look(part, keys, f"settings.{name}" if name else "settings")
     return settings_of(info)
 
