--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from stage import INFO, ROOT, Sip, Stage, call_id
+from stage import INFO, ROOT, Sip, Stage, call_id, written
 
 SHORT = {"lanes": [{"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}]}
 SLOW = {"limits": INFO["limits"] | {"connect_timeout": 8000.0}}
@@ -114,6 +114,79 @@
         assert s.program.wait(5) == 0
 
 
+def test_a_second_sigterm_and_a_reload_that_moves_the_board_change_nothing_of_a_stop():
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\np send SIGTERM\np config b2\nb2 expect after 3\n"
+               "p send SIGTERM\nc1 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 1 33=d\n"
+               "c0 expect 200 OK.*INVITE\ne0 send RELEASE 2 31=34\nc1 expect SIP/2.0 503")
+        s.play("e0 send RELEASE 1 31=16\nc0 expect BYE.*{1}\np expect 0")
+        assert s.said().count("asked to stop") == 1
+
+
+def test_half_a_set_up_and_those_that_lie_unread_at_sigterm_are_served():
+    with Stage(engines=1) as s:
+        s.play("c1 send OPTIONS\nc1 expect 200\nc2 send OPTIONS\nc2 expect 200\ne0 wait 20")
+        stood, whole = set(), invite(1, patience=3000)
+
+        def answer(name, said):
+            if said.startswith("SET_UP"):
+                s.parties["e0"].send(f"ANSWER {said.split()[1]} 33=d")
+            elif said.startswith("SIP/2.0 200"):
+                stood.add(name)
+                s.parties["e0"].send(f"RELEASE {name[1]} 31=16")
+
+        s.hook = answer
+        s.parties["c1"].sock.sendall(whole[:60])
+        with Frozen(s):
+            s.program.send_signal(signal.SIGTERM)
+            s.parties["c2"].sock.sendall(invite(2, patience=3000))
+            s.party("c3").sock.sendall(invite(3, patience=3000))  # not even its connection is accepted
+        while "asked to stop" not in s.said():
+            s.pump(0.01)
+        s.parties["c1"].sock.sendall(whole[60:])
+        until = time.monotonic() + 3.0
+        while len(stood) < 3 and time.monotonic() < until:
+            s.pump(0.05)
+        assert stood == {"c1", "c2", "c3"}, s.said()
+        assert s.program.wait(3) == 0
+
+
+def test_a_call_that_waits_out_its_quiet_time_at_sigterm_still_gets_its_attempt():
+    with Stage(engines=2) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send RELEASE 1 31=41\np send SIGTERM\n"
+               "e1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
+               "e1 send RELEASE 1 31=16\nc0 expect BYE\np expect 0")
+
+
+# the start
+
+def unheard(kind):
+    """An address at which a notice board is down, or accepts and says nothing, or does not even accept."""
+    door = socket.socket()
+    door.bind(("127.0.0.1", 0))
+    if kind != "down":
+        door.listen(8)
+    return door, (fill(door) if kind == "never up" else [])
+
+
+@pytest.mark.parametrize("kind", ["down", "silent", "never up"])
+def test_a_start_without_discovery_serves_by_the_list_it_was_given(kind):
+    door, filling = unheard(kind)
+    with Stage(engines=1, config={"board": written(door.getsockname())}) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE")
+    for sock in (door, *filling):
+        sock.close()
+
+
+def test_without_any_list_it_is_not_ready_until_the_board_has_told_one():
+    s = Stage(engines=1, config={"known": {"rev": 0, "notices": []}})
+    try:
+        s.play("c0 send OPTIONS\nc0 expect 503\nb expect after 0\nb send 1 ready e0\ne0 wait 50\n"
+               "c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send OPTIONS\nc0 expect 200")
+    finally:
+        s.__exit__()
+
+
 # callers' connections
 
 def crowd(stage, n):
@@ -306,6 +379,24 @@
         nothing_more(s, "e0", [1])
 
 
+def test_a_caller_that_resets_as_its_answer_is_written_harms_no_other_and_its_release_finds_a_way():
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc1 send INVITE 2\ne0 expect SET_UP {2}")
+        with Frozen(s):
+            s.play("e0 send ANSWER 1 33=d\ne0 send ANSWER 2 33=e")
+            reset(s, 1)
+        s.play("c1 expect 200 OK.*{2}.*e$\ne0 send RELEASE 1 31=16\ne0 send RELEASE 2 31=16\nc1 expect BYE")
+        assert "fault" not in s.said()
+
+
+def test_a_caller_that_closes_its_side_has_left():
+    # by the wire a close and a half close look alike until something is written: nothing more is sent for it
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        s.parties["c0"].sock.shutdown(socket.SHUT_WR)
+        s.play("e0 expect RELEASE {1} 31=16\nc0 expect end\nc1 send INVITE 2\ne0 expect SET_UP {2}")
+
+
 # engines' connections
 
 def written_to(sock, pattern):
@@ -337,6 +428,25 @@
             s.play("e0 expect RELEASE {1} 31=16")
 
 
+def test_releases_beyond_what_is_kept_for_an_engine_that_does_not_come_up_are_counted():
+    with Stage(engines=1, settings=SLOW) as s:
+        s.play("e0 wait 50")
+        door = s.doors.pop("e0")
+        filling = fill(door)
+        s.parties.pop("e0").sock.close()  # the program opens a new one, which does not come up
+        s.play("c0 wait 100")
+        for n in range(5_000):  # of calls that the process before may have had
+            s.party("c0").send(f"BYE {n}")
+            s.pump(0.0)
+        s.play("c0 send OPTIONS")
+        while "OPTIONS" not in (s.next("c0") or "OPTIONS"):
+            pass
+        s.play("p send SIGUSR1\nc0 wait 100")
+        assert '"releases to engines dropped":904' in s.said(), s.said()[-500:]
+        for sock in (door, *filling):
+            sock.close()
+
+
 def test_an_idle_link_that_its_engine_closes_as_a_set_up_crosses_costs_one_attempt_and_its_quiet_time():
     with Stage(engines=2) as s:
         s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 50")
@@ -349,6 +459,80 @@
         assert time.monotonic() - began >= INFO["family_info"]["clear_wait"] / 1000
 
 
+@pytest.mark.parametrize("after", ["closes", "resets", "is silent", "spoils it"])
+def test_an_answer_that_is_cut_short_is_none_and_its_call_goes_elsewhere(after):
+    with Stage(engines=2) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
+        e = s.parties["e0"] if after == "is silent" else s.parties.pop("e0")
+        e.sock.sendall(bytes.fromhex("0030" + "09" + call_id(1) + "21"))
+        if after == "spoils it":
+            e.sock.sendall(b"\xff" * 0x30)
+        elif after == "resets":
+            e.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if after in ("closes", "resets"):
+            e.sock.close()
+        def answer(name, said):
+            if said.startswith("SET_UP"):  # the other one, or the same on its new connection
+                s.parties[name].send("ANSWER 1 33=whole")
+            elif said.startswith("SIP"):
+                heard.append(said)
+
+        heard, s.hook = [], answer
+        s.play("c0 wait 1000")
+        assert len(heard) == 1 and heard[0].startswith("SIP/2.0 200 OK") and heard[0].endswith("whole"), heard
+
+
+def test_an_answer_after_its_call_was_given_up_reaches_nobody_and_frees_its_lines():
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send CANCEL 1\nc0 expect 200 .*CANCEL\n"
+               "e0 expect RELEASE {1} 31=16\ne0 send ANSWER 1 33=d\nc0 expect nothing 100\n"
+               "c0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\nc0 expect 200 OK.*{2}.*e$")
+
+
+def test_callers_that_give_up_at_once_and_come_again_are_not_sent_on():
+    with Stage(engines=1) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 20")
+        cancel = "CANCEL sip:77@net SIP/2.0\r\nCall-ID: {}\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n"
+        gone = b"".join(invite(n) + cancel.format(call_id(n)).encode() for n in range(10, 50))
+        s.parties["c0"].sock.sendall(gone + invite(50, patience=3000))
+        s.play("e0 expect SET_UP {50}\ne0 send ANSWER 50 33=d")
+        answers = [s.next("c0") for _ in range(41)]
+        assert sum("CANCEL" in a and "200 OK" in a for a in answers) == 40 and call_id(50) in answers[-1]
+
+
+def board_record(stage, ident, door, state, cell):
+    """One line of the board's list, for an engine of any id at any of the stage's addresses."""
+    port = stage.doors[door].getsockname()[1]
+    return struct.pack(">I4sHBBBHIQ", ident, bytes((127, 0, 0, 1)), port, state, 0, 0, cell, 1000, 0).hex()
+
+
+def changes(stage, number, *records):
+    body = struct.pack(">QB", number, 2).hex() + "".join(records)
+    return f"b send raw - {len(body) // 2:08x}{body}"
+
+
+def test_a_new_engine_at_the_address_of_one_that_has_gone_serves_under_its_own_id():
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
+               "b expect after 3\n"
+               + changes(s, 4, board_record(s, 0, "e0", 2, 0), board_record(s, 7, "e0", 0, 0)))
+        s.play("c0 expect BYE.*{1}.*cause=41")  # the call went with the old one
+        s.play("e0 wait 100\nc0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\n"
+               "c0 expect 200 OK.*{2}")
+
+
+def test_engines_drained_and_replaced_while_a_call_rests_get_nothing_of_it():
+    quiet = {"family_info": INFO["family_info"] | {"clear_wait": 600.0}}
+    with Stage(engines=3, settings=quiet) as s:  # e2 is in no cell that the class may go to
+        s.play("b expect after 3\nb send 4 gone e2\ne2 expect end\nc0 send INVITE 1\ne0 expect SET_UP {1}\n"
+               "e0 send RELEASE 1 31=41\n"
+               + changes(s, 5, board_record(s, 0, "e0", 1, 0), board_record(s, 1, "e1", 2, 1),
+                         board_record(s, 8, "e2", 0, 1)))
+        s.play("e2 expect SET_UP {1}\ne2 send ANSWER 1 33=d\nc0 expect 200 OK")
+        for name in ("e0", "e1"):
+            assert not any(m.startswith("SET_UP") for m in s.party(name).got)
+
+
 # the notice board
 
 @pytest.mark.parametrize("frame", [
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -346,6 +346,8 @@
         if len(self.later) >= LATER:
             if isinstance(what, Call):
                 self.switch.unreachable(self.server, call)
+            else:  # its call stands on there until the engine ends it
+                self.switch.count["releases to engines dropped"] += 1
             return
         self.later[call] = what
         self.flush()
