--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -207,7 +207,7 @@
 def test_calls_of_the_process_before_are_released_both_ways_once_and_for_a_while_only():
     # guards against calls left standing for ever because the process that set them up was stopped or killed
     b, heard = Bench(), []
-    b.switch.on_heir_release, b.survives = lambda *said: heard.append(said), True
+    b.switch.on_predecessor_release, b.survives = lambda *said: heard.append(said), True
     b.call(1)
     b.switch.answered(A, ONE, b"d")
     for _ in range(2):
@@ -229,7 +229,7 @@
     # they did: from the 4,096th call that ended on, a busy softswitch took them all for late copies
     monkeypatch.setattr(switch, "MOST_OVER", 3)
     b, heard = Bench(), []
-    b.switch.on_heir_release, b.survives = lambda *said: heard.append(said), True
+    b.switch.on_predecessor_release, b.survives = lambda *said: heard.append(said), True
     for n in range(1, 6):
         b.call(n)
         b.switch.answered(A, f"{n:016x}", b"d")
--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -27,7 +27,8 @@
 MOST_CALLS = 20_000  # calls known at once; one more is turned away
 MOST_HELD = 8 << 20  # bytes of the descriptions of open set-ups
 
-HEIR_FOR = 60_000.0  # ms after the start in which calls of the process before may still come to their end
+# Ms after the start in which calls of the process before may still come to their end.
+PREDECESSOR_FOR = 60_000.0
 MOST_OVER = 4_096  # ids of calls that ended in that time
 
 LONGEST = 16_200  # bytes of a set-up's texts: with their heads they fit a message of 16 KiB
@@ -169,9 +170,10 @@
         self.started: dict[str, float] = {}
         self.count: Counter[str] = Counter()
         self.lifecycle, self.figures = Lifecycle(), Figures(self.classes)
-        self.on_heir_release = None  # called with (call, cause): an engine ended a call that we never knew
-        self.heir_until = wheel.now + HEIR_FOR
-        self.over: dict[str, None] = {}  # ids of our own calls that ended since the start: kept for HEIR_FOR
+        # Called with (call, cause): an engine ended a call that we never knew.
+        self.on_predecessor_release = None
+        self.predecessor_until = wheel.now + PREDECESSOR_FOR
+        self.over: dict[str, None] = {}  # our own calls that ended since the start: kept for PREDECESSOR_FOR
         self.cells: dict[str, int] = {}
         self.lives: Lives | None = None  # where the lives of calls are kept
         self.watcher: Watcher | None = None  # told of each call, where a traffic record is kept
@@ -289,7 +291,7 @@
         if call is None and by.survives and self.other and call_id not in self.over:
             self.other.release(call_id, cause)
             return True
-        if call is None and by.survives and self._heir(call_id):
+        if call is None and by.survives and self._of_predecessor(call_id):
             self.count["heir releases"] += 1
             self._ended(call_id)
             for server, state in self.states.items():  # which of them has it, the process before us knew
@@ -350,11 +352,11 @@
         if call is None and self.other and call_id not in self.over:
             self.other.cleared(call_id, cause)
             return
-        if call is None and self._heir(call_id):
+        if call is None and self._of_predecessor(call_id):
             # Guards the callers of the process before us, which stopped or died while their calls stood.
             self.count["heir releases"] += 1
             self._ended(call_id)
-            self.on_heir_release(call_id, cause)
+            self.on_predecessor_release(call_id, cause)
             return
         if call is None or call.server != server:
             self.count["late releases"] += 1  # such as the second copy on the next connection
@@ -562,13 +564,13 @@
         self.open -= not call.stands
         self.held -= len(call.order.description)
 
-    def _heir(self, call_id: str) -> bool:
+    def _of_predecessor(self, call_id: str) -> bool:
         """Whether it can be a call of the process before us."""
-        return (self.on_heir_release is not None and self.wheel.now < self.heir_until
+        return (self.on_predecessor_release is not None and self.wheel.now < self.predecessor_until
                 and call_id not in self.over)
 
     def _ended(self, call_id: str) -> None:
-        if self.wheel.now >= self.heir_until:
+        if self.wheel.now >= self.predecessor_until:
             self.over.clear()  # from now on an unknown id is a late copy
             return
         # The oldest goes: a late copy of its release would be passed on, which is harmless. To stop here
--- a/willowhitch/net/handover.py
+++ b/willowhitch/net/handover.py
@@ -144,7 +144,7 @@
         self.directory = Path(directory)
         self.ports: dict[str, Any] = {}  # what listens here, by name
         self.channel: Channel | None = None  # to the other process
-        self.heir = False  # the other process is the one that replaces this one
+        self.to_successor = False  # the other process is the one that replaces this one
         self.room, self.told = sip.most, -1
         self.on_found: Callable[[Given | None], None] | None = None  # while the predecessor is looked for
         switch.lifecycle.on_change.append(self.changed)
@@ -192,7 +192,7 @@
 
     def _holds(self, channel: Channel, said: dict[str, Any]) -> None:
         """So many connections the predecessor still holds: both together stay within the limit."""
-        if not self.heir:
+        if not self.to_successor:
             self.sip.most = max(16, self.room - int(said["lines"]))
 
     # the predecessor's side
@@ -222,7 +222,7 @@
         if self.switch.lifecycle.phase is Phase.STOPPING or not self.ports:
             channel.transport.loseConnection()
             return
-        self.heir, self.switch.other = True, self
+        self.to_successor, self.switch.other = True, self
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
         channel.say("given", ports=list(self.ports), lines=len(self.sip.lines))
@@ -232,7 +232,7 @@
 
     def _serving(self, channel: Channel, said: dict[str, Any]) -> None:
         """The successor takes the new connections from now on."""
-        if self.heir:
+        if self.to_successor:
             for port in self.ports.values():
                 port.stopReading()
             self.switch.lifecycle.hand_over(self.switch.wheel.now)
@@ -240,7 +240,7 @@
 
     def _tell(self) -> None:
         """Tells the successor how many connections are still held here."""
-        if self.channel is not None and self.heir:
+        if self.channel is not None and self.to_successor:
             held = len(self.sip.lines)
             if held != self.told:
                 self.channel.say("holds", lines=held)
@@ -250,7 +250,7 @@
     # both
 
     def changed(self, phase: Phase) -> None:
-        if phase is Phase.SERVING and self.channel is not None and not self.heir:
+        if phase is Phase.SERVING and self.channel is not None and not self.to_successor:
             self.channel.say("serving")
 
     def _two(self) -> None:
@@ -265,8 +265,8 @@
         if self.switch.other is self:
             self.switch.other = None
             self.switch.wheel.at(self.switch.wheel.now + ALONE_AFTER, self._alone)
-        if self.heir:
-            self.heir, self.told = False, -1
+        if self.to_successor:
+            self.to_successor, self.told = False, -1
             if self.switch.lifecycle.take_back(self.switch.wheel.now):
                 logger.warning("handover: the next process is gone, callers are taken here again")
                 for port in self.ports.values():
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -300,7 +300,7 @@
 
     def attach(self, switch: Switch) -> None:
         self.switch = switch
-        switch.on_heir_release = self.released
+        switch.on_predecessor_release = self.released
         switch.lifecycle.on_change.append(self.changed)
         switch.wheel.at(switch.wheel.now + SWEEP, self._sweep)
 
