Part callers' connections from the front that holds them, and call them connections

net/sip.py held the parsing of one connection and the state of all. SipConnection is in net/sip_connection.py now, as it stands; the front's variables named line are connections.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,7 +3,8 @@
 from test_core import Bench
 from twisted.internet.testing import StringTransport
 
-from willowhitch.net.sip import OLDEST, READ, TURN, SipFront
+from willowhitch.net.sip import SipFront
+from willowhitch.net.sip_connection import OLDEST, READ, TURN
 
 INVITE = ("INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
           "X-Patience: {}\r\nContent-Length: 3\r\n\r\nv=0")
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -318,7 +318,7 @@
 
     def _end_when_done(self, earliest: float) -> None:
         now = self.wheel.now
-        held = self.switch.calls or self.switch.lifecycle.handed_over and self.sip.lines
+        held = self.switch.calls or self.switch.lifecycle.handed_over and self.sip.connections
         if now >= self.switch.lifecycle.ends_at or not held and now >= earliest:
             self.switch.lifecycle.close(now)  # what still comes is refused, and callers go
             self.switch.refuse_rest()
@@ -332,8 +332,8 @@
     def _leave(self, at_last: float) -> None:
         """What was written last still goes out, and what lies unread is read and answered."""
         now, unsent_by = self.wheel.now, self.switch.lifecycle.ends_at + UNSENT_BY
-        if (now < at_last and (self.sip.lines or now < at_last - GONE_BY + ALOUD)
-                or now < unsent_by and any(line.unsent for line in self.sip.lines)):
+        if (now < at_last and (self.sip.connections or now < at_last - GONE_BY + ALOUD)
+                or now < unsent_by and any(connection.unsent for connection in self.sip.connections)):
             self.wheel.at(self.wheel.now + 2 * self.settings.tick, self._leave, at_last)
         else:
             reactor.stop()
--- a/willowhitch/net/handover.py
+++ b/willowhitch/net/handover.py
@@ -225,7 +225,7 @@
         self.to_successor, self.switch.other = True, self
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
-        channel.say("given", ports=list(self.ports), lines=len(self.sip.lines))
+        channel.say("given", ports=list(self.ports), lines=len(self.sip.connections))
         self._two()
         self._tell()
         logger.info("handover: listeners given to the next process")
@@ -241,7 +241,7 @@
     def _tell(self) -> None:
         """Tells the successor how many connections are still held here."""
         if self.channel is not None and self.to_successor:
-            held = len(self.sip.lines)
+            held = len(self.sip.connections)
             if held != self.told:
                 self.channel.say("holds", lines=held)
                 self.told = held
