Count no empty lines between messages towards the length of the next one

Seen: test_what_comes_behind_a_full_read... failed with 'longer than 16 KiB' since a close there became a half close, which its stand-in lacks: 8,192 empty lines between two messages, which keep a connection alive, summed up to more than a message may have (SipConnection.lineReceived counted before it skipped), and the connection was closed as bad. test_without_any_list...: the stand-in board spoke at once on some runs; it is let in by the test now.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -181,8 +181,13 @@
 def test_without_any_list_it_is_not_ready_until_the_board_has_told_one():
     s = Stage(engines=1, config={"known": {"rev": 0, "notices": []}})
     try:
-        s.play("c0 send OPTIONS\nc0 expect 503\nb expect after 0\nb send 1 ready e0\ne0 wait 50\n"
-               "c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send OPTIONS\nc0 expect 200")
+        door = s.doors.pop("b")  # the board says nothing yet
+        s.play("c0 send OPTIONS\nc0 expect 503")
+        s.doors["b"] = door
+        s.play("b expect after 0\nb send 1 ready e0\n")
+        while "e0" not in s.parties:
+            s.pump(0.05)
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send OPTIONS\nc0 expect 200")
     finally:
         s.__exit__()
 
--- a/willowhitch/net/sip_connection.py
+++ b/willowhitch/net/sip_connection.py
@@ -153,8 +153,9 @@
             return self._bad("longer than 16 KiB", 513)
         text = line.decode("latin-1")
         if not self.first:
-            self.first = text.strip()  # empty lines between messages are skipped
+            self.first = text.strip()  # empty lines between messages are skipped, however many
             self.began = self.front.switch.wheel.now if self.first else None
+            self.size = self.size if self.first else 0
             return
         if not text:
             return self._head_done()
