Call engines' and the board's connections what they are

Names only: EngineConnection, BoardWatch and the variables that hold them. Log lines, counters and messages stay.

--- a/willowhitch/net/board.py
+++ b/willowhitch/net/board.py
@@ -45,7 +45,7 @@
     return found
 
 
-class BoardLine(Int32StringReceiver):
+class BoardWatch(Int32StringReceiver):
     MAX_LENGTH = 1 << 20
 
     def connectionMade(self) -> None:
@@ -54,7 +54,7 @@
         self.factory.up(self)
 
     def stringReceived(self, frame: bytes) -> None:
-        if self is not self.factory.line:
+        if self is not self.factory.watch:
             return  # what stands behind a bad frame, or comes from a board that was left
         try:
             number, kind = HEAD.unpack_from(frame)
@@ -71,7 +71,7 @@
 class Board(ReconnectingClientFactory):
     """Follows the board over connections that come and go; each event is taken in once, in order."""
 
-    protocol = BoardLine
+    protocol = BoardWatch
     noisy = False
     initialDelay, maxDelay, factor, jitter = 0.05, 0.5, 2.0, 0.1
 
@@ -79,7 +79,7 @@
                  clock: Callable[[int], float]) -> None:
         self.clock_source, self.address = reactor, address
         self.switch, self.engines, self.to_clock = switch, engines, clock
-        self.rev, self.line, self.last = 0, None, switch.wheel.now
+        self.rev, self.watch, self.last = 0, None, switch.wheel.now
         self.asked_again = 0  # the number after which events were missing, once they were asked for again
 
     def read(self, config: dict[str, Any]) -> Known:
@@ -107,15 +107,15 @@
         """The board is at another address from now on; the numbers continue there."""
         if address == self.address:
             return
-        left, self.address, self.line = self.connector, address, None
+        left, self.address, self.watch = self.connector, address, None
         self.stopTrying()
         self.resetDelay()
         self.continueTrying = 1
         self.connector = self.clock_source.connectTCP(*address, self, timeout=1.0)
         left.disconnect()
 
-    def up(self, line: BoardLine) -> None:
-        self.line, self.last = line, self.switch.wheel.now
+    def up(self, watch: BoardWatch) -> None:
+        self.watch, self.last = watch, self.switch.wheel.now
 
     # What a connection to a board that was left still says of its end must not touch the new one.
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
@@ -124,7 +124,7 @@
 
     def clientConnectionLost(self, connector: object, reason: object) -> None:
         if connector is self.connector:
-            self.line = None
+            self.watch = None
             self.switch.count["board connections lost"] += 1
             super().clientConnectionLost(connector, reason)
 
@@ -151,7 +151,7 @@
 
     def ask_again(self) -> None:
         """Leaves this watch for a new one, which is told all that came after the last event that we have."""
-        left, self.line = self.line, None
+        left, self.watch = self.watch, None
         if left is not None:
             left.transport.abortConnection()
 
@@ -166,7 +166,7 @@
         """A board that is silent has lost us: what it has to tell counts as told all the same."""
         now = self.switch.wheel.now
         self.switch.wheel.at(now + SWEEP, self._sweep)
-        if self.line is not None and now - self.last > SILENT_AFTER:
+        if self.watch is not None and now - self.last > SILENT_AFTER:
             logger.warning("notice board: silent for {:.0f} ms, connecting anew", now - self.last)
             self.last = now
             self.ask_again()
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -81,7 +81,7 @@
     return data[3:11].hex(), cause
 
 
-class EngineLine(Int16StringReceiver):
+class EngineConnection(Int16StringReceiver):
     """One connection to a quote engine."""
 
     MAX_LENGTH = LONGEST
@@ -167,27 +167,27 @@
 
     def __init__(self, link: Link) -> None:
         self.link, self.switch, self.server = link, link.switch, link.server
-        self.line: EngineLine | None = None
+        self.connection: EngineConnection | None = None
 
-    def buildProtocol(self, addr: object) -> EngineLine:
-        return EngineLine(self)
+    def buildProtocol(self, addr: object) -> EngineConnection:
+        return EngineConnection(self)
 
-    def up(self, line: EngineLine) -> None:
+    def up(self, connection: EngineConnection) -> None:
         now = self.switch.wheel.now
-        self.line = line
+        self.connection = connection
         self.switch.wheel.at(now + EAR_FOR, self._enough)
-        self.switch.wheel.at(now + 3 * EAR_FOR, line.transport.abortConnection)
+        self.switch.wheel.at(now + 3 * EAR_FOR, connection.transport.abortConnection)
 
     def flush(self) -> None:
         """Nothing waits to be written here."""
 
     def _enough(self) -> None:
         """Our side closes; what is on its way still comes."""
-        if self.line is not None:
-            self.line.transport.loseWriteConnection()
+        if self.connection is not None:
+            self.connection.transport.loseWriteConnection()
 
-    def down(self, line: EngineLine) -> None:
-        self.line = None
+    def down(self, connection: EngineConnection) -> None:
+        self.connection = None
 
     def begun(self, call: str, cause: int) -> None:
         self.link.begun(call, cause)
@@ -197,7 +197,7 @@
         if kind == RELEASE:
             if self.switch.lives:
                 self.switch.lives.note(call, "release on a connection that listens", self.server)
-            self.line.sendString(message(HEARD, call))
+            self.connection.sendString(message(HEARD, call))
             self.link.released(call, said)
 
 
@@ -209,7 +209,7 @@
     def __init__(self, engines: EngineLinks, server: str, address: tuple[str, int]) -> None:
         self.engines, self.server, self.address = engines, server, address
         self.switch = engines.switch
-        self.line: EngineLine | None = None
+        self.connection: EngineConnection | None = None
         self.opening = self.choked = self.closing = self.waiting = False
         self.backlog = 0  # bytes written since the engine was last seen to read
         self.out: set[str] = set()  # set-ups written to the connection that is up
@@ -227,7 +227,7 @@
         self.orphaned, self.listens = 0.0, False  # since when; whether a look at them is due
 
     def open(self) -> None:
-        if self.line is not None or self.opening or self.closing or self.waiting:
+        if self.connection is not None or self.opening or self.closing or self.waiting:
             return
         if self.switch.wheel.now < self.not_before:  # however much there is to send
             self.waiting = True
@@ -239,14 +239,14 @@
         self.waiting = False
         self.open()
 
-    def buildProtocol(self, addr: object) -> EngineLine:
-        return EngineLine(self)
+    def buildProtocol(self, addr: object) -> EngineConnection:
+        return EngineConnection(self)
 
-    def up(self, line: EngineLine) -> None:
+    def up(self, connection: EngineConnection) -> None:
         if self.closing:
-            line.transport.abortConnection()
+            connection.transport.abortConnection()
             return
-        self.line, self.opening, self.choked, self.backlog = line, False, False, 0
+        self.connection, self.opening, self.choked, self.backlog = connection, False, False, 0
         self.last, self.told = self.switch.wheel.now, 0.0
         if self.switch.lives:
             self.switch.lives.note("", "link up", self.server)
@@ -254,7 +254,7 @@
 
     def flush(self) -> None:
         """Writes what waited, as far as it is read. A set-up tells how long its caller waits from now."""
-        while self.line is not None and not self.choked and self.later:
+        while self.connection is not None and not self.choked and self.later:
             call = next(iter(self.later))
             what = self.later.pop(call)
             self._write(call, what if isinstance(what, bytes) else self.engines.written(what))
@@ -274,23 +274,23 @@
             self.switch.died(self.server)
         self._again()
 
-    def down(self, line: EngineLine) -> None:
-        if line is not self.line:
+    def down(self, connection: EngineConnection) -> None:
+        if connection is not self.connection:
             return
-        self.line, out, self.out = None, self.out, set()
+        self.connection, out, self.out = None, self.out, set()
         self.switch.count["engine connections lost"] += 1
         if self.switch.lives:
             self.switch.lives.note("", "link down", self.server)
         for call in out:
             self.switch.broken(self.server, call)
-        if line.spoilt:  # given up by us: the engine may not know. One that closes or dies does
+        if connection.spoilt:  # given up by us: the engine may not know. One that closes or dies does
             self._orphan()
         self._lapse(self.switch.wheel.now)
         for call, (_, data) in self.unheard.items():
             self.switch.count["releases to engines sent again"] += 1
             self.later.setdefault(call, data)
         self.unheard.clear()
-        if self.switch.wheel.now - line.since < STEADY_AFTER:
+        if self.switch.wheel.now - connection.since < STEADY_AFTER:
             self._again()  # guards against a loop with an engine that hangs up on each new connection
         elif self.later or self.engines.wanted(self.server):
             self.back_off = BACK_OFF
@@ -314,7 +314,7 @@
             return
         rare = now - self.orphaned > OFTEN_FOR
         self.switch.wheel.at(now + (RARELY if rare else EAR_EVERY), self._listen)
-        if self.line is not None and self.engines.wanted(self.server):
+        if self.connection is not None and self.engines.wanted(self.server):
             self.switch.count["engine connections that listen"] += 1
             self.engines.connect(self, Ear(self))
 
@@ -351,7 +351,7 @@
             return
         self.later[call] = what
         self.flush()
-        if self.line is None:
+        if self.connection is None:
             self.open()
 
     def _write(self, call: str, data: bytes) -> None:
@@ -370,9 +370,9 @@
         self.backlog = self.backlog + len(data) if self.choked else 0
         if self.backlog > BACKLOG:
             logger.warning("engine {}: does not read, connection closed", self.server)
-            self.line.transport.abortConnection()
+            self.connection.transport.abortConnection()
             return
-        self.line.sendString(data)
+        self.connection.sendString(data)
 
     def withdraw(self, call: str) -> bool:
         """Takes back a set-up that was never written."""
@@ -405,9 +405,10 @@
 
     def sweep(self, now: float) -> None:
         """A silent engine is tested, and given up in time for its calls to be released."""
-        if self.line is not None and self.line.waits is not None and now - self.line.waits > CUT_SHORT:
-            self.line.cut_short()
-            return self.line.spoil("message cut short")
+        waits = self.connection.waits if self.connection is not None else None
+        if waits is not None and now - waits > CUT_SHORT:
+            self.connection.cut_short()
+            return self.connection.spoil("message cut short")
         self._lapse(now)
         if now - self.last < self.beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
             return
@@ -416,12 +417,12 @@
             logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, silent)
             self.last = self.heard_at = now
             self.switch.died(self.server)
-            if self.line is not None:
-                self.line.transport.abortConnection()
-        elif self.line is not None and now - self.last >= 1.5 * self.beat + 2 * TEST_SLACK:
+            if self.connection is not None:
+                self.connection.transport.abortConnection()
+        elif self.connection is not None and now - self.last >= 1.5 * self.beat + 2 * TEST_SLACK:
             # Guards against a link that stays open and brings nothing: it took engines out for many seconds.
-            self.line.spoil("silent though tested" if self.engines.set.may_probe else "silent")
-        elif self.line is not None and self.tested <= self.last and self.engines.set.may_probe:
+            self.connection.spoil("silent though tested" if self.engines.set.may_probe else "silent")
+        elif self.connection is not None and self.tested <= self.last and self.engines.set.may_probe:
             self.tested = now
             self.switch.count["tests sent"] += 1
             self._write("", message(TEST, "00" * 8, (CAUSE, b"\0")))
@@ -429,8 +430,8 @@
     def close(self) -> None:
         self.closing = True
         self.leave()
-        if self.line is not None:
-            self.line.transport.loseConnection()
+        if self.connection is not None:
+            self.connection.transport.loseConnection()
 
 
 class EngineLinks:
