--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -394,6 +394,37 @@
         assert "fault" not in s.said()
 
 
+def test_a_caller_that_reads_no_answer_is_let_go_in_time_and_keeps_nobody_waiting():
+    with Stage(engines=1) as s:
+        body = "x" * 15_000
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 20")
+        c, n = s.parties.pop("c0").sock, 0
+        c.setblocking(False)
+
+        def answer(name, said):
+            kind, call, *_ = said.split()
+            if kind == "SET_UP":
+                s.parties["e0"].send(f"ANSWER {call} 33={body}")
+            elif kind == "TEST":
+                s.parties["e0"].send("TESTED 0 31=1")
+
+        s.hook = answer
+        until = time.monotonic() + 10.0
+        while "answers unread for" not in s.said():
+            assert time.monotonic() < until
+            s.pump(0.01)
+            try:
+                n += 1
+                c.sendall(invite(n, patience=3000)) if n < 400 else None
+            except BlockingIOError:
+                n = 400
+        s.hook = None
+        s.play("c1 send INVITE 900\ne0 expect SET_UP {900}\ne0 send ANSWER 900 33=d\n"
+               "c1 expect 200 OK.*INVITE")
+        assert s.said().count("answers unread for") == 1
+        c.close()
+
+
 def test_a_caller_that_closes_its_side_has_left():
     # by the wire a close and a half close look alike until something is written: nothing more is sent for it
     with Stage(engines=1) as s:
