--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -1,5 +1,7 @@
 """A release of half the engines at once under 12 real softswitches: what a cold engine gets, with its share
-divided by budgets and by fixed parts of 1/fleet_size, that number being right, twice too high, twice too low.
+divided by budgets and by fixed parts of 1/fleet_size, that number being right, twice too high, twice too low;
+beside them softswitches that know of no cold engines. The engines bear little while cold, and the others can
+not carry the load of all.
 
     python benchmarks/cold_engines.py [SEEDS] [HEAVY]      # a minute for each line and seed
 """
@@ -13,10 +15,12 @@
 from willowhitch.standin.engine import EngineSettings
 from willowhitch.standin.faults.drill import Drill
 
-SOFTSWITCHES, ENGINES, BEARS, RATE = 12, 4, 30.0, 66.0
+SOFTSWITCHES, ENGINES, BEARS, RATE = 12, 4, 100.0, 270.0  # set-ups a second that one bears; calls a second
+COLD_FROM, FACTOR, COLD_S = 0.15, 2.0, 6.0
 RELEASE_AT, SEEN_FOR, SECONDS = 22.0, 14.0, 42.0
 COLD = ({"name": "cold", "what": "cold", "whole": 1, "floor": 0.01},)
-WAYS = {"budgets": 1.0, "fixed, right": 1.0, "fixed, twice too high": 2.0, "fixed, twice too low": 0.5}
+WAYS = {"budgets": 1.0, "fixed, right": 1.0, "fixed, twice too high": 2.0, "fixed, twice too low": 0.5,
+        "nothing known of cold engines": 1.0}
 
 
 class Release(Drill):
@@ -30,14 +34,16 @@
 
     def _start(self):
         size = max(1, round(SOFTSWITCHES * WAYS[self.way]))
-        rules = {"cold": 6_000.0, "cold_from": 0.3, "overload_factor": 3.0, "overload_for": 1_000.0}
+        rules = {"cold": COLD_S * 1_000, "cold_from": COLD_FROM, "overload_factor": FACTOR,
+                 "overload_for": 1_000.0} if not self.way.startswith("nothing") else {}
         settings = self.day.settings() | {"fleet_size": size, "rules": rules}
         self.day = type("Told", (), {
             "__getattr__": lambda me, name, day=self.day: getattr(day, name),
             "settings": lambda me: settings})()
         for engine in self.engines:
             engine.set = EngineSettings(engine.set.name, engine.set.cell, 400, hold=engine.set.hold,
-                                        work=1 / BEARS / 1.4, bears=BEARS)
+                                        work=1 / BEARS / 1.4, bears=BEARS, cold=COLD_S,
+                                        cold_from=COLD_FROM, overload_factor=FACTOR)
             engine.on_born = self._born
         super()._start()
 
