--- /dev/null
+++ b/benchmarks/call_cost.py
@@ -0,0 +1,130 @@
+"""Processor time a call, of the decisions and both wires without sockets, against another checkout, paired.
+
+    python benchmarks/call_cost.py TREE [PAIRS] [CALLS]   # compile both trees first, as the deploy file does
+
+One caller's connection and four engines, all in one process on a clock by hand: each call is set up,
+answered, acknowledged, released by its engine and acknowledged again; each tenth is cancelled. Nothing
+waits, so the time is the program's own, with the little that stand-ins take. Sockets, the reactor's timers
+and the start are left out: benchmarks/operation.py cost has them.
+"""
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from statistics import median
+
+ROOT = Path(__file__).resolve().parent.parent
+ENGINES, A_TICK = 4, 5  # calls that come in one tick
+INFO = {"family": "trunks", "fleet_size": 4,
+        "family_info": {"network_form": "groups", "own_number": -1, "clear_wait": 200.0, "holding": [8000.0]},
+        "lanes": [{"name": "x", "aim": 1500.0, "hard_limit": 9000.0}],
+        "limits": {"may_cancel": True, "probes": True, "send_cap": 6, "retry_after": True,
+                   "max_retry_after": 2000.0},
+        "rules": {}, "stats": {"fields": ["spare", "total"]}, "tick": 5.0}
+INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {0:016x}\r\nCSeq: 1 INVITE\r\n"
+          "Subject: x\r\nX-Patience: 3000\r\nX-Facts: dest:{1};width:1;via:-1\r\nContent-Length: 3\r\n\r\n"
+          "v=0")
+SHORT = "{0} sip:77@net SIP/2.0\r\nCall-ID: {1:016x}\r\nCSeq: 1 {0}\r\nContent-Length: 0\r\n\r\n"
+HEARD = "SIP/2.0 200 OK\r\nCall-ID: {:016x}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
+
+
+def one(calls):
+    from twisted.internet.testing import StringTransport
+
+    from willowhitch import interface as i
+    from willowhitch.core.switch import Switch
+    from willowhitch.core.wheel import Wheel
+    from willowhitch.net import engine as e
+    from willowhitch.net.sip import SipFront
+    from willowhitch.settings import checked
+
+    class Wire(StringTransport):
+        dataBuffer, offset, _tempDataLen = b"", 0, 0
+
+        def setTcpNoDelay(self, on):
+            pass
+
+    class Reactor:
+        made = []
+
+        def connectTCP(self, host, port, factory, timeout=0):
+            protocol = factory.buildProtocol(None)
+            protocol.makeConnection(Wire())
+            self.made.append(protocol)
+
+    def framed(data):
+        return len(data).to_bytes(2, "big") + data
+
+    now, reactor, settings = [1000.0], Reactor(), checked(INFO)
+    wheel = Wheel(settings.tick, lambda: now[0])
+    links = e.EngineLinks(reactor, settings)
+    switch = Switch(settings, 1, wheel, links)
+    links.attach(switch)
+    front = SipFront("n0")
+    front.attach(switch)
+    switch.start()
+    names = [f"s-{n:08x}" for n in range(ENGINES)]
+    for n, name in enumerate(names):
+        links.known(name, ("127.0.0.1", 10_000 + n))
+    switch.news(i.ListKind.WHOLE, tuple(i.Entry(name, n, i.State.READY) for n, name in enumerate(names)))
+    caller = front.buildProtocol(None)
+    caller.makeConnection(Wire())
+    state, answered, stood = e.message(e.STATE, "00" * 8, (e.REPORT, b"x0:900;x1:1000")), 0, []
+    began = time.process_time()
+    for first in range(1, calls, A_TICK):
+        now[0] += settings.tick
+        wheel.read()
+        if first % 1_000 < A_TICK:
+            for protocol in reactor.made:
+                protocol.dataReceived(framed(state))
+        some = range(first, first + A_TICK)
+        caller.dataReceived("".join(INVITE.format(n, n % ENGINES) for n in some).encode())
+        caller.dataReceived("".join(SHORT.format("CANCEL", n) for n in some if n % 10 == 0).encode())
+        for protocol in reactor.made:
+            data = protocol.transport.value()
+            protocol.transport.clear()
+            while data:
+                size = int.from_bytes(data[:2], "big")
+                kind, call, data = data[2], data[3:11].hex(), data[2 + size:]
+                if kind == 1 and int(call, 16) % 10:
+                    protocol.dataReceived(framed(e.message(e.ANSWER, call, (e.DESCRIPTION, b"v=1"))))
+                    stood.append((int(call, 16), protocol, call))
+        answered += caller.transport.value().count(b"SIP/2.0 200 OK")
+        caller.transport.clear()
+        caller.dataReceived("".join(SHORT.format("ACK", n) for n, _, _ in stood[-A_TICK:]).encode())
+        while len(stood) > 500:
+            n, protocol, call = stood.pop(0)
+            protocol.dataReceived(framed(e.message(e.RELEASE, call, (e.CAUSE, b"\x10"))))
+            caller.dataReceived(HEARD.format(n).encode())
+        wheel.turn()
+    used = time.process_time() - began
+    assert answered > 0.95 * calls, answered
+    print(used / calls)
+
+
+def against(tree, pairs, calls):
+    def played(root):
+        ran = subprocess.run([sys.executable, __file__, "one", str(calls)], cwd=root, capture_output=True,
+                             text=True, env=os.environ | {"PYTHONPATH": str(root)})
+        if ran.returncode:
+            raise SystemExit(ran.stderr)
+        return float(ran.stdout)
+
+    ratios = []
+    for n in range(pairs):
+        roots = [ROOT, Path(tree).resolve()]
+        took = {root: played(root) for root in (roots if n % 2 else roots[::-1])}
+        ratios.append(took[roots[0]] / took[roots[1]])
+        print(f"{1e6 * took[roots[0]]:.1f} us a call against {1e6 * took[roots[1]]:.1f}: {ratios[-1]:.3f}",
+              flush=True)
+    print(f"median ratio over {pairs} pairs: {median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["one"]:
+        one(int(sys.argv[2]))
+    elif len(sys.argv) > 1:
+        against(sys.argv[1], int((sys.argv[2:] or ["10"])[0]), int((sys.argv[3:] or ["20000"])[0]))
+    else:
+        sys.exit(__doc__)
