Keep set-ups that come back to an engine which refuses connections

Seen by a last reading, shown by a test: with one engine that refuses, two calls were answered 500 at the end of their patience (log: 'taken for cold' at 0.3 s, the answer 3 s later). The releases go first now, and alone.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -464,6 +464,17 @@
             s.play("e0 expect RELEASE {1} 31=16")
 
 
+def test_a_call_that_goes_back_to_an_engine_that_refuses_connections_is_not_forgotten_there():
+    with Stage(engines=1, settings={"limits": INFO["limits"] | {"send_cap": 6}}) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 20")
+        s.doors.pop("e0").close()
+        s.parties.pop("e0").sock.close()
+        s.play("c0 wait 30\nc0 send INVITE 1\nc0 send INVITE 2")
+        began = time.monotonic()
+        s.play("c0 expect SIP/2.0 503.*INVITE\nc0 expect SIP/2.0 503.*INVITE")  # a 500 at its end before
+        assert time.monotonic() - began < 2.5
+
+
 def test_releases_beyond_what_is_kept_for_an_engine_that_does_not_come_up_are_counted():
     with Stage(engines=1, settings=SLOW) as s:
         s.play("e0 wait 50")
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -270,10 +270,11 @@
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
         self.opening = False
+        gone = reason.check(Refused)  # nobody listens there: the process is gone, and its calls with it
+        if gone:  # before set-ups go elsewhere: they may come back here at once, to wait for the next process
+            self.later = {call: what for call, what in self.later.items() if isinstance(what, Call)}
         self.leave()
-        if reason.check(Refused):
-            # Nobody listens there: the process is gone, and what stood there with it.
-            self.later.clear()
+        if gone:
             self.switch.died(self.server)
         self._again()
 
