--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -7,14 +7,11 @@
 waits, so the time is the program's own, with the little that stand-ins take. Sockets, the reactor's timers
 and the start are left out: benchmarks/operation.py cost has them.
 """
-import os
-import subprocess
 import sys
 import time
-from pathlib import Path
-from statistics import median
 
-ROOT = Path(__file__).resolve().parent.parent
+from paired import paired
+
 ENGINES, A_TICK = 4, 5  # calls that come in one tick
 INFO = {"family": "trunks", "fleet_size": 4,
         "family_info": {"network_form": "groups", "own_number": -1, "clear_wait": 200.0, "holding": [8000.0]},
@@ -103,28 +100,11 @@
     print(used / calls)
 
 
-def against(tree, pairs, calls):
-    def played(root):
-        ran = subprocess.run([sys.executable, __file__, "one", str(calls)], cwd=root, capture_output=True,
-                             text=True, env=os.environ | {"PYTHONPATH": str(root)})
-        if ran.returncode:
-            raise SystemExit(ran.stderr)
-        return float(ran.stdout)
-
-    ratios = []
-    for n in range(pairs):
-        roots = [ROOT, Path(tree).resolve()]
-        took = {root: played(root) for root in (roots if n % 2 else roots[::-1])}
-        ratios.append(took[roots[0]] / took[roots[1]])
-        print(f"{1e6 * took[roots[0]]:.1f} us a call against {1e6 * took[roots[1]]:.1f}: {ratios[-1]:.3f}",
-              flush=True)
-    print(f"median ratio over {pairs} pairs: {median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
-
-
 if __name__ == "__main__":
     if sys.argv[1:2] == ["one"]:
         one(int(sys.argv[2]))
     elif len(sys.argv) > 1:
-        against(sys.argv[1], int((sys.argv[2:] or ["10"])[0]), int((sys.argv[3:] or ["20000"])[0]))
+        calls = (sys.argv[3:] or ["20000"])[0]
+        paired(sys.argv[1], int((sys.argv[2:] or ["10"])[0]), lambda n: [__file__, "one", calls])
     else:
         sys.exit(__doc__)
--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -19,6 +19,8 @@
 from pathlib import Path
 from statistics import median
 
+from paired import paired
+
 ROOT = Path(__file__).resolve().parent.parent
 INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
           "Subject: {}\r\nX-Patience: 3000\r\nX-Facts: dest:{};width:1;via:-1\r\nContent-Length: 3\r\n"
@@ -251,22 +253,7 @@
 
 
 def cost(tree, pairs):
-    def per_call(root, seed):
-        ran = subprocess.run([sys.executable, "benchmarks/record_cost.py", "day", "0", "12", str(seed)],
-                             cwd=root, env=os.environ | {"PYTHONPATH": str(root)},
-                             capture_output=True, text=True)
-        if ran.returncode:
-            raise SystemExit(ran.stderr)
-        return float(ran.stdout)
-
-    ratios = []
-    for n in range(pairs):
-        roots = [ROOT, Path(tree).resolve()]
-        now = {root: per_call(root, n) for root in (roots if n % 2 else roots[::-1])}
-        ratios.append(now[roots[0]] / now[roots[1]])
-        print(f"{1e6 * now[roots[0]]:.0f} us a call against {1e6 * now[roots[1]]:.0f}: {ratios[-1]:.3f}",
-              flush=True)
-    print(f"median ratio over {pairs} pairs: {median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
+    paired(tree, pairs, lambda n: ["benchmarks/record_cost.py", "day", "0", "12", str(n)])
 
 
 if __name__ == "__main__":
