--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -8,6 +8,7 @@
 python benchmarks/budgets.py growth 10 100    # messages, bytes and processor time by members
 python benchmarks/budgets.py window           # the window of cells beside the exact one
 """
+
 import sys
 import time
 from collections import deque
@@ -30,7 +31,7 @@
 def small(members, voters=5, drift=0.01):
     at = tuple(address_of(k) for k in range(members))
     two = (Budget("quotes", "set-ups", 120, 2, 1000.0, "a"), Budget("few", "set-ups", 30, 1, 2000.0, "b"))
-    return Plan(two, at, at[:min(members, voters)], drift=drift)
+    return Plan(two, at, at[: min(members, voters)], drift=drift)
 
 
 def hot(members, every):
@@ -64,8 +65,10 @@
             events, offices, lapses = events + some, offices + won, lapses + fell
             if wrong:
                 bad.append((seed, wrong))
-    print(f"{last - first} schedules, seeds {first} to {last - 1}: {events} steps in "
-          f"{time.monotonic() - began:.0f} s; {len(bad)} wrong; {offices} offices, {lapses} falls to a floor")
+    print(
+        f"{last - first} schedules, seeds {first} to {last - 1}: {events} steps in "
+        f"{time.monotonic() - began:.0f} s; {len(bad)} wrong; {offices} offices, {lapses} falls to a floor"
+    )
     for seed, wrong in bad[:20]:
         print(f"  seed {seed}: {wrong}")
     return not bad
@@ -109,8 +112,10 @@
     for seed in range(first, last):
         _, _, some, over, _, _ = one(seed, make=Counted, strict=False)
         broke, steps, events = broke + (over > 0), steps + over, events + some
-    print(f"divided by the count of who is heard: the sum was above its whole in {broke} of {last - first} "
-          f"schedules, at {steps} of {events} steps")
+    print(
+        f"divided by the count of who is heard: the sum was above its whole in {broke} of {last - first} "
+        f"schedules, at {steps} of {events} steps"
+    )
 
 
 def planted():
@@ -259,8 +264,9 @@
         "a voter that started anew promises at once": lambda: patch(voter.Voter, "__init__", after_start),
         "a voter promises itself to two": lambda: patch(voter.Voter, "asked", promises_all),
         "one promise is a majority": lambda: patch(office.Candidate, "promised", any_number),
-        "an office counts from the answer, not the question": lambda: patch(office.Candidate, "promised",
-                                                                            from_answer),
+        "an office counts from the answer, not the question": lambda: patch(
+            office.Candidate, "promised", from_answer
+        ),
         "an office never ends by its clock": lambda: patch(office.Candidate, "holds", never_asks_clock),
         "a grant replaces whatever is held": lambda: patch(holder.Holder, "granted", any_basis),
         "a part runs from its arrival": lambda: patch(holder.Holder, "granted", from_arrival),
@@ -348,12 +354,16 @@
         explored = pool.map(explore_from, [(members, n, most) for n in names])
         for name, (seen, depth, broken) in explored:
             states, bad = states + seen, bad + bool(broken)
-            print(f"{members} members, {name}: {seen} states, all to depth {depth}: {broken or 'kept'}",
-                  flush=True)
+            print(
+                f"{members} members, {name}: {seen} states, all to depth {depth}: {broken or 'kept'}",
+                flush=True,
+            )
         tasks = [(members, n, k, k + 25, STEPS) for n in names for k in range(0, ways, 25)]
         found = [hit for some in pool.map(wander, tasks) for hit in some]
-    print(f"{states} states, {bad} starts broken; {ways * len(names)} ways of {STEPS} steps, "
-          f"{len(found)} broken; {time.monotonic() - began:.0f} s")
+    print(
+        f"{states} states, {bad} starts broken; {ways * len(names)} ways of {STEPS} steps, "
+        f"{len(found)} broken; {time.monotonic() - began:.0f} s"
+    )
     for hit in found[:5]:
         print("  ", *hit)
     return not bad and not found
@@ -406,11 +416,16 @@
         for load in (0.8, 1.3):
             best = mean(pooled(120 * load, round(120 * over), over * 1000, 60, s) / 60 / 120 for s in (1, 2))
             for share, moves in ((0.06, False), (0.25, False), (0.25, True)):
-                seen = [mean(used(make, over, load, moves, share, seed) for seed in (1, 2))
-                        for make in (Keeper, Equal)]
+                seen = [
+                    mean(used(make, over, load, moves, share, seed) for seed in (1, 2))
+                    for make in (Keeper, Equal)
+                ]
                 moving = ", another each 10 s" * moves
-                print(f"window {over:g} s, load {load:g}, one has {share:.0%}{moving}: used {seen[0]:.3f}; "
-                      f"equal parts {seen[1]:.3f}; best {best:.3f}", flush=True)
+                print(
+                    f"window {over:g} s, load {load:g}, one has {share:.0%}{moving}: used {seen[0]:.3f}; "
+                    f"equal parts {seen[1]:.3f}; best {best:.3f}",
+                    flush=True,
+                )
 
 
 def growth(sizes):
@@ -428,11 +443,14 @@
         cpu = time.process_time() - began
         sent = [(v.bytes_out - b, v.messages - m) for v, (b, m) in zip(nodes, base, strict=True)]
         first = max(sent)
-        print(f"{n} members: {mean(b for b, _ in sent) / 10:.0f} bytes and "
-              f"{mean(m for _, m in sent) / 10:.2f} messages a second and member; at the allocator "
-              f"{first[0] / 10:.0f} and {first[1] / 10:.1f}; "
-              f"{1000 * cpu / 10 / n:.2f} ms of processor time a second and member, the simulation's in it; "
-              f"settled: {world.settled()}", flush=True)
+        print(
+            f"{n} members: {mean(b for b, _ in sent) / 10:.0f} bytes and "
+            f"{mean(m for _, m in sent) / 10:.2f} messages a second and member; at the allocator "
+            f"{first[0] / 10:.0f} and {first[1] / 10:.1f}; "
+            f"{1000 * cpu / 10 / n:.2f} ms of processor time a second and member, the simulation's in it; "
+            f"settled: {world.settled()}",
+            flush=True,
+        )
 
 
 def windows():
@@ -459,9 +477,11 @@
                 exact.append(at)
                 lets += 1
         end = time.perf_counter()
-        print(f"{rate} a second, {slots} slots in {over / 1000:g} s: cells {(middle - began) * 5:.2f} us, "
-              f"{getsizeof(cells.counts)} bytes, let {let}; exact {(end - middle) * 5:.2f} us, "
-              f"{getsizeof(exact) + 24 * len(exact)} bytes, let {lets}: {let / lets:.3f}")
+        print(
+            f"{rate} a second, {slots} slots in {over / 1000:g} s: cells {(middle - began) * 5:.2f} us, "
+            f"{getsizeof(cells.counts)} bytes, let {let}; exact {(end - middle) * 5:.2f} us, "
+            f"{getsizeof(exact) + 24 * len(exact)} bytes, let {lets}: {let / lets:.3f}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -7,21 +7,34 @@
 waits, so the time is the program's own, with the little that stand-ins take. Sockets, the reactor's timers
 and the start are left out: benchmarks/operation.py cost has them.
 """
+
 import sys
 import time
 
 from paired import paired
 
 ENGINES, A_TICK = 4, 5  # calls that come in one tick
-INFO = {"family": "trunks", "fleet_size": 4,
-        "family_info": {"network_form": "groups", "own_number": -1, "clear_wait": 200.0, "holding": [8000.0]},
-        "lanes": [{"name": "x", "aim": 1500.0, "hard_limit": 9000.0}],
-        "limits": {"may_cancel": True, "probes": True, "send_cap": 6, "retry_after": True,
-                   "max_retry_after": 2000.0},
-        "rules": {}, "stats": {"fields": ["spare", "total"]}, "tick": 5.0}
-INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {0:016x}\r\nCSeq: 1 INVITE\r\n"
-          "Subject: x\r\nX-Patience: 3000\r\nX-Facts: dest:{1};width:1;via:-1\r\nContent-Length: 3\r\n\r\n"
-          "v=0")
+INFO = {
+    "family": "trunks",
+    "fleet_size": 4,
+    "family_info": {"network_form": "groups", "own_number": -1, "clear_wait": 200.0, "holding": [8000.0]},
+    "lanes": [{"name": "x", "aim": 1500.0, "hard_limit": 9000.0}],
+    "limits": {
+        "may_cancel": True,
+        "probes": True,
+        "send_cap": 6,
+        "retry_after": True,
+        "max_retry_after": 2000.0,
+    },
+    "rules": {},
+    "stats": {"fields": ["spare", "total"]},
+    "tick": 5.0,
+}
+INVITE = (
+    "INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {0:016x}\r\nCSeq: 1 INVITE\r\n"
+    "Subject: x\r\nX-Patience: 3000\r\nX-Facts: dest:{1};width:1;via:-1\r\nContent-Length: 3\r\n\r\n"
+    "v=0"
+)
 SHORT = "{0} sip:77@net SIP/2.0\r\nCall-ID: {1:016x}\r\nCSeq: 1 {0}\r\nContent-Length: 0\r\n\r\n"
 HEARD = "SIP/2.0 200 OK\r\nCall-ID: {:016x}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"
 
@@ -83,7 +96,7 @@
             protocol.transport.clear()
             while data:
                 size = int.from_bytes(data[:2], "big")
-                kind, call, data = data[2], data[3:11].hex(), data[2 + size:]
+                kind, call, data = data[2], data[3:11].hex(), data[2 + size :]
                 if kind == 1 and int(call, 16) % 10:
                     protocol.dataReceived(framed(e.message(e.ANSWER, call, (e.DESCRIPTION, b"v=1"))))
                     stood.append((int(call, 16), protocol, call))
--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -5,6 +5,7 @@
 
     python benchmarks/cold_engines.py [SEEDS] [HEAVY]      # a minute for each line and seed
 """
+
 import json
 import subprocess
 import sys
@@ -19,8 +20,13 @@
 COLD_FROM, FACTOR, COLD_S = 0.15, 2.0, 6.0
 RELEASE_AT, SEEN_FOR, SECONDS = 22.0, 14.0, 42.0
 COLD = ({"name": "cold", "what": "cold", "whole": 1, "floor": 0.01},)
-WAYS = {"budgets": 1.0, "fixed, right": 1.0, "fixed, twice too high": 2.0, "fixed, twice too low": 0.5,
-        "nothing known of cold engines": 1.0}
+WAYS = {
+    "budgets": 1.0,
+    "fixed, right": 1.0,
+    "fixed, twice too high": 2.0,
+    "fixed, twice too low": 0.5,
+    "nothing known of cold engines": 1.0,
+}
 
 
 class Release(Drill):
@@ -29,27 +35,58 @@
     def __init__(self, way, seed, heavy):
         self.way = way
         divided = way == "budgets"
-        super().__init__(SOFTSWITCHES, 3, SECONDS, seed, (), RATE, view=divided, watched=False,
-                         budgets=COLD if divided else (), heavy=heavy, engines=ENGINES)
+        super().__init__(
+            SOFTSWITCHES,
+            3,
+            SECONDS,
+            seed,
+            (),
+            RATE,
+            view=divided,
+            watched=False,
+            budgets=COLD if divided else (),
+            heavy=heavy,
+            engines=ENGINES,
+        )
 
     def _start(self):
         size = max(1, round(SOFTSWITCHES * WAYS[self.way]))
-        rules = {"cold": COLD_S * 1_000, "cold_from": COLD_FROM, "overload_factor": FACTOR,
-                 "overload_for": 1_000.0} if not self.way.startswith("nothing") else {}
+        rules = (
+            {
+                "cold": COLD_S * 1_000,
+                "cold_from": COLD_FROM,
+                "overload_factor": FACTOR,
+                "overload_for": 1_000.0,
+            }
+            if not self.way.startswith("nothing")
+            else {}
+        )
         settings = self.day.settings() | {"fleet_size": size, "rules": rules}
-        self.day = type("Told", (), {
-            "__getattr__": lambda me, name, day=self.day: getattr(day, name),
-            "settings": lambda me: settings})()
+        self.day = type(
+            "Told",
+            (),
+            {
+                "__getattr__": lambda me, name, day=self.day: getattr(day, name),
+                "settings": lambda me: settings,
+            },
+        )()
         for engine in self.engines:
-            engine.set = EngineSettings(engine.set.name, engine.set.cell, 400, hold=engine.set.hold,
-                                        work=1 / BEARS / 1.4, bears=BEARS, cold=COLD_S,
-                                        cold_from=COLD_FROM, overload_factor=FACTOR)
+            engine.set = EngineSettings(
+                engine.set.name,
+                engine.set.cell,
+                400,
+                hold=engine.set.hold,
+                work=1 / BEARS / 1.4,
+                bears=BEARS,
+                cold=COLD_S,
+                cold_from=COLD_FROM,
+                overload_factor=FACTOR,
+            )
             engine.on_born = self._born
         super()._start()
 
     def _born(self, engine):
-        self.board.change(Listed(engine.set.name, engine.at, engine.set.cell,
-                                 born_ms=int(time() * 1000) - 5))
+        self.board.change(Listed(engine.set.name, engine.at, engine.set.cell, born_ms=int(time() * 1000) - 5))
 
     def _one_up(self):
         super()._one_up()
@@ -70,8 +107,12 @@
 
     def _seen(self):
         most = [e.count["most of what a cold engine bears, %"] for e in self.engines[: ENGINES // 2]]
-        self.shown = {"fell": sum(e.count["fell"] for e in self.engines), "most %": most,
-                      "stood": self._stood() - self.before[0], "tried": self._tried() - self.before[1]}
+        self.shown = {
+            "fell": sum(e.count["fell"] for e in self.engines),
+            "most %": most,
+            "stood": self._stood() - self.before[0],
+            "tried": self._tried() - self.before[1],
+        }
 
 
 def one(way, seed, heavy):
@@ -84,10 +125,12 @@
     if sys.argv[1:2] == ["one"]:
         one(sys.argv[2], int(sys.argv[3]), float(sys.argv[4]))
     else:
-        seeds, heavy = (sys.argv[1:] + ["2", "0.25"][len(sys.argv) - 1:])[:2]
+        seeds, heavy = (sys.argv[1:] + ["2", "0.25"][len(sys.argv) - 1 :])[:2]
         seeds = int(seeds)
-        print(f"{SOFTSWITCHES} softswitches, {ENGINES} engines of {BEARS:g} set-ups a second, {RATE:g} calls "
-              f"a second, {float(heavy):.0%} at one; half of the engines started anew; {SEEN_FOR:g} s")
+        print(
+            f"{SOFTSWITCHES} softswitches, {ENGINES} engines of {BEARS:g} set-ups a second, {RATE:g} calls "
+            f"a second, {float(heavy):.0%} at one; half of the engines started anew; {SEEN_FOR:g} s"
+        )
         for way in WAYS:
             shown = []
             for seed in range(1, seeds + 1):
@@ -98,5 +141,8 @@
                 shown.append(json.loads(ran.stdout.splitlines()[-1]))
             most = [p for s in shown for p in s["most %"]]
             stood, tried = mean(s["stood"] / s["tried"] for s in shown), mean(s["tried"] for s in shown)
-            print(f"{way}: engines fell {sum(s['fell'] for s in shown)} times; most that a cold one got, % "
-                  f"of what it bears: {most}; stood {stood:.3f} of {tried:.0f}", flush=True)
+            print(
+                f"{way}: engines fell {sum(s['fell'] for s in shown)} times; most that a cold one got, % "
+                f"of what it bears: {most}; stood {stood:.3f} of {tried:.0f}",
+                flush=True,
+            )
--- a/benchmarks/coverage.py
+++ b/benchmarks/coverage.py
@@ -2,6 +2,7 @@
 
 `python benchmarks/coverage.py [N]` (default 500 of each kind, about 40 s on eight cores).
 """
+
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from math import inf
@@ -26,8 +27,14 @@
 def one(case):
     name, seed = case
     erlangs, seconds, more, circuits = CASES[name]
-    seen = simulate.play([simulate.Group("g", circuits)], [simulate.Demand("x", erlangs, ("g",), **more)],
-                         seconds, seed, warm=10.0, slot=max(0.1, seconds / 2000)).records["x"]
+    seen = simulate.play(
+        [simulate.Group("g", circuits)],
+        [simulate.Demand("x", erlangs, ("g",), **more)],
+        seconds,
+        seed,
+        warm=10.0,
+        slot=max(0.1, seconds / 2000),
+    ).records["x"]
     try:
         found = traffic.estimate(
             traffic.Sample(seen.slot, seen.first, seen.erlang_time, seen.ended, seen.held2)
@@ -36,17 +43,25 @@
         return name, None
     boot = found.bootstrap
     z = peaky.switched(erlangs, more["on"], more["off"])[1] if more.get("on", inf) < inf else 1.0
-    return name, (found.erlangs.low <= erlangs <= found.erlangs.high, found.erlangs.half_width,
-                  None if boot is None else boot.low <= erlangs <= boot.high,
-                  found.peakedness.low <= z <= found.peakedness.high, found.steady, found.peakedness.value, z)
+    return name, (
+        found.erlangs.low <= erlangs <= found.erlangs.high,
+        found.erlangs.half_width,
+        None if boot is None else boot.low <= erlangs <= boot.high,
+        found.peakedness.low <= z <= found.peakedness.high,
+        found.steady,
+        found.peakedness.value,
+        z,
+    )
 
 
 def main():
     count = int(sys.argv[1]) if len(sys.argv) > 1 else 500
     with ProcessPoolExecutor() as pool:
         rows = list(pool.map(one, [(name, seed) for name in CASES for seed in range(count)], chunksize=10))
-    print(f"{'case':22} {'told':>5} {'cover':>6} {'half-width':>10} {'bootstrap':>9} {'Z cover':>8} "
-          f"{'Z':>6} {'true':>6} {'steady':>7}")
+    print(
+        f"{'case':22} {'told':>5} {'cover':>6} {'half-width':>10} {'bootstrap':>9} {'Z cover':>8} "
+        f"{'Z':>6} {'true':>6} {'steady':>7}"
+    )
     for name in CASES:
         got = [r for n, r in rows if n == name and r is not None]
         boots = [r[2] for r in got if r[2] is not None]
--- a/benchmarks/erlang.py
+++ b/benchmarks/erlang.py
@@ -1,4 +1,5 @@
 """Circuits for a target by the inverse of Erlang B against the textbook recursion, in one run."""
+
 import time
 
 from willowhitch.dimension import loss
@@ -23,7 +24,7 @@
 if __name__ == "__main__":
     print(f"{'erlangs':>9} {'circuits':>9} {'inverse us':>11} {'recursion us':>13} {'ratio':>8}")
     for power in range(2, 7):
-        a = float(10 ** power)
+        a = float(10**power)
         fast, t_fast = timed(lambda a=a: loss.whole(loss.circuits_for(a, 0.01)))
         slow, t_slow = timed(by_recursion, a, 0.01)
         assert fast == slow, (a, fast, slow)
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,6 +1,7 @@
 """What the fleet view costs: processor time a call and mean set-up time with it and without, paired in one
 run; memory of a view of 1,000 members. `fleet_cost.py [PAIRS] [SECONDS] [SOFTSWITCHES] [WHAT]`;
 WHAT is `view` (with it against without) or `budgets` (the view and budgets against the view alone)."""
+
 import subprocess
 import sys
 import tracemalloc
@@ -11,9 +12,11 @@
 WARM = 10.0  # s that are not counted: starting, joining, and a first allocator
 
 
-BUDGETS = ({"name": "quotes", "whole": 100_000, "floor": 10, "class": "price-check"},
-           {"name": "again", "what": "repeats", "whole": 1_000, "over_s": 2},
-           {"name": "cold", "what": "cold", "floor": 0.01})
+BUDGETS = (
+    {"name": "quotes", "whole": 100_000, "floor": 10, "class": "price-check"},
+    {"name": "again", "what": "repeats", "whole": 1_000, "over_s": 2},
+    {"name": "cold", "what": "cold", "floor": 0.01},
+)
 
 
 def day(on, seconds, softswitches, seed, what="view"):
@@ -35,8 +38,9 @@
 
     rate = 30.0 * softswitches
     view, budgets = (on, ()) if what == "view" else (True, BUDGETS if on else ())
-    drill = Measured(softswitches, 2, WARM + seconds, seed, (), rate=rate, view=view, watched=False,
-                     budgets=budgets)
+    drill = Measured(
+        softswitches, 2, WARM + seconds, seed, (), rate=rate, view=view, watched=False, budgets=budgets
+    )
     drill.day = replace(drill.day, warm=WARM, seconds=seconds)
     total = drill.play().total()
     print(drill.used / total.tries, total.delay_s / max(1, total.carried), total.carried / total.tries)
@@ -57,8 +61,20 @@
     member = Member("tana", me, (), Periods(), 1, 0.0)
     for k in range(1, n):
         at = f"10.{k >> 8}.{k & 255}.1"
-        member.table.put(0.0, Record(f"softswitch-{k}", f"{at}:7946", 1, State.ALIVE, k, "east", "0.1.0",
-                                     "0123456789ab", f"{at}:15000"))
+        member.table.put(
+            0.0,
+            Record(
+                f"softswitch-{k}",
+                f"{at}:7946",
+                1,
+                State.ALIVE,
+                k,
+                "east",
+                "0.1.0",
+                "0123456789ab",
+                f"{at}:15000",
+            ),
+        )
     print(f"a view of {n} members: {tracemalloc.get_traced_memory()[0] / 1024:.0f} KiB")
 
 
@@ -66,7 +82,7 @@
     if sys.argv[1:2] == ["day"]:
         day(sys.argv[2] == "1", float(sys.argv[3]), int(sys.argv[4]), int(sys.argv[5]), sys.argv[6])
     else:
-        given = sys.argv[1:] + ["4", "12", "4", "view"][len(sys.argv) - 1:]
+        given = sys.argv[1:] + ["4", "12", "4", "view"][len(sys.argv) - 1 :]
         costs, waits = [], []
         for n in range(int(given[0])):
             # the order alternates, so that drift of the machine falls on both alike
@@ -75,10 +91,13 @@
             costs.append(found[True][0] / found[False][0])
             waits.append(found[True][1] / found[False][1])
             us = [1e6 * found[on][0] for on in (False, True)]
-            print(f"pair {n}: {us[0]:.0f} us a call without, {us[1]:.0f} with: "
-                  f"{costs[-1]:.3f}; mean set-up {1e3 * found[False][1]:.2f} ms without, "
-                  f"{1e3 * found[True][1]:.2f} with: {waits[-1]:.3f}; stood {found[False][2]:.3f}, "
-                  f"{found[True][2]:.3f}", flush=True)
+            print(
+                f"pair {n}: {us[0]:.0f} us a call without, {us[1]:.0f} with: "
+                f"{costs[-1]:.3f}; mean set-up {1e3 * found[False][1]:.2f} ms without, "
+                f"{1e3 * found[True][1]:.2f} with: {waits[-1]:.3f}; stood {found[False][2]:.3f}, "
+                f"{found[True][2]:.3f}",
+                flush=True,
+            )
         print(f"median ratio: processor time {median(costs):.3f}, mean set-up {median(waits):.3f}")
         if given[3] == "view":
             memory()
--- a/benchmarks/fleet_table.py
+++ b/benchmarks/fleet_table.py
@@ -4,6 +4,7 @@
 worst class and tenant against theirs, score. Without files, all of journal/; --why and --head pick entries by
 their note and by the commit that was played. The journal tells no thirds of a day: the bench checks them.
 """
+
 import argparse
 import json
 from pathlib import Path
@@ -29,9 +30,17 @@
         broken = [name for name, n in day["rules"].items() if n]
         fault = day["fault"] or entry["error"] if len(entry["days"]) == 1 else day["fault"]
         said = fault or (", ".join(broken) if broken else "kept")
-        figures = (site, day["name"], day["seed"], day["nodes"], said,
-                   f"{day['served']:.3f} of {day['served_least']:.3f}", worst(day["by_class"]),
-                   worst(day["by_tenant"]), f"{day['score']:.2f}")
+        figures = (
+            site,
+            day["name"],
+            day["seed"],
+            day["nodes"],
+            said,
+            f"{day['served']:.3f} of {day['served_least']:.3f}",
+            worst(day["by_class"]),
+            worst(day["by_tenant"]),
+            f"{day['score']:.2f}",
+        )
         made.append("| " + " | ".join(map(str, figures)) + " |")
     return made
 
@@ -42,8 +51,9 @@
     asked.add_argument("--head", default="")
     asked.add_argument("files", nargs="*", type=Path)
     of = asked.parse_args()
-    print("| site | day | seed | softswitches | rules | served of wanted | worst class | worst tenant "
-          "| score |")
+    print(
+        "| site | day | seed | softswitches | rules | served of wanted | worst class | worst tenant | score |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for file in of.files or sorted((ROOT / "journal").glob("*.json")):
         entry = json.loads(file.read_text())
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -85,11 +85,7 @@
     def ended_revives(old):
         def put(self, now, record, age=0.0):
             held = self.records.get(record.key)
-            if (
-                held is not None
-                and held.state in (State.GONE, State.LEFT)
-                and record.state is State.ALIVE
-            ):
+            if held is not None and held.state in (State.GONE, State.LEFT) and record.state is State.ALIVE:
                 self.drop(record.key)
             return old(self, now, record, age)
 
@@ -236,9 +232,7 @@
         finally:
             undo()
         found += hit is not None
-        print(
-            f"{name}: " + (f"found by seed {hit[0]}: {hit[1][:90]}" if hit else f"survives {most} seeds")
-        )
+        print(f"{name}: " + (f"found by seed {hit[0]}: {hit[1][:90]}" if hit else f"survives {most} seeds"))
     print(f"{found} of {len(planted())} found")
 
 
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -5,6 +5,7 @@
 Each pair starts one softswitch of this tree and one of TREE (an earlier version's checkout), one after the
 other, among the same stand-in engines that tell their state once a second; nobody calls. Ratios are paired.
 """
+
 import argparse
 import json
 import os
@@ -67,6 +68,7 @@
                     time.sleep(1.0)
             except OSError:
                 return
+
         threading.Thread(target=beat, daemon=True).start()
 
 
@@ -110,8 +112,18 @@
     for n in range(given.engines):
         listener, at = listening()
         threading.Thread(target=engine, args=(listener,), daemon=True).start()
-        hosts.append({"host": f"s-{n:08x}", "dial": at, "site": "z", "class": "m", "block": n,
-                      "health": "active", "share": 1, "born_ms": 0})
+        hosts.append(
+            {
+                "host": f"s-{n:08x}",
+                "dial": at,
+                "site": "z",
+                "class": "m",
+                "block": n,
+                "health": "active",
+                "share": 1,
+                "born_ms": 0,
+            }
+        )
     door, board_at = listening()
     threading.Thread(target=board, args=(door,), daemon=True).start()
     sys.path.insert(0, str(ROOT / "tests"))
@@ -125,9 +137,21 @@
                 spare, at = listening()
                 spare.close()
                 config = Path(folder, "config.json")
-                config.write_text(json.dumps({
-                    "name": "n0", "listen": at, "seed": "1f", "board": board_at, "settings": INFO,
-                    "known": {"rev": 3, "notices": [{"rev": 3, "pool": {"whole": True, "hosts": hosts}}]}}))
+                config.write_text(
+                    json.dumps(
+                        {
+                            "name": "n0",
+                            "listen": at,
+                            "seed": "1f",
+                            "board": board_at,
+                            "settings": INFO,
+                            "known": {
+                                "rev": 3,
+                                "notices": [{"rev": 3, "pool": {"whole": True, "hosts": hosts}}],
+                            },
+                        }
+                    )
+                )
                 seen[name].append(measure(tree, config, given.seconds))
                 told = "start {:.3f} s, idle {:.2f} ms a second, {:.0f} wake-ups"
                 print(name, told.format(*seen[name][-1]))
--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -7,6 +7,7 @@
 
 Stand-ins and callers have processes of their own. Ends all that it started.
 """
+
 import json
 import os
 import signal
@@ -22,9 +23,11 @@
 from paired import paired
 
 ROOT = Path(__file__).resolve().parent.parent
-INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
-          "Subject: {}\r\nX-Patience: 3000\r\nX-Facts: dest:{};width:1;via:-1\r\nContent-Length: 3\r\n"
-          "\r\nv=0")
+INVITE = (
+    "INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
+    "Subject: {}\r\nX-Patience: 3000\r\nX-Facts: dest:{};width:1;via:-1\r\nContent-Length: 3\r\n"
+    "\r\nv=0"
+)
 
 
 def stand_ins():
@@ -39,8 +42,18 @@
     engines = [Engine(reactor, e, n) for n, e in enumerate(made.engines)]
     board = Board(reactor, [Listed(e.set.name, e.listen(), e.set.cell) for e in engines])
     at = board.listen()
-    print(json.dumps({"board": f"{at[0]}:{at[1]}", "known": board.known(), "settings": made.settings(),
-                      "seed": "1f", "name": "n0"}), flush=True)
+    print(
+        json.dumps(
+            {
+                "board": f"{at[0]}:{at[1]}",
+                "known": board.known(),
+                "settings": made.settings(),
+                "seed": "1f",
+                "name": "n0",
+            }
+        ),
+        flush=True,
+    )
     reactor.run()
 
 
@@ -55,8 +68,9 @@
 
     def __init__(self, sockets=512, memory_mb=192):
         self.dir = tempfile.TemporaryDirectory()
-        self.others = subprocess.Popen([sys.executable, __file__, "stand-ins"], cwd=ROOT,
-                                       stdout=subprocess.PIPE)
+        self.others = subprocess.Popen(
+            [sys.executable, __file__, "stand-ins"], cwd=ROOT, stdout=subprocess.PIPE
+        )
         told = json.loads(self.others.stdout.readline())
         self.at = ("127.0.0.1", free())
         told |= {"listen": f"127.0.0.1:{self.at[1]}", "limits": {"sockets": sockets, "memory_mb": memory_mb}}
@@ -66,8 +80,12 @@
         self.programs = []
 
     def start(self, mgmt=None, way="", pin=None):
-        env = os.environ | {"BALANCER_CONFIG": str(self.config), "TMPDIR": self.dir.name,
-                            "BALANCER_MGMT": f"127.0.0.1:{mgmt}" if mgmt else "", "WILLOWHITCH_HANDOVER": way}
+        env = os.environ | {
+            "BALANCER_CONFIG": str(self.config),
+            "TMPDIR": self.dir.name,
+            "BALANCER_MGMT": f"127.0.0.1:{mgmt}" if mgmt else "",
+            "WILLOWHITCH_HANDOVER": way,
+        }
         with open(Path(self.dir.name, "log"), "ab") as log:
             made = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=env, stderr=log)
         if pin is not None:
@@ -154,9 +172,11 @@
                 for how, n in caller.lost.items():
                     lost[how] = lost.get(how, 0) + n
             sent = sum(c.sent for c in callers)
-            print(f"{way or 'descriptor handed over'}: {times} replacements, {sent} set-ups on as many "
-                  f"connections, lost at the door {sum(lost.values())} {lost}, "
-                  f"ready after {median(took):.2f} s (most {max(took):.2f})")
+            print(
+                f"{way or 'descriptor handed over'}: {times} replacements, {sent} set-ups on as many "
+                f"connections, lost at the door {sum(lost.values())} {lost}, "
+                f"ready after {median(took):.2f} s (most {max(took):.2f})"
+            )
         finally:
             bed.end()
 
@@ -207,8 +227,11 @@
         bed.programs.append(subprocess.Popen([sys.executable, __file__, "crowd", str(bed.at[1])]))
         mute = [socket.create_connection(("127.0.0.1", port)) for _ in range(5)]
         for _ in range(3):
-            bed.programs.append(subprocess.Popen(
-                [sys.executable, __file__, "flood", str(bed.at[1]), bed.classes[0], str(seconds + 2)]))
+            bed.programs.append(
+                subprocess.Popen(
+                    [sys.executable, __file__, "flood", str(bed.at[1]), bed.classes[0], str(seconds + 2)]
+                )
+            )
         time.sleep(1.0)
         held, waits, bad, until, busy = [], [], 0, time.monotonic() + seconds, time.monotonic()
         ticks = sum(map(int, Path(f"/proc/{program.pid}/stat").read_text().split()[13:15]))
@@ -222,11 +245,13 @@
             time.sleep(0.05)
         ticks = sum(map(int, Path(f"/proc/{program.pid}/stat").read_text().split()[13:15])) - ticks
         share = ticks / os.sysconf("SC_CLK_TCK") / (time.monotonic() - busy)
-        print(f"management calls: {len(waits)}, not answered 200: {bad}, longest wait "
-              f"{1000 * max(waits):.0f} ms, median {1000 * median(waits):.1f} ms; softswitch at {share:.2f} "
-              f"of a core it shares with a spinning process, {min(held)} to {max(held)} "
-              f"of 256 descriptors held (callers may have 208), some 300 idle or half-written ones a second, "
-              f"{len(mute)} operators' connections that said nothing")
+        print(
+            f"management calls: {len(waits)}, not answered 200: {bad}, longest wait "
+            f"{1000 * max(waits):.0f} ms, median {1000 * median(waits):.1f} ms; softswitch at {share:.2f} "
+            f"of a core it shares with a spinning process, {min(held)} to {max(held)} "
+            f"of 256 descriptors held (callers may have 208), some 300 idle or half-written ones a second, "
+            f"{len(mute)} operators' connections that said nothing"
+        )
     finally:
         bed.end()
 
--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -1,5 +1,6 @@
 """The planner against brute force on drawn small networks, 100 groups against the clock, and plans fed back
 through the event simulation. `python benchmarks/planning.py [NETWORKS]` (default 200)."""
+
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -21,8 +22,15 @@
         for k in range(direct):
             name = f"d{f}.{k}"
             groups.append(Group(name, random.choice((1, 2, 4)), random.uniform(0.5, 4), most, f"f{f}"))
-            streams.append(Stream(f"s{name}", name, random.uniform(1, 10), random.choice((0.01, 0.02, 0.05)),
-                                  random.choice((1, 1, 1.5))))
+            streams.append(
+                Stream(
+                    f"s{name}",
+                    name,
+                    random.uniform(1, 10),
+                    random.choice((0.01, 0.02, 0.05)),
+                    random.choice((1, 1, 1.5)),
+                )
+            )
         streams.append(Stream(f"sf{f}", f"f{f}", random.uniform(1, 6), random.choice((0.01, 0.03))))
     return groups, streams
 
@@ -50,12 +58,18 @@
         found = planner.plan(groups, streams)
     except planner.Infeasible:
         return []
-    demands = [simulate.Demand(s.name, s.erlangs, (s.group, "f0") if s.group != "f0" else ("f0",))
-               for s in streams]
+    demands = [
+        simulate.Demand(s.name, s.erlangs, (s.group, "f0") if s.group != "f0" else ("f0",)) for s in streams
+    ]
     shares = {s.name: [] for s in streams}
     for run in range(10):
-        out = simulate.play([simulate.Group(g.name, found.circuits[g.name]) for g in groups], demands, 2000.0,
-                            1000 * seed + run, warm=20.0)
+        out = simulate.play(
+            [simulate.Group(g.name, found.circuits[g.name]) for g in groups],
+            demands,
+            2000.0,
+            1000 * seed + run,
+            warm=20.0,
+        )
         for name, seen in out.demands.items():
             shares[name].append(seen.lost / seen.calls)
     return [
@@ -88,22 +102,28 @@
     with ProcessPoolExecutor() as pool:
         rows = list(pool.map(against_brute, range(count), chunksize=5))
         same = sum(a == b or (a is not None and b is not None and abs(a - b) < 1e-9) for a, b in rows)
-        print(f"{same} of {count} drawn networks: cost equal to brute force "
-              f"({sum(b is None for _, b in rows)} of them without a plan, told so by both)")
+        print(
+            f"{same} of {count} drawn networks: cost equal to brute force "
+            f"({sum(b is None for _, b in rows)} of them without a plan, told so by both)"
+        )
         groups, streams = drawn(3, 20, 4, 14)
         began = time.perf_counter()
         found = planner.plan(groups, streams, each=pool.map)
-        print(f"{len(groups)} groups in {time.perf_counter() - began:.1f} s: cost {found.cost:.1f}, "
-              f"{found.rounds} programmes, {found.evaluated} choices looked at, monotone {found.monotone}")
+        print(
+            f"{len(groups)} groups in {time.perf_counter() - began:.1f} s: cost {found.cost:.1f}, "
+            f"{found.rounds} programmes, {found.evaluated} choices looked at, monotone {found.monotone}"
+        )
         told = [row for rows in pool.map(fed_back, range(40)) for row in rows]
         played = [row for rows in pool.map(checked, range(100, 160)) for row in rows]
     missed = [
         (name, target, lost, error) for name, target, lost, error, _ in told if lost - 2 * error > target
     ]
     ratio = [lost / want for _, _, lost, _, want in told if want > 1e-3]
-    print(f"plans fed back: {len(told) - len(missed)} of {len(told)} streams within their target (2 standard "
-          f"errors); lost over predicted: median {np.median(ratio):.2f}, 10 to 90%: "
-          f"{np.quantile(ratio, 0.1):.2f} to {np.quantile(ratio, 0.9):.2f}")
+    print(
+        f"plans fed back: {len(told) - len(missed)} of {len(told)} streams within their target (2 standard "
+        f"errors); lost over predicted: median {np.median(ratio):.2f}, 10 to 90%: "
+        f"{np.quantile(ratio, 0.1):.2f} to {np.quantile(ratio, 0.9):.2f}"
+    )
     for row in missed:
         print("  over its target:", *(f"{x:.5f}" if isinstance(x, float) else x for x in row))
     over = [row for row in played if row[2] - 2 * row[3] > row[1]]
--- a/benchmarks/record_cost.py
+++ b/benchmarks/record_cost.py
@@ -1,5 +1,6 @@
 """What the traffic record costs: CPU of the softswitch per call with and without it, paired in one run; the
 bytes of a day's file and of the record in memory. `python benchmarks/record_cost.py [PAIRS] [SECONDS]`."""
+
 import resource
 import subprocess
 import sys
@@ -16,21 +17,27 @@
 
     made = demo_day(seconds, 100.0, 3, 200, seed)
     fields = {name: getattr(made, name) for name in made.__dataclass_fields__} | {
-        "record_interval": 5.0 if record else 0.0}
+        "record_interval": 5.0 if record else 0.0
+    }
     result = Fleet(Day(**fields)).play()
     used = resource.getrusage(resource.RUSAGE_CHILDREN)
     print((used.ru_utime + used.ru_stime) / result.total().tries)
 
 
 def played(record, seconds, seed):
-    ran = subprocess.run([sys.executable, __file__, "day", str(int(record)), seconds, str(seed)],
-                         capture_output=True, text=True, check=True)
+    ran = subprocess.run(
+        [sys.executable, __file__, "day", str(int(record)), seconds, str(seed)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     return float(ran.stdout)
 
 
 def memory():
     """Bytes of a record with 3 cells, 2 classes and a full interval of 60 slots; bytes of its entry."""
     import orjson
+
     tracemalloc.start()
     saved = []
     r = TrafficRecord(60_000, 1_000, lambda now: now, saved.append, 0.0)
@@ -47,8 +54,10 @@
     held = tracemalloc.get_traced_memory()[0]
     r.turn(60_000.0)
     entry = len(orjson.dumps(saved[0], default=encoded))
-    print(f"record in memory: {held / 1024:.0f} KiB with 500 calls up; an entry of 60 s: {entry} bytes; "
-          f"a day of them: {entry * 1440 / 1e6:.1f} MB")
+    print(
+        f"record in memory: {held / 1024:.0f} KiB with 500 calls up; an entry of 60 s: {entry} bytes; "
+        f"a day of them: {entry * 1440 / 1e6:.1f} MB"
+    )
 
 
 if __name__ == "__main__":
@@ -62,7 +71,10 @@
             order = (True, False) if n % 2 else (False, True)
             cost = {on: played(on, seconds, n) for on in order}
             ratios.append(cost[True] / cost[False])
-            print(f"pair {n}: {1e6 * cost[False]:.0f} us a call without, {1e6 * cost[True]:.0f} with: "
-                  f"{ratios[-1]:.3f}", flush=True)
+            print(
+                f"pair {n}: {1e6 * cost[False]:.0f} us a call without, {1e6 * cost[True]:.0f} with: "
+                f"{ratios[-1]:.3f}",
+                flush=True,
+            )
         print(f"median ratio {median(ratios):.3f}")
         memory()
--- a/benchmarks/replay_sockets.py
+++ b/benchmarks/replay_sockets.py
@@ -4,6 +4,7 @@
 all that the prediction sees. All days run at once:
 `python benchmarks/replay_sockets.py [SECONDS]` (default 150 s, about 3 minutes).
 """
+
 import json
 import subprocess
 import sys
@@ -36,14 +37,24 @@
         "random": dict(engines=(engine(0, 20),), classes=one, streams=(stream(16),)),
         "peaky": dict(engines=(engine(0, 32),), classes=one, streams=(stream(16, **switched),)),
         "surge": dict(engines=(engine(0, 18),), classes=one, streams=(stream(14, profile=surge),)),
-        "two widths": dict(engines=(engine(0, 30, widths={"wide": 3}),), classes=both,
-                           streams=(stream(12), stream(4, "wide", width=3))),
-        "overflow": dict(engines=(engine(0, 8), engine(1, 14)), classes=one,
-                         streams=(stream(10, number="0"), stream(8, dest=1, number="1"))),
-        "overflow, reserve": dict(engines=(engine(0, 8), engine(1, 14, reserve=3, own="1")), classes=one,
-                                  streams=(stream(10, number="0"), stream(8, dest=1, number="1"))),
-        "redials": dict(engines=(engine(0, 20),), classes=one, streams=(stream(17),), tries=4, again=0.8,
-                        pause=4 * HOLD),
+        "two widths": dict(
+            engines=(engine(0, 30, widths={"wide": 3}),),
+            classes=both,
+            streams=(stream(12), stream(4, "wide", width=3)),
+        ),
+        "overflow": dict(
+            engines=(engine(0, 8), engine(1, 14)),
+            classes=one,
+            streams=(stream(10, number="0"), stream(8, dest=1, number="1")),
+        ),
+        "overflow, reserve": dict(
+            engines=(engine(0, 8), engine(1, 14, reserve=3, own="1")),
+            classes=one,
+            streams=(stream(10, number="0"), stream(8, dest=1, number="1")),
+        ),
+        "redials": dict(
+            engines=(engine(0, 20),), classes=one, streams=(stream(17),), tries=4, again=0.8, pause=4 * HOLD
+        ),
     }
 
 
@@ -96,8 +107,9 @@
     elif name == "surge":
         parts, hold = found[0, "x"][1].segments, found[0, "x"][1].hold.value
         calls = [p.rate * (p.to - p.since) for p in parts]
-        predicted = sum(c * loss.erlang_b(circuits[0], p.rate * hold)
-                        for c, p in zip(calls, parts, strict=True)) / sum(calls)
+        predicted = sum(
+            c * loss.erlang_b(circuits[0], p.rate * hold) for c, p in zip(calls, parts, strict=True)
+        ) / sum(calls)
         peak = max(p.rate for p in parts) * hold
         need = (loss.whole(loss.circuits_for(total, 0.01)), loss.whole(loss.circuits_for(peak, 0.01)))
         more = {"segments": [round(p.rate * hold, 2) for p in parts]}
@@ -108,16 +120,23 @@
         rates = [float(samples[0, k].first.sum()) for k in ("x", "wide")]
         predicted = sum(r * b for r, b in zip(rates, shares, strict=True)) / sum(rates)
         by_class = {k: (t.codes[503] + t.codes[500]) / t.tries for (k, _), t in tallies.items()}
-        more = {"by class": {k: [round(b, 4), round(by_class[k], 4)]
-                             for k, b in zip(("x", "wide"), shares, strict=True)}}
+        more = {
+            "by class": {
+                k: [round(b, 4), round(by_class[k], 4)] for k, b in zip(("x", "wide"), shares, strict=True)
+            }
+        }
         plain = loss.erlang_b(circuits[0], erlangs[0, "x"] + 3 * erlangs[0, "wide"])
     elif name.startswith("overflow"):
         reserve = (0, day.engines[1].reserve)
         both = mutual.pair((circuits[0], circuits[1]), (erlangs[0, "x"], erlangs[1, "x"]), reserve)
         predicted = (both.first * erlangs[0, "x"] + both.second * erlangs[1, "x"]) / total
         by_dest = {d: (t.codes[503] + t.codes[500]) / t.tries for (_, d), t in sorted(tallies.items())}
-        more = {"by dest": [[round(both.first, 4), round(by_dest[0], 4)],
-                            [round(both.second, 4), round(by_dest[1], 4)]]}
+        more = {
+            "by dest": [
+                [round(both.first, 4), round(by_dest[0], 4)],
+                [round(both.second, 4), round(by_dest[1], 4)],
+            ]
+        }
     elif name == "redials":
         # tries are limited, so the redial share of blocked tries is the one that was seen
         redials = sum(s.redials for s in samples.values())
@@ -129,12 +148,21 @@
     loss_only = predicted
     predicted *= waits  # exact for random calls; for the others, as far as for random calls of that load
     first = joined(list(samples.values()))
-    return {"day": name, "calls": int(first.first.sum()), "erlangs": round(total, 2),
-            "observed": round(observed, 4), "noise": round(1.96 * sqrt(observed * (1 - observed) / tries), 4),
-            "predicted": round(predicted, 4), "without holding": round(loss_only, 4),
-            "held ms": round(1000 * held * HOLD, 1), "plain": round(plain, 4), "need": need, "steady": all(
-                w.steady for _, w in found.values()), **more,
-            "held": abs(predicted - observed) <= MARGIN}
+    return {
+        "day": name,
+        "calls": int(first.first.sum()),
+        "erlangs": round(total, 2),
+        "observed": round(observed, 4),
+        "noise": round(1.96 * sqrt(observed * (1 - observed) / tries), 4),
+        "predicted": round(predicted, 4),
+        "without holding": round(loss_only, 4),
+        "held ms": round(1000 * held * HOLD, 1),
+        "plain": round(plain, 4),
+        "need": need,
+        "steady": all(w.steady for _, w in found.values()),
+        **more,
+        "held": abs(predicted - observed) <= MARGIN,
+    }
 
 
 def main():
--- a/benchmarks/site_variant.py
+++ b/benchmarks/site_variant.py
@@ -3,6 +3,7 @@
 The bench wants real.json, wire.json and unlock.txt beside a site file. They belong to the kit and are not
 kept here: they are taken from the other customer's folder of it, beside this project, as the folder is made.
 """
+
 import shutil
 import sys
 from pathlib import Path
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """Drawn tests draw the same each time: one verdict for one tree. Known failures are let through by name."""
+
 import known_red
 import pytest
 from hypothesis import settings
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,13 +1,27 @@
 """A front with named servers, driven by hand."""
+
 from willowhitch import Controller
 from willowhitch import interface as i
 
-CLASSES = (i.CallClass("plain", aim=1500.0, worth=1.0, late_share=0.25, hold=8000.0),
-           i.CallClass("dear", aim=1500.0, worth=4.0, late_share=0.25, hold=8000.0))
+CLASSES = (
+    i.CallClass("plain", aim=1500.0, worth=1.0, late_share=0.25, hold=8000.0),
+    i.CallClass("dear", aim=1500.0, worth=4.0, late_share=0.25, hold=8000.0),
+)
 BASE = dict(
-    classes=CLASSES, fleet_size=4, may_cancel=True, may_advise=True, max_advice=2000.0, max_attempts=4,
-    release=300.0, repeat_after=400.0, cold=15000.0, cold_from=0.3, overload_factor=2.5, overload_for=1000.0,
-    tick=5.0, report_fields=("free", "size"),
+    classes=CLASSES,
+    fleet_size=4,
+    may_cancel=True,
+    may_advise=True,
+    max_advice=2000.0,
+    max_attempts=4,
+    release=300.0,
+    repeat_after=400.0,
+    cold=15000.0,
+    cold_from=0.3,
+    overload_factor=2.5,
+    overload_for=1000.0,
+    tick=5.0,
+    report_fields=("free", "size"),
 )
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,6 +3,7 @@
 They are run, and printed, and their failing does not fail the run. A line that names no test, or is one too
 many, or lacks a part, does.
 """
+
 from pathlib import Path
 
 FILE, MOST = Path(__file__).parent.parent / "KNOWN-RED.txt", 3
--- a/tests/refused.py
+++ b/tests/refused.py
@@ -1,5 +1,6 @@
 """Runs the program with what the fleet's standing test refuses being refused by the kernel: fork, further
 programs, io_uring, sendfile (ENOSYS), splice (EINVAL), Unix and IPv6 sockets. `python refused.py MODULE`."""
+
 import ctypes
 import errno
 import os
@@ -9,10 +10,20 @@
 import sys
 
 NUMBERS = {
-    "x86_64": {"arch": 0xC000003E, "clone": 56, "socket": 41, "splice": 275,
-               "refused": (57, 58, 59, 322, 40, 425, 426, 427, 435)},
-    "aarch64": {"arch": 0xC00000B7, "clone": 220, "socket": 198, "splice": 76,
-                "refused": (221, 281, 71, 425, 426, 427, 435)},
+    "x86_64": {
+        "arch": 0xC000003E,
+        "clone": 56,
+        "socket": 41,
+        "splice": 275,
+        "refused": (57, 58, 59, 322, 40, 425, 426, 427, 435),
+    },
+    "aarch64": {
+        "arch": 0xC00000B7,
+        "clone": 220,
+        "socket": 198,
+        "splice": 76,
+        "refused": (221, 281, 71, 425, 426, 427, 435),
+    },
 }
 LOAD, EQUAL, SET, RETURN = 0x20, 0x15, 0x45, 0x06  # BPF: load a word, jump if equal, jump if a bit is set
 ALLOW, ERRNO = 0x7FFF0000, 0x00050000
@@ -26,10 +37,21 @@
     steps = [(LOAD, 0, 0, 4), (EQUAL, 1, 0, n["arch"]), (RETURN, 0, 0, ALLOW), (LOAD, 0, 0, 0)]
     for number, code in deny.items():
         steps += [(EQUAL, 0, 1, number), (RETURN, 0, 0, ERRNO | code)]
-    steps += [(EQUAL, 0, 4, n["clone"]), (LOAD, 0, 0, 16), (SET, 1, 0, THREAD),
-              (RETURN, 0, 0, ERRNO | errno.ENOSYS), (RETURN, 0, 0, ALLOW)]
-    steps += [(EQUAL, 0, 4, n["socket"]), (LOAD, 0, 0, 16), (EQUAL, 1, 0, UNIX), (EQUAL, 0, 1, IPV6),
-              (RETURN, 0, 0, ERRNO | errno.EAFNOSUPPORT), (RETURN, 0, 0, ALLOW)]
+    steps += [
+        (EQUAL, 0, 4, n["clone"]),
+        (LOAD, 0, 0, 16),
+        (SET, 1, 0, THREAD),
+        (RETURN, 0, 0, ERRNO | errno.ENOSYS),
+        (RETURN, 0, 0, ALLOW),
+    ]
+    steps += [
+        (EQUAL, 0, 4, n["socket"]),
+        (LOAD, 0, 0, 16),
+        (EQUAL, 1, 0, UNIX),
+        (EQUAL, 0, 1, IPV6),
+        (RETURN, 0, 0, ERRNO | errno.EAFNOSUPPORT),
+        (RETURN, 0, 0, ALLOW),
+    ]
     return b"".join(struct.pack("HBBI", *step) for step in steps), len(steps)
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -5,6 +5,7 @@
 MS`), close, wait; `p config b2`, or with a text, replaces the configuration and sends SIGHUP.
 Calls are short numbers; `{1}` stands for the id of call 1.
 """
+
 import json
 import os
 import re
@@ -23,8 +24,16 @@
 from wsproto.connection import ConnectionState
 from wsproto.events import CloseConnection, Ping, RejectConnection, Request, TextMessage
 
-KINDS = {1: "SET_UP", 6: "PROGRESS", 9: "ANSWER", 12: "RELEASE", 16: "HEARD", 43: "STATE", 52: "TEST",
-         53: "TESTED"}
+KINDS = {
+    1: "SET_UP",
+    6: "PROGRESS",
+    9: "ANSWER",
+    12: "RELEASE",
+    16: "HEARD",
+    43: "STATE",
+    52: "TEST",
+    53: "TESTED",
+}
 CODES = {name: code for code, name in KINDS.items()}
 STATES = {"ready": 0, "draining": 1, "gone": 2}
 ROOT = Path(__file__).parent.parent
@@ -150,11 +159,11 @@
     def feed(self, data):
         self.data += data
         while len(self.data) >= 2 and len(self.data) >= (size := struct.unpack(">H", self.data[:2])[0]) + 2:
-            kind, call, rest = self.data[2], self.data[3:11].hex(), self.data[11:size + 2]
-            self.data, words = self.data[size + 2:], [KINDS[kind], call]
+            kind, call, rest = self.data[2], self.data[3:11].hex(), self.data[11 : size + 2]
+            self.data, words = self.data[size + 2 :], [KINDS[kind], call]
             while rest:
                 code, n = struct.unpack(">BH", rest[:3])
-                value, rest = rest[3:3 + n], rest[3 + n:]
+                value, rest = rest[3 : 3 + n], rest[3 + n :]
                 words.append(f"{code}={value[0] if code == 31 else value.decode('latin-1')}")
             if kind != CODES["HEARD"]:
                 yield " ".join(words)
@@ -195,15 +204,26 @@
         if rev == "raw":
             return self.sock.sendall(bytes.fromhex(name))
         n = int(name[1:])
-        record = struct.pack(">I4sHBBBHIQ", n, bytes((127, 0, 0, 1)),
-                             self.stage.doors[name].getsockname()[1], STATES[state], 0, 0, n, 1000, 0)
+        record = struct.pack(
+            ">I4sHBBBHIQ",
+            n,
+            bytes((127, 0, 0, 1)),
+            self.stage.doors[name].getsockname()[1],
+            STATES[state],
+            0,
+            0,
+            n,
+            1000,
+            0,
+        )
         frame = struct.pack(">QB", int(rev), 2) + record
         self.sock.sendall(struct.pack(">I", len(frame)) + frame)
 
 
 class Stage:
-    def __init__(self, engines=2, settings=None, control="", config=None, env=None,
-                 command=("-m", "willowhitch")):
+    def __init__(
+        self, engines=2, settings=None, control="", config=None, env=None, command=("-m", "willowhitch")
+    ):
         self.doors = {f"e{n}": listener() for n in range(engines)} | {"b": listener(), "b2": listener()}
         self.command = command
         self.parties, self.hook, self.dir = {}, None, tempfile.TemporaryDirectory()
@@ -211,12 +231,28 @@
         self.sip, self.web, self.mgmt = (s.getsockname() for s in spare)
         for s in spare:
             s.close()
-        hosts = [{"host": f"s-{n:08x}", "dial": written(self.doors[f"e{n}"].getsockname()), "site": "z",
-                  "class": "m", "block": n, "health": "active", "share": 1, "born_ms": 0}
-                 for n in range(engines)]
-        made = {"name": "n0", "listen": written(self.sip), "seed": "1f", "mgmt": written(self.mgmt),
-                "board": written(self.doors["b"].getsockname()), "settings": INFO | (settings or {}),
-                "known": {"rev": 3, "notices": [{"rev": 3, "pool": {"whole": True, "hosts": hosts}}]}}
+        hosts = [
+            {
+                "host": f"s-{n:08x}",
+                "dial": written(self.doors[f"e{n}"].getsockname()),
+                "site": "z",
+                "class": "m",
+                "block": n,
+                "health": "active",
+                "share": 1,
+                "born_ms": 0,
+            }
+            for n in range(engines)
+        ]
+        made = {
+            "name": "n0",
+            "listen": written(self.sip),
+            "seed": "1f",
+            "mgmt": written(self.mgmt),
+            "board": written(self.doors["b"].getsockname()),
+            "settings": INFO | (settings or {}),
+            "known": {"rev": 3, "notices": [{"rev": 3, "pool": {"whole": True, "hosts": hosts}}]},
+        }
         self.config = Path(self.dir.name, "config.json")
         self.made = made | (config or {})
         self.config.write_text(json.dumps(self.made))
@@ -228,8 +264,9 @@
         self.start()
 
     def start(self, env=None):
-        self.program = subprocess.Popen([sys.executable, *self.command], cwd=ROOT,
-                                        env=self.env | (env or {}), stderr=self.log)
+        self.program = subprocess.Popen(
+            [sys.executable, *self.command], cwd=ROOT, env=self.env | (env or {}), stderr=self.log
+        )
         return self.program
 
     def __enter__(self):
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -1,4 +1,5 @@
 """The adapter on hand-written lines of the wire."""
+
 import io
 import json
 
@@ -7,24 +8,45 @@
 from willowhitch.benchlink import main
 
 INFO = {
-    "family": "trunks", "fleet_size": 2, "strange": {"key": 1},
-    "family_info": {"network_form": "groups", "own_number": -1, "clear_wait": 300.0, "repeat": 400.0,
-                    "holding": [8000.0], "skilled_pools": [[0, 1]]},
+    "family": "trunks",
+    "fleet_size": 2,
+    "strange": {"key": 1},
+    "family_info": {
+        "network_form": "groups",
+        "own_number": -1,
+        "clear_wait": 300.0,
+        "repeat": 400.0,
+        "holding": [8000.0],
+        "skilled_pools": [[0, 1]],
+    },
     "lanes": [{"name": "x", "aim": 1500.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 9000.0}],
-    "limits": {"may_cancel": True, "probes": True, "send_cap": 3, "retry_after": True,
-               "max_retry_after": 2000.0},
+    "limits": {
+        "may_cancel": True,
+        "probes": True,
+        "send_cap": 3,
+        "retry_after": True,
+        "max_retry_after": 2000.0,
+    },
     "rules": {"cold": 15000.0, "cold_from": 0.28, "overload_factor": 2.5, "overload_for": 1000.0},
-    "stats": {"fields": ["spare", "total"], "how": "answers"}, "tick": 5.0,
+    "stats": {"fields": ["spare", "total"], "how": "answers"},
+    "tick": 5.0,
+}
+SHEET = {
+    "verb": "sheet",
+    "table": 0,
+    "records": [
+        {"server": "s_a", "area": "z", "model": "m", "cell": 0, "mode": "Ready", "scale": 90, "more": 1},
+        {"server": "s_b", "area": "z", "model": "m", "cell": 1, "mode": "Ready", "scale": 90},
+    ],
 }
-SHEET = {"verb": "sheet", "table": 0, "records": [
-    {"server": "s_a", "area": "z", "model": "m", "cell": 0, "mode": "Ready", "scale": 90, "more": 1},
-    {"server": "s_b", "area": "z", "model": "m", "cell": 1, "mode": "Ready", "scale": 90}]}
 CALL = {"verb": "request", "front": 0, "handle": "0a", "category": "x", "terminates_at": 1, "grace": 3000.0}
 
 
 def start(front=0):
-    return [{"verb": "start", "front": front, "seed": 5, "info": INFO},
-            {"verb": "membership", "front": front, "table": 0, "gen": 1, "scope": "stale_copy"}]
+    return [
+        {"verb": "start", "front": front, "seed": 5, "info": INFO},
+        {"verb": "membership", "front": front, "table": 0, "gen": 1, "scope": "stale_copy"},
+    ]
 
 
 def batch(now, *events):
@@ -46,8 +68,17 @@
 
 
 def test_answers_come_back_as_types():
-    full = {"verb": "answer", "front": 0, "handle": "0a", "server": "s_b", "rc": 3, "spent": 9.0, "n": 0,
-            "reason": 3 + 16 * 250, "telemetry": [3, 90]}
+    full = {
+        "verb": "answer",
+        "front": 0,
+        "handle": "0a",
+        "server": "s_b",
+        "rc": 3,
+        "spent": 9.0,
+        "n": 0,
+        "reason": 3 + 16 * 250,
+        "telemetry": [3, 90],
+    }
     _, said = run(batch(5.0, SHEET, *start(), CALL) + batch(15.0, full))
     assert [m["server"] for m in said if m["verb"] == "dispatch"] == ["s_b", "s_a"]
 
@@ -58,15 +89,18 @@
     assert code == 0 and {m["front"] for m in said if "front" in m} == {0}
 
 
-@pytest.mark.parametrize("line, fault", [
-    ("{nonsense", "not valid JSON"),
-    ("[1]", "not an object with a verb"),
-    ('{"verb":"dance","front":0}', "unknown verb 'dance'"),
-    ('{"verb":"request","front":0,"handle":"0b"}', "category"),
-    ('{"verb":"wake","front":9,"cookie":1}', "front 9"),
-    ('{"verb":"start","front":1,"seed":1,"info":{"lanes":[]}}', "settings"),
-    ('{"verb":"answer","front":0,"handle":"0a","server":"s_a","rc":77}', "77"),
-])
+@pytest.mark.parametrize(
+    "line, fault",
+    [
+        ("{nonsense", "not valid JSON"),
+        ("[1]", "not an object with a verb"),
+        ('{"verb":"dance","front":0}', "unknown verb 'dance'"),
+        ('{"verb":"request","front":0,"handle":"0b"}', "category"),
+        ('{"verb":"wake","front":9,"cookie":1}', "front 9"),
+        ('{"verb":"start","front":1,"seed":1,"info":{"lanes":[]}}', "settings"),
+        ('{"verb":"answer","front":0,"handle":"0a","server":"s_a","rc":77}', "77"),
+    ],
+)
 def test_a_bad_line_ends_with_one_plain_message(line, fault, capsys):
     code, _ = run([*batch(5.0, SHEET, *start()), {"verb": "clock", "clock": 6.0}, line])
     err = capsys.readouterr().err
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -1,5 +1,6 @@
 """Budgets of real processes: what is refused when, the command, an allocator that dies, files that can't be
 kept, and a drill that adds up what was held, spent and seen at the engines."""
+
 import http.client
 import json
 import signal
@@ -21,9 +22,11 @@
 def budgeted(folder, budgets, count=3):
     at = [own() for _ in range(count)]
     everyone = json.dumps([written(a) for a in at])
-    tables = (f"budgets = {json.dumps(budgets)}\n"
-              f"allocation = {{\"members\": {everyone}, \"voters\": {everyone}, "
-              '"lease_s": 1.5, "promise_s": 1.0, "record": 1000}\n')
+    tables = (
+        f"budgets = {json.dumps(budgets)}\n"
+        f'allocation = {{"members": {everyone}, "voters": {everyone}, '
+        '"lease_s": 1.5, "promise_s": 1.0, "record": 1000}\n'
+    )
     with ExitStack() as stack:
         made = []
         for n in range(count):
@@ -43,6 +46,7 @@
 def test_a_call_beyond_the_budget_is_refused_and_an_allocator_that_dies_is_followed(tmp_path):
     quotes = {"name": "quotes", "whole": 5, "floor": 0.5, "over_s": 2, "class": "x"}
     with budgeted(tmp_path, [quotes]) as made:
+
         def logs():
             return "\n".join(p.said() for p in made)
 
@@ -73,18 +77,28 @@
         assert budgets(*made)[0] == 1 and dead.mgmt in budgets(*made)[1]["errors"]
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    (FLEET + 'budgets = [{"name": "a", "whole": 5}]\n', "`budgets` needs `allocation`"),
-    (ALLOCATION + 'budgets = [{"name": "a", "whole": 5}]\n', "`budgets` needs `fleet`"),
-    (FLEET + ALLOCATION + 'budgets = [{"name": "a", "whole": 5, "floor": 3}]\n',
-     "a: the floors of 2 members sum to 6 slots, the whole is 5"),
-    (FLEET + ALLOCATION + 'budgets = [{"name": "a", "whole": 0.4}]\n', "make `over_s` longer"),
-    (FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "cold", "whole": 2}]\n', "`whole` is 1 at most"),
-    (FLEET + ALLOCATION + 'budgets = [{"name": "a"}, {"name": "a"}]\n', "twice"),
-    (FLEET + 'allocation = {"voters": ["n1:7946"]}\nbudgets = [{"name": "a"}]\n',
-     "`n1:7946` is no IPv4 address"),
-    (FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "calls"}]\n', "Invalid enum value 'calls'"),
-])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        (FLEET + 'budgets = [{"name": "a", "whole": 5}]\n', "`budgets` needs `allocation`"),
+        (ALLOCATION + 'budgets = [{"name": "a", "whole": 5}]\n', "`budgets` needs `fleet`"),
+        (
+            FLEET + ALLOCATION + 'budgets = [{"name": "a", "whole": 5, "floor": 3}]\n',
+            "a: the floors of 2 members sum to 6 slots, the whole is 5",
+        ),
+        (FLEET + ALLOCATION + 'budgets = [{"name": "a", "whole": 0.4}]\n', "make `over_s` longer"),
+        (
+            FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "cold", "whole": 2}]\n',
+            "`whole` is 1 at most",
+        ),
+        (FLEET + ALLOCATION + 'budgets = [{"name": "a"}, {"name": "a"}]\n', "twice"),
+        (
+            FLEET + 'allocation = {"voters": ["n1:7946"]}\nbudgets = [{"name": "a"}]\n',
+            "`n1:7946` is no IPv4 address",
+        ),
+        (FLEET + ALLOCATION + 'budgets = [{"name": "a", "what": "calls"}]\n', "Invalid enum value 'calls'"),
+    ],
+)
 def test_a_file_that_can_not_be_kept_is_refused_with_the_reason(text, said):
     with pytest.raises(BadOperatorFile, match="f.star") as refused:
         of_text(text, "f.star")
@@ -94,6 +108,7 @@
 def test_a_whole_lowered_by_sighup_binds_all_and_a_process_and_its_successor_are_one_holder(tmp_path):
     quotes = {"name": "quotes", "whole": 40, "floor": 2, "class": "x"}
     with budgeted(tmp_path, [quotes], 2) as made:
+
         def logs():
             return "\n".join(p.said() for p in made)
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,5 +1,6 @@
 """Budgets without a wire: division, windows, purse, plans, and drawn schedules with faults on virtual
 time."""
+
 import sys
 from copy import deepcopy
 from random import Random
@@ -29,8 +30,9 @@
 
 
 def plan(members=6, voters=3, whole=60, floor=1, **more):
-    return Plan((Budget("quotes", "set-ups", whole, floor, 1000.0),), ADDRESSES[:members], ADDRESSES[:voters],
-                **more)
+    return Plan(
+        (Budget("quotes", "set-ups", whole, floor, 1000.0),), ADDRESSES[:members], ADDRESSES[:voters], **more
+    )
 
 
 @given(st.integers(0, 500), st.lists(st.tuples(st.integers(0, 100), st.floats(0.1, 10)), max_size=12))
@@ -86,8 +88,9 @@
 
     def __init__(self, *budgets, held=3):
         self.now, self.held = 10_000.0, held
-        self.purse = Purse(Plan(budgets, (), ADDRESSES[:1], drift=0.0), lambda now, name: self.held,
-                           lambda: self.now)
+        self.purse = Purse(
+            Plan(budgets, (), ADDRESSES[:1], drift=0.0), lambda now, name: self.held, lambda: self.now
+        )
 
 
 def test_a_purse_lets_in_what_is_held_and_tells_when_it_opens_again():
@@ -103,8 +106,9 @@
 
 
 def test_a_purse_counts_repeats_by_themselves_and_engines_by_name():
-    p = Pocketed(Budget("again", "repeats", 60, 0, 1000.0), Budget("e", "set-ups", 9, 0, 1000.0, "", "s-1"),
-                 held=1)
+    p = Pocketed(
+        Budget("again", "repeats", 60, 0, 1000.0), Budget("e", "set-ups", 9, 0, 1000.0, "", "s-1"), held=1
+    )
     assert p.purse.may("x", "s-1", False) and p.purse.may("x", "s-2", True)
     p.purse.sent("x", "s-1", False)
     assert not p.purse.may("x", "s-1", False) and p.purse.may("x", "s-2", False)
@@ -137,8 +141,10 @@
 
 
 def test_the_same_seed_is_the_same_run():
-    faults = [Fault(at_s=3.0, what="kill", who=("n1",), for_s=2.0),
-              Fault(at_s=8.0, what="lose", who=("all",), other=("all",), share=0.2, for_s=4.0)]
+    faults = [
+        Fault(at_s=3.0, what="kill", who=("n1",), for_s=2.0),
+        Fault(at_s=8.0, what="lose", who=("all",), other=("all",), share=0.2, for_s=4.0),
+    ]
     ran = [play(plan(), 6, 2, 20.0, 7, faults) for _ in range(2)]
     assert ran[0] == ran[1] and ran[0].settled and not ran[0].broken
 
@@ -150,8 +156,15 @@
     assert over > 0 and not kept.broken and kept.spent["quotes"].most <= 60
 
 
-@pytest.mark.parametrize("name", ["a voter promises itself to two", "leases are written off early",
-                                  "floors are left out of the sum", "all is free"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "a voter promises itself to two",
+        "leases are written off early",
+        "floors are left out of the sum",
+        "all is free",
+    ],
+)
 def test_a_planted_fault_is_found(name):
     undo = bench.planted()[name]()
     try:
@@ -182,9 +195,15 @@
 
 @pytest.mark.parametrize("seed", (1, 2, 3, 4))
 def test_a_newcomer_has_its_part_soon_and_what_a_dead_member_held_comes_back(seed):
-    world = BudgetWorld(plan(members=12), 8, 2, seed, [Fault(at_s=20.0, what="kill", who=("n5",))],
-                        demand=lambda now, node, budget: 20.0 if node in ("n5", "n7") else 2.0,
-                        joins={"n7": 12_000.0})
+    world = BudgetWorld(
+        plan(members=12),
+        8,
+        2,
+        seed,
+        [Fault(at_s=20.0, what="kill", who=("n5",))],
+        demand=lambda now, node, budget: 20.0 if node in ("n5", "n7") else 2.0,
+        joins={"n7": 12_000.0},
+    )
     # Its need is seen in about 1 s; others are told within a renewal, what they give up rests a window, and
     # it asks again each SOON.
     world.run(12_000 + 1_000 + plan().renew * 1.1 + 1_010 + 350)
@@ -264,8 +283,9 @@
     holder = Holder(made, ADDRESSES[1], 7, Random(1), 0.0)
     _, said = holder.want(100.0)
     for wrong in ({"basis": (9, 4)}, {"boot": 8}, {"seq": 99}):
-        grant = Grant(7, said.seq, (1, 9), ADDRESSES[0], (9, 5), said.basis, (("quotes", 20),), made.lease,
-                      500.0)
+        grant = Grant(
+            7, said.seq, (1, 9), ADDRESSES[0], (9, 5), said.basis, (("quotes", 20),), made.lease, 500.0
+        )
         assert not holder.granted(200.0, msgspec.structs.replace(grant, **wrong))
         assert holder.leased(200.0, "quotes") == 0
 
@@ -341,8 +361,10 @@
     lines = tuple(Line(f"{n:032d}", 10_000_000, 10_000_000, 10_000_000, 10_000_000, 1.5) for n in range(16))
     parts = tuple((line.name, 10_000_000) for line in lines)
     far, id = (1 << 52, big), (big, 1 << 52)
-    for message in (Want(address, big, 1 << 52, far, id, lines),
-                    Grant(big, 1 << 52, far, address, id, id, parts, 1e5, 1e5)):
+    for message in (
+        Want(address, big, 1 << 52, far, id, lines),
+        Grant(big, 1 << 52, far, address, id, id, parts, 1e5, 1e5),
+    ):
         assert len(msgspec.msgpack.encode(message)) <= 1_300
 
 
--- a/tests/test_cold_engine.py
+++ b/tests/test_cold_engine.py
@@ -1,4 +1,5 @@
 """The stand-in engine that starts cold: what pushes it over, and what does not."""
+
 from twisted.internet.task import Clock
 
 from willowhitch.net.engine import CLASS, SET_UP
--- a/tests/test_constraints.py
+++ b/tests/test_constraints.py
@@ -1,4 +1,5 @@
 """What is shared with other fronts binds the module: refused at once, told when to come, repeats paid for."""
+
 from helpers import call, ended, entry, front, lines, sends, settings, stands
 
 from willowhitch import interface as i
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,5 @@
 """The call-control API: its hard cases, and ten thousand calls beside SIP. Language: tests/stage.py."""
+
 import json
 import socket
 import time
@@ -87,7 +88,8 @@
             """)
 
     def test_a_call_nobody_watches_any_more_is_released(self):
-        self.play("""
+        self.play(
+            """
             w0 send place 1
             e0 expect SET_UP {1}
             e0 send ANSWER 1 33=d
@@ -95,7 +97,9 @@
             w0 expect stands
             w0 close
             e0 expect RELEASE {1} 31=16
-            """, control="keep_s = 0.2")
+            """,
+            control="keep_s = 0.2",
+        )
 
     def test_a_repeated_id_also_across_fronts(self):
         self.play("""
@@ -120,18 +124,30 @@
             """)
 
     def test_bad_json_and_bad_messages_leave_the_socket_open(self):
-        said = [("raw {nonsense", "bad_json"), ("raw [1]", "bad_version"), ('raw {"v":2}', "bad_version"),
-                ('raw {"v":1,"do":"dance","id":"1"}', "bad_message"), ('raw {"v":1,"do":[]}', "bad_message"),
-                ("place 1 patience_ms=true", "bad_message"), ("place 1 patience_ms=1e999", "bad_json"),
-                ('place 1 id="xyz"', "bad_message"), ('place 1 description_b64="%"', "bad_message"),
-                ("place 1 dest=1e300", "bad_message"),
-                ("place 1 dest=0.5", "bad_message"),
-                ("place 1 dest=-9", "bad_message"), ("place 1 width=999", "bad_message"),
-                ("place 1 patience_ms=-1", "bad_message"), ("place 1 patience_ms=1e12", "bad_message"),
-                ('place 1 number="a@b"', "bad_message"),
-                ("release 1 cause=900", "bad_message"), ("watch 9", "unknown")]
-        self.play("\n".join(f'w0 send {m}\nw0 expect "code":"{code}"' for m, code in said)
-                  + "\nw0 send place 1\nw0 expect setting_up\ne0 expect SET_UP {1}")
+        said = [
+            ("raw {nonsense", "bad_json"),
+            ("raw [1]", "bad_version"),
+            ('raw {"v":2}', "bad_version"),
+            ('raw {"v":1,"do":"dance","id":"1"}', "bad_message"),
+            ('raw {"v":1,"do":[]}', "bad_message"),
+            ("place 1 patience_ms=true", "bad_message"),
+            ("place 1 patience_ms=1e999", "bad_json"),
+            ('place 1 id="xyz"', "bad_message"),
+            ('place 1 description_b64="%"', "bad_message"),
+            ("place 1 dest=1e300", "bad_message"),
+            ("place 1 dest=0.5", "bad_message"),
+            ("place 1 dest=-9", "bad_message"),
+            ("place 1 width=999", "bad_message"),
+            ("place 1 patience_ms=-1", "bad_message"),
+            ("place 1 patience_ms=1e12", "bad_message"),
+            ('place 1 number="a@b"', "bad_message"),
+            ("release 1 cause=900", "bad_message"),
+            ("watch 9", "unknown"),
+        ]
+        self.play(
+            "\n".join(f'w0 send {m}\nw0 expect "code":"{code}"' for m, code in said)
+            + "\nw0 send place 1\nw0 expect setting_up\ne0 expect SET_UP {1}"
+        )
 
     def test_too_long_binary_or_foreign_is_closed(self):
         self.play("w0 send raw " + "x" * 30000 + "\nw0 expect closed 1009")
@@ -160,15 +176,21 @@
 
     def test_refusals_tell_when_to_come_back(self):
         self.play('w0 send place 1 class="strange"\nw0 expect setting_up\nw0 expect "code":"refused"')
-        self.play('w0 send place 1 patience_ms=700\nw0 expect setting_up\ne0 expect SET_UP\n'
-                  'w0 expect "code":"failed"\ne0 expect RELEASE {1}')
+        self.play(
+            "w0 send place 1 patience_ms=700\nw0 expect setting_up\ne0 expect SET_UP\n"
+            'w0 expect "code":"failed"\ne0 expect RELEASE {1}'
+        )
 
     def test_a_client_that_does_not_read_is_closed_and_its_set_ups_given_up(self):
         with Stage() as s:
             s.play("w0 send place 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=" + "d" * 12000)
             sock = s.party("w0").sock
-            big = s.party("w0").ws.send(control.TextMessage(data=json.dumps(
-                {"v": 1, "do": "watch", "id": call_id(1)}))) * 50
+            big = (
+                s.party("w0").ws.send(
+                    control.TextMessage(data=json.dumps({"v": 1, "do": "watch", "id": call_id(1)}))
+                )
+                * 50
+            )
             del s.parties["w0"]  # its answers are read no more
             sock.settimeout(0.2)
             began = time.monotonic()
@@ -199,15 +221,20 @@
         assert len(set(control.CODES.values())) == len(Verdict)
 
     def test_bad_settings_are_one_plain_line(self):
-        for bad in ("most_sockets = 0", 'strange = 1', "keep_s = [", 'most_open = "many"'):
+        for bad in ("most_sockets = 0", "strange = 1", "keep_s = [", 'most_open = "many"'):
             stage = Stage(control=bad)
             with self.subTest(bad):
                 assert stage.program.wait(10) == 2 and stage.said().count("\n") == 1, stage.said()
             stage.__exit__()
 
 
-KINDS = {"a": "the engine ends it", "b": "the caller ends it", "c": "its lines are busy", "d": "given up",
-         "f": "cut by the engine"}
+KINDS = {
+    "a": "the engine ends it",
+    "b": "the caller ends it",
+    "c": "its lines are busy",
+    "d": "given up",
+    "f": "cut by the engine",
+}
 
 
 def kind_of(n):
@@ -221,8 +248,14 @@
 
     def test_ten_thousand_calls_end_alike_and_no_rule_is_broken(self):
         lane = {"name": "x", "aim": 20000.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 40000.0}
-        family = {"network_form": "groups", "own_number": -1, "clear_wait": 200.0, "repeat": 0.0,
-                  "holding": [20.0], "skilled_pools": [[0, 1]]}
+        family = {
+            "network_form": "groups",
+            "own_number": -1,
+            "clear_wait": 200.0,
+            "repeat": 0.0,
+            "holding": [20.0],
+            "skilled_pools": [[0, 1]],
+        }
         with Stage(settings={"lanes": [lane], "family_info": family}) as s:
             self.stage, self.next_call, self.open, self.done = s, 0, set(), {}
             self.out, self.sends, self.standing, self.faults = {}, Counter(), {}, []
@@ -346,9 +379,13 @@
     def check(self):
         assert not self.faults, self.faults[:5]
         assert not self.out and not self.standing, (self.out, self.standing)
-        wanted = {"a": lambda k: ("stood", f"made\x00for{k}", 16), "c": lambda k: ("refused", True),
-                  "b": lambda k: ("stood", f"made\x00for{k}", "ended by the caller"),
-                  "d": lambda k: ("given up",), "f": lambda k: ("stood", f"made\x00for{k}", 41)}
+        wanted = {
+            "a": lambda k: ("stood", f"made\x00for{k}", 16),
+            "c": lambda k: ("refused", True),
+            "b": lambda k: ("stood", f"made\x00for{k}", "ended by the caller"),
+            "d": lambda k: ("given up",),
+            "f": lambda k: ("stood", f"made\x00for{k}", 41),
+        }
         for k in range(self.EACH):
             by_sip, by_web = self.done[call_id(2 * k)], self.done[call_id(2 * k + 1)]
             assert by_sip == by_web == wanted[kind_of(k)](k), (k, by_sip, by_web)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,4 +1,5 @@
 """The switch and its wheel, with no wire: a clock by hand, a caller and engines that only write down."""
+
 import pytest
 from helpers import settings
 
@@ -32,6 +33,7 @@
         def note(*words):
             plain = [w if isinstance(w, str | int | bytes | Verdict) else None for w in words]
             self.said.append((name, *[w for w in plain if w is not None]))
+
         return note
 
     def call(self, n=1, patience=3000.0, dest=0, klass="plain"):
@@ -196,9 +198,20 @@
     assert b.call(1) is Verdict.TABLE_FULL
 
 
-@pytest.mark.parametrize("bad", [dict(call="xyz"), dict(call="0" * 15 + "A"), dict(number="a b"),
-                                 dict(number=""), dict(patience=float("nan")), dict(patience=-1.0),
-                                 dict(width=0.0), dict(dest=10**9), dict(description=b"x" * 17_000)])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        dict(call="xyz"),
+        dict(call="0" * 15 + "A"),
+        dict(number="a b"),
+        dict(number=""),
+        dict(patience=float("nan")),
+        dict(patience=-1.0),
+        dict(width=0.0),
+        dict(dest=10**9),
+        dict(description=b"x" * 17_000),
+    ],
+)
 def test_orders_that_cannot_be_carried_out(bad):
     with pytest.raises(ValueError):
         Order(**(dict(call=ONE, klass="x", number="77", patience=1.0) | bad))
@@ -296,6 +309,7 @@
 
 def test_timers_drawn_at_random_fire_in_order_and_never_early():
     import random
+
     rng, now, fired, asked = random.Random(5), [0.0], [], {}
     wheel = Wheel(5.0, lambda: now[0])
     for n in range(2_000):
--- a/tests/test_dimension.py
+++ b/tests/test_dimension.py
@@ -1,4 +1,5 @@
 """Loss formulas against 60-digit arithmetic, published tables and each other."""
+
 from math import exp, log, sqrt
 from random import Random
 
@@ -22,8 +23,13 @@
     random = Random(seed)
     for _ in range(count):
         a = 10 ** random.uniform(-3, top)
-        n = random.choice((a * random.uniform(0, 3), 10 ** random.uniform(-2, top),
-                           max(0.0, a + random.uniform(-4, 4) * sqrt(a))))
+        n = random.choice(
+            (
+                a * random.uniform(0, 3),
+                10 ** random.uniform(-2, top),
+                max(0.0, a + random.uniform(-4, 4) * sqrt(a)),
+            )
+        )
         yield (float(int(n)) if random.random() < 0.5 else n), a
 
 
@@ -133,8 +139,9 @@
     weights = {}
     for one in range(circuits + 1):
         for three in range((circuits - one) // 3 + 1):
-            weights[one, three] = 2.0 ** one * 0.8 ** three / (
-                float(mp.factorial(one)) * float(mp.factorial(three)))
+            weights[one, three] = (
+                2.0**one * 0.8**three / (float(mp.factorial(one)) * float(mp.factorial(three)))
+            )
     total = sum(weights.values())
     want = [sum(w for (a, b), w in weights.items() if circuits - a - 3 * b < need) / total for need in (1, 3)]
     assert widths.blocking(circuits, streams) == pytest.approx(want)
@@ -142,8 +149,10 @@
     assert kept[1] < want[1] and kept[0] > want[0]
     assert widths.blocking(100_000, [widths.Stream(40_000), widths.Stream(30_000, 2)])[1] > 1e-4
     needed = widths.circuits_for(streams, (0.01, 0.02))
-    good = [all(b <= t for b, t in zip(widths.blocking(n, streams), (0.01, 0.02), strict=True))
-            for n in (needed - 1, needed)]
+    good = [
+        all(b <= t for b, t in zip(widths.blocking(n, streams), (0.01, 0.02), strict=True))
+        for n in (needed - 1, needed)
+    ]
     assert good == [False, True]
 
 
@@ -169,8 +178,11 @@
         after = exp((erlangs - circuits) * hold) / circuits
         lost = erlangs * after / (none + erlangs * (before + after))
         assert loss.erlang_held(circuits, erlangs, hold) == pytest.approx(lost) and lost < b
-    assert loss.erlang_held(10, 8, 0) == pytest.approx(loss.erlang_b(10, 8)) == pytest.approx(
-        loss.erlang_held(10, 8, 1e-9))
+    assert (
+        loss.erlang_held(10, 8, 0)
+        == pytest.approx(loss.erlang_b(10, 8))
+        == pytest.approx(loss.erlang_held(10, 8, 1e-9))
+    )
     assert loss.erlang_held(10, 30, 1e4) == pytest.approx(1 - 10 / 30)
     assert loss.erlang_a(10, 8, 0.7)[1] == pytest.approx(float(want), rel=1e-10)
 
@@ -189,7 +201,7 @@
 
 def test_day_to_day_against_adaptive_quadrature():
     for mean, variance, n in ((100, 400, 115), (10, 20, 16), (10, 1e-3, 16), (50, 1225, 70)):
-        shape, scale = mean ** 2 / variance, variance / mean
+        shape, scale = mean**2 / variance, variance / mean
         with mp.workdps(20):
             spread = sqrt(variance)
 
@@ -214,14 +226,23 @@
     assert peaky.switched(10, 1e-6, 1e-6)[1] == pytest.approx(1, abs=1e-4)
 
 
-@pytest.mark.parametrize("call, name", [
-    (lambda: loss.erlang_b(-1, 2), "circuits"), (lambda: loss.erlang_b(3, float("nan")), "erlangs"),
-    (lambda: loss.circuits_for(3, 0), "target"), (lambda: loss.circuits_for(3, 1), "target"),
-    (lambda: loss.erlangs_for(0, 0.1), "circuits"), (lambda: peaky.hayward(3, 3, 0), "peakedness"),
-    (lambda: peaky.equivalent(1, 0.5), "peakedness"), (lambda: widths.blocking(5, []), "stream"),
-    (lambda: loss.erlang_b_redials(3, 3, 1.0), "again"), (lambda: peaky.bpp(3, 0, 1), "erlangs"),
-    (lambda: loss.erlang_b(float("inf"), 2), "circuits"), (lambda: loss.engset(3, 0, 1), "sources"),
-])
+@pytest.mark.parametrize(
+    "call, name",
+    [
+        (lambda: loss.erlang_b(-1, 2), "circuits"),
+        (lambda: loss.erlang_b(3, float("nan")), "erlangs"),
+        (lambda: loss.circuits_for(3, 0), "target"),
+        (lambda: loss.circuits_for(3, 1), "target"),
+        (lambda: loss.erlangs_for(0, 0.1), "circuits"),
+        (lambda: peaky.hayward(3, 3, 0), "peakedness"),
+        (lambda: peaky.equivalent(1, 0.5), "peakedness"),
+        (lambda: widths.blocking(5, []), "stream"),
+        (lambda: loss.erlang_b_redials(3, 3, 1.0), "again"),
+        (lambda: peaky.bpp(3, 0, 1), "erlangs"),
+        (lambda: loss.erlang_b(float("inf"), 2), "circuits"),
+        (lambda: loss.engset(3, 0, 1), "sources"),
+    ],
+)
 def test_bad_arguments_are_named(call, name):
     with pytest.raises(OutOfRange, match=name):
         call()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,5 @@
 """The page for on-call staff has every line that the program can log."""
+
 import re
 from pathlib import Path
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,5 +1,6 @@
 """What is still owed at the instant in which something ends. Each bad order is made by events: peers are
 held, the program is stopped by SIGSTOP while things happen, or the set-ups come without pause."""
+
 import signal
 import socket
 import struct
@@ -14,6 +15,7 @@
 
 def invite(n, patience=900, **fields):
     """An INVITE as bytes."""
+
     class Kept:
         def sendall(self, data):
             self.data = data
@@ -50,6 +52,7 @@
 
 # SIGTERM
 
+
 def test_what_comes_until_the_very_end_of_a_stop_is_answered():
     # the engine answers nothing; set-ups come every few ms until the program closes the connection
     with Stage(engines=1, settings=SHORT) as s:
@@ -116,9 +119,11 @@
 
 def test_a_second_sigterm_and_a_reload_that_moves_the_board_change_nothing_of_a_stop():
     with Stage(engines=1) as s:
-        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\np send SIGTERM\np config b2\nb2 expect after 3\n"
-               "p send SIGTERM\nc1 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 1 33=d\n"
-               "c0 expect 200 OK.*INVITE\ne0 send RELEASE 2 31=34\nc1 expect SIP/2.0 503")
+        s.play(
+            "c0 send INVITE 1\ne0 expect SET_UP {1}\np send SIGTERM\np config b2\nb2 expect after 3\n"
+            "p send SIGTERM\nc1 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 1 33=d\n"
+            "c0 expect 200 OK.*INVITE\ne0 send RELEASE 2 31=34\nc1 expect SIP/2.0 503"
+        )
         s.play("e0 send RELEASE 1 31=16\nc0 expect BYE.*{1}\np expect 0")
         assert s.said().count("asked to stop") == 1
 
@@ -153,13 +158,16 @@
 
 def test_a_call_that_waits_out_its_quiet_time_at_sigterm_still_gets_its_attempt():
     with Stage(engines=2) as s:
-        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send RELEASE 1 31=41\np send SIGTERM\n"
-               "e1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
-               "e1 send RELEASE 1 31=16\nc0 expect BYE\np expect 0")
+        s.play(
+            "c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send RELEASE 1 31=41\np send SIGTERM\n"
+            "e1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
+            "e1 send RELEASE 1 31=16\nc0 expect BYE\np expect 0"
+        )
 
 
 # the start
 
+
 def unheard(kind):
     """An address at which a notice board is down, or accepts and says nothing, or does not even accept."""
     door = socket.socket()
@@ -194,6 +202,7 @@
 
 # callers' connections
 
+
 def crowd(stage, n):
     """So many connections on which something was answered, and which are idle."""
     for k in range(n):
@@ -241,8 +250,9 @@
     return Stage(engines=1, command=("-c", text))
 
 
-@pytest.mark.parametrize("at", ["willowhitch.lean", "twisted.internet", "willowhitch.settings",
-                                "willowhitch.net.sip"])
+@pytest.mark.parametrize(
+    "at", ["willowhitch.lean", "twisted.internet", "willowhitch.settings", "willowhitch.net.sip"]
+)
 def test_sighup_during_the_start_is_carried_out_once_it_serves(at):
     with started(at, "SIGHUP") as s:
         s.play("c0 send INVITE 1\ne0 expect SET_UP {1}")
@@ -261,6 +271,7 @@
 
 def test_the_deploy_file_keeps_sighup_from_ending_what_has_no_handler_yet():
     import tomllib
+
     run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     before, _, _ = run.partition("exec ")
     assert before.startswith("trap '' HUP; "), run  # an ignored signal stays ignored across exec
@@ -268,6 +279,7 @@
 
 # callers that have left while their set-ups waited: nothing of theirs is sent on
 
+
 def cancel(stage, n):
     stage.play(f"c0 send CANCEL {n}\nc0 expect 200 .*CANCEL")
 
@@ -316,8 +328,10 @@
 @LEAVES
 def test_left_during_the_quiet_time_after_an_attempt(leave):
     with Stage(engines=2, settings={"family_info": INFO["family_info"] | {"clear_wait": 600.0}}) as s:
-        s.play(f"c0 send INVITE 1 X-Patience={PATIENCE}\ne0 expect SET_UP {{1}}\n"
-               "e0 send RELEASE 1 31=41\ne0 wait 50")
+        s.play(
+            f"c0 send INVITE 1 X-Patience={PATIENCE}\ne0 expect SET_UP {{1}}\n"
+            "e0 send RELEASE 1 31=41\ne0 wait 50"
+        )
         leave(s, 1)
         nothing_more(s, "e1", [1])
         nothing_more(s, "e0", [1])
@@ -419,8 +433,9 @@
             except BlockingIOError:
                 n = 400
         s.hook = None
-        s.play("c1 send INVITE 900\ne0 expect SET_UP {900}\ne0 send ANSWER 900 33=d\n"
-               "c1 expect 200 OK.*INVITE")
+        s.play(
+            "c1 send INVITE 900\ne0 expect SET_UP {900}\ne0 send ANSWER 900 33=d\nc1 expect 200 OK.*INVITE"
+        )
         assert s.said().count("answers unread for") == 1
         c.close()
 
@@ -435,6 +450,7 @@
 
 # engines' connections
 
+
 def written_to(sock, pattern):
     """Waits until this lies unread in the socket."""
     until = time.monotonic() + 5.0
@@ -501,8 +517,10 @@
 def test_an_engine_that_drains_is_not_tested_at_the_beat_that_it_no_longer_keeps(state, tested):
     # it was: three in four tests of a day of releases went to engines that had told their last state
     with Stage(engines=1) as s:
-        s.play(f"b expect after 3\nc0 send INVITE 1\ne0 expect SET_UP {{1}}\nb send 4 {state} e0\n"
-               "e0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE")
+        s.play(
+            f"b expect after 3\nc0 send INVITE 1\ne0 expect SET_UP {{1}}\nb send 4 {state} e0\n"
+            "e0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE"
+        )
         began = time.monotonic()
         assert (s.next("e0", 2.5) is not None) == tested
         if not tested:
@@ -537,6 +555,7 @@
             e.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         if after in ("closes", "resets"):
             e.sock.close()
+
         def answer(name, said):
             if said.startswith("SET_UP"):  # the other one, or the same on its new connection
                 s.parties[name].send("ANSWER 1 33=whole")
@@ -550,9 +569,11 @@
 
 def test_an_answer_after_its_call_was_given_up_reaches_nobody_and_frees_its_lines():
     with Stage(engines=1) as s:
-        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send CANCEL 1\nc0 expect 200 .*CANCEL\n"
-               "e0 expect RELEASE {1} 31=16\ne0 send ANSWER 1 33=d\nc0 expect nothing 100\n"
-               "c0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\nc0 expect 200 OK.*{2}.*e$")
+        s.play(
+            "c0 send INVITE 1\ne0 expect SET_UP {1}\nc0 send CANCEL 1\nc0 expect 200 .*CANCEL\n"
+            "e0 expect RELEASE {1} 31=16\ne0 send ANSWER 1 33=d\nc0 expect nothing 100\n"
+            "c0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\nc0 expect 200 OK.*{2}.*e$"
+        )
 
 
 def test_callers_that_give_up_at_once_and_come_again_are_not_sent_on():
@@ -579,21 +600,32 @@
 
 def test_a_new_engine_at_the_address_of_one_that_has_gone_serves_under_its_own_id():
     with Stage(engines=1) as s:
-        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
-               "b expect after 3\n"
-               + changes(s, 4, board_record(s, 0, "e0", 2, 0), board_record(s, 7, "e0", 0, 0)))
+        s.play(
+            "c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
+            "b expect after 3\n"
+            + changes(s, 4, board_record(s, 0, "e0", 2, 0), board_record(s, 7, "e0", 0, 0))
+        )
         s.play("c0 expect BYE.*{1}.*cause=41")  # the call went with the old one
-        s.play("e0 wait 100\nc0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\n"
-               "c0 expect 200 OK.*{2}")
+        s.play(
+            "e0 wait 100\nc0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=e\n"
+            "c0 expect 200 OK.*{2}"
+        )
 
 
 def test_engines_drained_and_replaced_while_a_call_rests_get_nothing_of_it():
     quiet = {"family_info": INFO["family_info"] | {"clear_wait": 600.0}}
     with Stage(engines=3, settings=quiet) as s:  # e2 is in no cell that the class may go to
-        s.play("b expect after 3\nb send 4 gone e2\ne2 expect end\nc0 send INVITE 1\ne0 expect SET_UP {1}\n"
-               "e0 send RELEASE 1 31=41\n"
-               + changes(s, 5, board_record(s, 0, "e0", 1, 0), board_record(s, 1, "e1", 2, 1),
-                         board_record(s, 8, "e2", 0, 1)))
+        s.play(
+            "b expect after 3\nb send 4 gone e2\ne2 expect end\nc0 send INVITE 1\ne0 expect SET_UP {1}\n"
+            "e0 send RELEASE 1 31=41\n"
+            + changes(
+                s,
+                5,
+                board_record(s, 0, "e0", 1, 0),
+                board_record(s, 1, "e1", 2, 1),
+                board_record(s, 8, "e2", 0, 1),
+            )
+        )
         s.play("e2 expect SET_UP {1}\ne2 send ANSWER 1 33=d\nc0 expect 200 OK")
         for name in ("e0", "e1"):
             assert not any(m.startswith("SET_UP") for m in s.party(name).got)
@@ -601,15 +633,21 @@
 
 # the notice board
 
-@pytest.mark.parametrize("frame", [
-    "b send 6 draining e1",  # 4 and 5 did not come
-    "b send raw - 00000009000000000000000500",  # nothing new, and 5 was the last: 4 and 5 did not come
-])
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        "b send 6 draining e1",  # 4 and 5 did not come
+        "b send raw - 00000009000000000000000500",  # nothing new, and 5 was the last: 4 and 5 did not come
+    ],
+)
 def test_events_that_are_missing_are_asked_for_again_and_once_only(frame):
     with Stage() as s:
-        s.play(f"b expect after 3\n{frame}\nb expect end\nb expect after 3\nb send 4 gone e0\n"
-               "b send 5 gone e1\ne0 expect end\ne1 expect end\n"
-               "c0 send INVITE 1\ne0 expect nothing 150\ne1 expect nothing 150")
+        s.play(
+            f"b expect after 3\n{frame}\nb expect end\nb expect after 3\nb send 4 gone e0\n"
+            "b send 5 gone e1\ne0 expect end\ne1 expect end\n"
+            "c0 send INVITE 1\ne0 expect nothing 150\ne1 expect nothing 150"
+        )
         assert "events after 3 are missing before" in s.said()
         # the next ones it leaves out at each try: they are asked for once, then taken for none
         s.play("b send 9 ready e0\nb expect end\nb expect after 5\nb send 9 ready e0\ne0 expect SET_UP {1}")
@@ -627,15 +665,20 @@
         s.play("b expect end\nb expect after 4\nb send 5 gone e1\ne1 expect end")
 
 
-@pytest.mark.parametrize("frame", [
-    "0000000200" + "00",  # shorter than its head
-    "0000000c" + "0000000000000004" + "02" + "010203",  # no whole record
-    "ffffffff",  # longer than any frame
-])
+@pytest.mark.parametrize(
+    "frame",
+    [
+        "0000000200" + "00",  # shorter than its head
+        "0000000c" + "0000000000000004" + "02" + "010203",  # no whole record
+        "ffffffff",  # longer than any frame
+    ],
+)
 def test_a_frame_that_can_not_be_read_ends_the_watch_and_another_tells_the_rest(frame):
     with Stage() as s:
-        s.play(f"b expect after 3\nb send raw - {frame}\nb expect end\nb expect after 3\nb send 4 gone e0\n"
-               "e0 expect end\nc0 send INVITE 1\ne1 expect SET_UP {1}")
+        s.play(
+            f"b expect after 3\nb send raw - {frame}\nb expect end\nb expect after 3\nb send 4 gone e0\n"
+            "e0 expect end\nc0 send INVITE 1\ne1 expect SET_UP {1}"
+        )
         assert s.said().count("connection closed") == 1
 
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,4 +1,5 @@
 """The lifecycle and the figures, with no wire: each call is counted once, whatever crosses."""
+
 from dataclasses import replace
 from random import Random
 
@@ -115,8 +116,15 @@
     assert life.ends_at == 9000.0 and life.empties and life.yes and not life.take_back(8000.0)
     assert life.admits(8999.0 - LAST_CALL) and not life.admits(9001.0 - LAST_CALL)
     assert not life.activate(8500.0)
-    assert phases == [Phase.SERVING, Phase.DRAINED, Phase.SERVING, Phase.HANDED_OVER, Phase.SERVING,
-                      Phase.HANDED_OVER, Phase.STOPPING]
+    assert phases == [
+        Phase.SERVING,
+        Phase.DRAINED,
+        Phase.SERVING,
+        Phase.HANDED_OVER,
+        Phase.SERVING,
+        Phase.HANDED_OVER,
+        Phase.STOPPING,
+    ]
 
 
 def test_a_plain_stop_admits_to_the_last():
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,5 +1,6 @@
 """The fleet view of real processes: three softswitches and the command, a replacement, a drill with
 relays."""
+
 import json
 import os
 import signal
@@ -37,12 +38,22 @@
 
     def __init__(self, folder, n, at, seeds, fleet="f", **more):
         self.folder, self.n, self.at = folder, n, at
-        table = {"name": fleet, "address": written(at), "seeds": [written(s) for s in seeds],
-                 "site": "ab"[n % 2], "folder": f"state{n}", "period_ms": 200, "answer_ms": 80} | more
+        table = {
+            "name": fleet,
+            "address": written(at),
+            "seeds": [written(s) for s in seeds],
+            "site": "ab"[n % 2],
+            "folder": f"state{n}",
+            "period_ms": 200,
+            "answer_ms": 80,
+        } | more
         star = folder / f"o{n}.star"
         star.write_text(f"fleet = {json.dumps(table)}\n")
-        self.stage = Stage(engines=1, config={"name": f"n{n}"},
-                           env={"WILLOWHITCH_OPERATOR": str(star), "TMPDIR": str(folder)})
+        self.stage = Stage(
+            engines=1,
+            config={"name": f"n{n}"},
+            env={"WILLOWHITCH_OPERATOR": str(star), "TMPDIR": str(folder)},
+        )
 
     @property
     def mgmt(self):
@@ -118,8 +129,9 @@
         def came_back():
             found = view(*made[:2])[1]
             (row,) = [m for m in found["members"] if m["name"] == "n2"]
-            return found["agree"] and all(s["state"] == "alive" and s["incarnation"] > 1
-                                          for s in row["said"].values())
+            return found["agree"] and all(
+                s["state"] == "alive" and s["incarnation"] > 1 for s in row["said"].values()
+            )
 
         until(came_back, lambda: made[0].said() + made[2].said())
         for p in made[:2]:
@@ -155,25 +167,54 @@
         assert {m["name"] for m in members} == {"n0", "n1"} and len(members) == 3
 
 
-@pytest.mark.parametrize("schedule", [
-    [{"at_s": 3, "what": "kill", "who": ["n3"], "for_s": 3}, {"at_s": 3, "what": "lose", "who": ["all"],
-                                                             "other": ["all"], "share": 0.1, "for_s": 8}],
-    [{"at_s": 3, "what": "cut", "who": ["site:b"], "for_s": 6}, {"at_s": 4, "what": "disk full", "who":
-    ["n0"],
-                                                                 "for_s": 5}],
-])
+@pytest.mark.parametrize(
+    "schedule",
+    [
+        [
+            {"at_s": 3, "what": "kill", "who": ["n3"], "for_s": 3},
+            {"at_s": 3, "what": "lose", "who": ["all"], "other": ["all"], "share": 0.1, "for_s": 8},
+        ],
+        [
+            {"at_s": 3, "what": "cut", "who": ["site:b"], "for_s": 6},
+            {"at_s": 4, "what": "disk full", "who": ["n0"], "for_s": 5},
+        ],
+    ],
+)
 def test_a_drill_on_real_processes_settles(tmp_path, schedule):
     file = tmp_path / "s.json"
     file.write_text(json.dumps(schedule))
     divided = tmp_path / "b.json"
-    divided.write_text(json.dumps([{"name": "quotes", "whole": 4, "floor": 0.5, "over_s": 2,
-                                    "class": "price-check"}]))
+    divided.write_text(
+        json.dumps([{"name": "quotes", "whole": 4, "floor": 0.5, "over_s": 2, "class": "price-check"}])
+    )
     ran = subprocess.run(
-        [sys.executable, "-m", "willowhitch.cli", "fleet", "drill", "--softswitches", "5", "--sites", "2",
-        "--seconds",
-         "20", "--schedule", str(file), "--rate", "10", "--json", "--keep", str(tmp_path / "played.json"),
-         "--budgets", str(divided)],
-        cwd=ROOT, capture_output=True, text=True, timeout=120)
+        [
+            sys.executable,
+            "-m",
+            "willowhitch.cli",
+            "fleet",
+            "drill",
+            "--softswitches",
+            "5",
+            "--sites",
+            "2",
+            "--seconds",
+            "20",
+            "--schedule",
+            str(file),
+            "--rate",
+            "10",
+            "--json",
+            "--keep",
+            str(tmp_path / "played.json"),
+            "--budgets",
+            str(divided),
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
     assert ran.returncode == 0, ran.stdout + ran.stderr
     told = json.loads(ran.stdout)
     assert told["settled"] and told["false_gone"] == 0 and told["processes"] == 5
@@ -188,8 +229,12 @@
 
 def test_bad_input_to_the_commands():
     def run(*words):
-        ran = subprocess.run([sys.executable, "-m", "willowhitch.cli", "fleet", *words], cwd=ROOT,
-                             capture_output=True, text=True)
+        ran = subprocess.run(
+            [sys.executable, "-m", "willowhitch.cli", "fleet", *words],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
         return ran.returncode, ran.stdout + ran.stderr
 
     code, said = run("view", "nowhere", "--json")
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -61,9 +61,7 @@
         table.put(0.0, record("n1", state, 3))
     assert table.records["n1@10.0.0.1:7001"].state is State.GONE
     table.put(5.0, record("n1", State.ALIVE, 4))
-    assert (
-        table.records["n1@10.0.0.1:7001"].state is State.ALIVE and table.since["n1@10.0.0.1:7001"] == 5.0
-    )
+    assert table.records["n1@10.0.0.1:7001"].state is State.ALIVE and table.since["n1@10.0.0.1:7001"] == 5.0
 
 
 def test_news_is_passed_on_a_bounded_number_of_times():
@@ -101,8 +99,15 @@
     assert sum(a.table.count.values()) == len(a.table.records)
 
 
-NO_SOCKET = ("10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:0", "10.0.0.256:1", "host:7000", "10.0.0.1",
-             "10.0.0.1:7000\n")
+NO_SOCKET = (
+    "10.0.0.1:65536",
+    "10.0.0.1:99999",
+    "10.0.0.1:0",
+    "10.0.0.256:1",
+    "host:7000",
+    "10.0.0.1",
+    "10.0.0.1:7000\n",
+)
 
 
 @pytest.mark.parametrize("address", NO_SOCKET)
@@ -269,11 +274,7 @@
     "one way, nothing goes out": (40, [Fault(at_s=6, what="cut one way", who=("n4",), for_s=15)]),
     "one way, nothing comes in": (
         40,
-        [
-            Fault(
-                at_s=6, what="cut one way", who=tuple(n for n in N if n != "n4"), other=("n4",), for_s=15
-            )
-        ],
+        [Fault(at_s=6, what="cut one way", who=tuple(n for n in N if n != "n4"), other=("n4",), for_s=15)],
     ),
     "stopped for 30 s": (55, [Fault(at_s=6, what="stop", who=("n4",), for_s=30)]),
     "a site cut off, restarted, joined again": (
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,4 +1,5 @@
 """The gate opens, shuts, ages and tries; the pick is drawn; worth decides under pressure."""
+
 import pytest
 from helpers import CLASSES, beats, call, ended, entry, front, lines, press, sends, settings, stands
 
@@ -143,8 +144,13 @@
 
 
 def test_refused_settings():
-    for bad in (dict(classes=()), dict(fleet_size=0), dict(cold_from=0.0), dict(release=-1.0),
-                dict(classes=(i.CallClass("x", aim=0.0),))):
+    for bad in (
+        dict(classes=()),
+        dict(fleet_size=0),
+        dict(cold_from=0.0),
+        dict(release=-1.0),
+        dict(classes=(i.CallClass("x", aim=0.0),)),
+    ):
         with pytest.raises(ValueError, match="settings"):
             settings(**bad)
 
@@ -278,12 +284,16 @@
 
 
 def test_reports_bound_the_wait_and_are_never_needed():
-    for fields, report in ((("free", "size", "latency_ms"), (100.0, 500.0, 900.0)),
-                           (("free", "size", "queue", "qps"), (100.0, 500.0, 45.0, 50.0)),
-                           (("free", "size", "qps"), (100.0, 500.0, 2.0))):
+    for fields, report in (
+        (("free", "size", "latency_ms"), (100.0, 500.0, 900.0)),
+        (("free", "size", "queue", "qps"), (100.0, 500.0, 45.0, 50.0)),
+        (("free", "size", "qps"), (100.0, 500.0, 2.0)),
+    ):
         c = front(("a", "b"), report_fields=fields)
-        calm = tuple(50.0 if f == "qps" else 0.0 if f in ("queue", "latency_ms") else v
-                     for f, v in zip(fields, report, strict=True))
+        calm = tuple(
+            50.0 if f == "qps" else 0.0 if f in ("queue", "latency_ms") else v
+            for f, v in zip(fields, report, strict=True)
+        )
         c.handle(900.0, i.Sampled("a", i.Outcome.OK, calm))
         assert c.gates["a"].open(900.0, 450.0)
         c.handle(1000.0, i.Sampled("a", i.Outcome.OK, report))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """A known failure passes by its name alone; whatever else is wrong with the list fails the run."""
+
 import shutil
 import subprocess
 import sys
@@ -20,8 +21,13 @@
     (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
     if listed is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
-    done = subprocess.run([sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *args], cwd=tmp_path,
-                          capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *args],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -30,14 +36,17 @@
     assert code == 0 and "1 xfailed" in said and "it says no (issue 26)" in said, said
 
 
-@pytest.mark.parametrize("listed, code, says", [
-    (None, 1, "1 failed"),  # nothing is let through without a line
-    ("tests/test_it.py::test_good; it says no; 26\n", 1, "1 failed"),  # nor by another's line
-    ("tests/test_it.py::test_gone; it says no; 26\n", 4, "no such test: tests/test_it.py::test_gone"),
-    ("tests/test_it.py::test_bad\n", 4, "entry 1: 'test; cause; issue' is wanted"),
-    ("tests/test_it.py::test_bad; no; 26\n" * 2, 4, "entry 2: tests/test_it.py::test_bad is there twice"),
-    ("".join(f"t{n}; no; 26\n" for n in range(4)), 4, "4 entries, 3 at most"),
-])
+@pytest.mark.parametrize(
+    "listed, code, says",
+    [
+        (None, 1, "1 failed"),  # nothing is let through without a line
+        ("tests/test_it.py::test_good; it says no; 26\n", 1, "1 failed"),  # nor by another's line
+        ("tests/test_it.py::test_gone; it says no; 26\n", 4, "no such test: tests/test_it.py::test_gone"),
+        ("tests/test_it.py::test_bad\n", 4, "entry 1: 'test; cause; issue' is wanted"),
+        ("tests/test_it.py::test_bad; no; 26\n" * 2, 4, "entry 2: tests/test_it.py::test_bad is there twice"),
+        ("".join(f"t{n}; no; 26\n" for n in range(4)), 4, "4 entries, 3 at most"),
+    ],
+)
 def test_whatever_else_is_wrong_fails_the_run(tmp_path, listed, code, says):
     got, said = run(tmp_path, listed)
     assert got == code and says in said, said
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,5 @@
 """The module is read aloud after an outage: its size is limited."""
+
 from pathlib import Path
 
 MODULE = Path(__file__).parent.parent / "willowhitch" / "policy.py"
--- a/tests/test_lives.py
+++ b/tests/test_lives.py
@@ -1,4 +1,5 @@
 """The ring of calls' lives: bounds, the management call, the file; parts that are off stay out."""
+
 import json
 import subprocess
 import sys
@@ -41,8 +42,15 @@
         s.play("m0 send GET /v1/calls/{1}")
         told = json.loads(s.next("m0").partition(" - ")[2])
         whats = [entry["what"] for entry in told["life"]]
-        wanted = ["set-up", "attempt", "set-up written", "answer heard", "answered 200", "release heard",
-                  "caller told"]
+        wanted = [
+            "set-up",
+            "attempt",
+            "set-up written",
+            "answer heard",
+            "answered 200",
+            "release heard",
+            "caller told",
+        ]
         assert [w for w in whats if w in wanted] == wanted, whats
         s.play("""
             m1 send GET /v1/calls/{7}
@@ -71,9 +79,20 @@
 
 
 def test_without_a_table_no_part_is_loaded():
-    off = ("parts", "net.callbook", "measure", "fleet", "net.peers", "operator", "storage", "budgets",
-           "sites")
-    code = ("import sys, willowhitch.__main__; "
-            f"off = tuple('willowhitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
-            "print([m for m in sys.modules if m.startswith(off)])")
+    off = (
+        "parts",
+        "net.callbook",
+        "measure",
+        "fleet",
+        "net.peers",
+        "operator",
+        "storage",
+        "budgets",
+        "sites",
+    )
+    code = (
+        "import sys, willowhitch.__main__; "
+        f"off = tuple('willowhitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
+        "print([m for m in sys.modules if m.startswith(off)])"
+    )
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.strip() == "[]"
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,4 +1,5 @@
 """The softswitch on real sockets: SIP callers, quote engines, the notice board. Language: tests/stage.py."""
+
 import os
 import socket
 import time
@@ -32,7 +33,8 @@
             """)
 
     def test_pieces_case_and_several_at_once(self):
-        self.play(r"""
+        self.play(
+            r"""
             c0 send raw invite: x
             c0 close
             c1 send raw INVITE sip:7@net SIP/2.0\r\nvIA: a\r\ni: 000000000000000
@@ -42,7 +44,9 @@
             c1 send raw \nabOPTIONS sip:ping@net SIP/2.0\r\nCSeq: 3 OPTIONS\r\nContent-Length: 0\r\n\r\n
             e0 expect SET_UP {1} .*33=ab
             c1 expect 200 OK.*OPTIONS
-            """, engines=1)
+            """,
+            engines=1,
+        )
 
     def test_given_up_crossing_answer_and_unknown_messages(self):
         self.play("""
@@ -84,8 +88,10 @@
             began = time.monotonic()
             s.play("c0 send INVITE 1 X-Patience=700\ne0 expect SET_UP {1}\nc0 expect SIP/2.0 500 ")
             assert 0.55 < time.monotonic() - began < 0.7
-            s.play("e0 expect RELEASE {1} 31=16\nc0 send INVITE 2 X-Facts=dest:1\n"
-                   "e1 expect SET_UP {2}\ne1 send RELEASE 2 31=41")
+            s.play(
+                "e0 expect RELEASE {1} 31=16\nc0 send INVITE 2 X-Facts=dest:1\n"
+                "e1 expect SET_UP {2}\ne1 send RELEASE 2 31=41"
+            )
             began = time.monotonic()
             while s.next("e0", 0.01) is None and s.next("e1", 0.01) is None:
                 assert time.monotonic() - began < 3.0
@@ -168,17 +174,24 @@
 
     def test_a_link_that_stays_open_and_brings_nothing_is_renewed_and_its_calls_go_on(self):
         with Stage(engines=1) as s:
-            s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK\n"
-                   "c0 send INVITE 2 X-Patience=9000\ne0 expect SET_UP {2}")
+            s.play(
+                "c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK\n"
+                "c0 send INVITE 2 X-Patience=9000\ne0 expect SET_UP {2}"
+            )
             began = time.monotonic()
-            s.play("e0 expect TEST\ne0 expect end\ne0 wait 50\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\n"
-                   "c0 expect 200 OK\nc0 expect nothing 50")
+            s.play(
+                "e0 expect TEST\ne0 expect end\ne0 wait 50\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\n"
+                "c0 expect 200 OK\nc0 expect nothing 50"
+            )
             assert time.monotonic() - began < 3.0
 
     def test_a_link_that_misses_the_beat_of_its_engines_state_is_renewed_soon(self):
         with Stage(engines=1) as s:
-            s.play("e0 wait 50\n" + 15 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 300\n"
-                   + "c0 send INVITE 1\ne0 expect SET_UP {1}")
+            s.play(
+                "e0 wait 50\n"
+                + 15 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 300\n"
+                + "c0 send INVITE 1\ne0 expect SET_UP {1}"
+            )
             began = time.monotonic()
             s.play("e0 expect TEST\ne0 expect end")
             assert 0.2 < time.monotonic() - began < 1.0  # 2 s without it
@@ -245,8 +258,10 @@
     def test_a_file_that_cannot_be_served_keeps_the_old_board(self):
         for bad in ("{", "[]", '{"board":"nowhere"}', '{"board":"127.0.0.1:9","known":{"notices":[{}]}}'):
             with self.subTest(bad), Stage() as s:
-                s.play(f"b expect after 3\np config {bad}\nb expect nothing 300\n"
-                       "c0 send INVITE 1\ne0 expect SET_UP {1}")
+                s.play(
+                    f"b expect after 3\np config {bad}\nb expect nothing 300\n"
+                    "c0 send INVITE 1\ne0 expect SET_UP {1}"
+                )
                 assert s.said().count("ERROR") == s.said().count("configuration not reloaded") == 1, s.said()
 
 
@@ -264,11 +279,24 @@
             (f"raw {INVITE}Content-Length: 62914560\\r\\n\\r\\n", "513"),
             (f"raw {INVITE}Content-Length: {'9' * 20}\\r\\n\\r\\n", "513"),
             ("raw " + "x" * 17000, "end"),
-            *((f"INVITE 1 X-Patience={bad}", "400")
-              for bad in ("soon", "nan", "-4", "0", "1_0", "9" * 20, "")),
-            *((f"INVITE 1 X-Facts={bad}", "400") for bad in (
-                "dest:1e999", "dest:nan", "dest:-9", "dest:.5", "x", "width:999", "width:-1", "via:",
-                "dest:99999")),
+            *(
+                (f"INVITE 1 X-Patience={bad}", "400")
+                for bad in ("soon", "nan", "-4", "0", "1_0", "9" * 20, "")
+            ),
+            *(
+                (f"INVITE 1 X-Facts={bad}", "400")
+                for bad in (
+                    "dest:1e999",
+                    "dest:nan",
+                    "dest:-9",
+                    "dest:.5",
+                    "x",
+                    "width:999",
+                    "width:-1",
+                    "via:",
+                    "dest:99999",
+                )
+            ),
             ("INVITE 1 Call-ID=xyz", "400"),
             ("INVITE 1 Call-ID=", "400"),
             ("INVITE 1 number=" + "7" * 65, "400"),
@@ -277,8 +305,10 @@
             ("REGISTER 1", "405"),
         ):
             with self.subTest(sent[:40]):
-                said = self.play(f"c0 send {sent}\nc0 expect {'SIP/2.0 ' * then.isdigit()}{then}\n"
-                                 "e0 expect nothing 20\nc1 send OPTIONS\nc1 expect 200")
+                said = self.play(
+                    f"c0 send {sent}\nc0 expect {'SIP/2.0 ' * then.isdigit()}{then}\n"
+                    "e0 expect nothing 20\nc1 send OPTIONS\nc1 expect 200"
+                )
                 assert said.count("WARNING") == (then != "405"), said
 
     def test_one_id_twice_is_answered_at_once_and_the_first_set_up_goes_on(self):
@@ -299,8 +329,10 @@
     def test_refusals_and_crossing_ends_close_no_callers_connection(self):
         with Stage(engines=1, settings={"limits": {"send_cap": 1}}) as s:
             for n in range(1, 81):
-                s.play(f"c0 send INVITE {n} X-Patience=900\ne0 expect SET_UP\ne0 send RELEASE {n} 31=102\n"
-                       f"c0 expect SIP/2.0 503\nc0 send CANCEL {n}\nc0 expect 481")
+                s.play(
+                    f"c0 send INVITE {n} X-Patience=900\ne0 expect SET_UP\ne0 send RELEASE {n} 31=102\n"
+                    f"c0 expect SIP/2.0 503\nc0 send CANCEL {n}\nc0 expect 481"
+                )
 
     def test_the_same_again_as_soon_as_it_is_turned_away_ends_the_connection(self):
         for again, most in (("INVITE 1 X-Patience=soon", 17), ("INVITE 1 Subject=strange", 65)):
@@ -355,8 +387,10 @@
             for _ in range(200):
                 flood.append(socket.create_connection(s.sip))
                 s.pump(0)
-            s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 close\n"
-                   "c0 send INVITE 2\ne0 wait 150\ne0 expect SET_UP")
+            s.play(
+                "c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 close\n"
+                "c0 send INVITE 2\ne0 wait 150\ne0 expect SET_UP"
+            )
             assert len(os.listdir(f"/proc/{s.program.pid}/fd")) < 80
             for sock in flood:
                 sock.close()
@@ -364,15 +398,24 @@
     def test_a_spoilt_answer_ends_its_connection_and_the_set_ups_there_are_sent_anew_in_time(self):
         # guards against reading on behind noise, and calls that wait for answers a spoilt link can't bring
         good, standing = "00130900000000000000{n}21000161", "{n:016x}"
-        for spoilt in ("0005" + "68" * 5, "fff3" + "00" * 40, "3000" + "09" * 30, "00",  # noise, cut short
-                       "000909" + standing, "00090c" + standing, "000977" + standing,  # lacking, unknown
-                       "000f09" + standing + "2100016121000162"):  # longer than its length says
+        for spoilt in (
+            "0005" + "68" * 5,
+            "fff3" + "00" * 40,
+            "3000" + "09" * 30,
+            "00",  # noise, cut short
+            "000909" + standing,
+            "00090c" + standing,
+            "000977" + standing,  # lacking, unknown
+            "000f09" + standing + "2100016121000162",
+        ):  # longer than its length says
             with self.subTest(spoilt), Stage() as s:
                 s.play("c0 send INVITE 1\nc0 send INVITE 2\ne0 expect SET_UP {1}\ne0 expect SET_UP {2}")
                 s.party("e0").sock.sendall(bytes.fromhex(spoilt.format(n=1) + good.format(n="02")))
-                s.play("e0 expect end\ne0 wait 100\nc0 expect nothing 50\n"
-                       "e0 expect SET_UP\ne0 expect SET_UP\n"
-                       "e0 send ANSWER 1 33=d\nc0 expect 200 .*Call-ID: {1}")
+                s.play(
+                    "e0 expect end\ne0 wait 100\nc0 expect nothing 50\n"
+                    "e0 expect SET_UP\ne0 expect SET_UP\n"
+                    "e0 send ANSWER 1 33=d\nc0 expect 200 .*Call-ID: {1}"
+                )
                 assert s.said().count("WARNING engine") == 1, s.said()
 
     def test_more_than_belongs_to_an_answer_is_dropped_and_the_good_one_counts_once(self):
@@ -404,8 +447,14 @@
         self.play("c0 send INVITE 1 Subject=strange\nc0 expect SIP/2.0 503")
 
     def test_a_bad_configuration_is_one_plain_line(self):
-        for config in ({"settings": {}}, {"listen": "here"}, {"board": None}, {"seed": "zz"},
-                       {"listen": "127.0.0.1:1x"}, {"known": {"notices": [{"rev": 1}]}}):
+        for config in (
+            {"settings": {}},
+            {"listen": "here"},
+            {"board": None},
+            {"seed": "zz"},
+            {"listen": "127.0.0.1:1x"},
+            {"known": {"notices": [{"rev": 1}]}},
+        ):
             stage = Stage(config=config)
             with self.subTest(config):
                 assert stage.program.wait(10) == 2
@@ -436,8 +485,10 @@
         # guards against a stop that waits for calls that stand until it is killed, 0.7 s after the deadline
         lane = {"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}
         with Stage(settings={"lanes": [lane]}) as s:
-            s.play("c0 send INVITE 1 X-Patience=900\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\n"
-                   "c0 expect 200 OK")
+            s.play(
+                "c0 send INVITE 1 X-Patience=900\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\n"
+                "c0 expect 200 OK"
+            )
             began = time.monotonic()
             s.play("p send SIGTERM\np expect 0")
             assert time.monotonic() - began < 1.6
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,4 +1,5 @@
 """Daily operation on sockets: management calls, figures, drain, new settings, replacement."""
+
 import json
 import os
 import signal
@@ -46,16 +47,25 @@
             """)
 
 
-@pytest.mark.parametrize("asked, answer", [
-    ("GET /v1/nothing", "404"), ("GET /", "404"),
-    ("GET /v1/softswitch/drain", "405 Allow: POST"), ("POST /v1/metrics", "405 Allow: GET"),
-    (r"raw nonsense\r\n\r\n", "400"), (r"raw GET /v1/readyz HTTP/1.1\r\n\r\n", "400"),  # no Host
-    ("raw GET /v1/readyz HTTP/1.1\\r\\nHost: m\\r\\nX: " + 9000 * "x", "431"),
-    (r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nContent-Length: 60000000\r\n\r\nabc", "413"),
-    (r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nContent-Length: -1\r\n\r\n", "400"),
-    (r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n"
-     + 5000 * "x", "413"),
-])
+@pytest.mark.parametrize(
+    "asked, answer",
+    [
+        ("GET /v1/nothing", "404"),
+        ("GET /", "404"),
+        ("GET /v1/softswitch/drain", "405 Allow: POST"),
+        ("POST /v1/metrics", "405 Allow: GET"),
+        (r"raw nonsense\r\n\r\n", "400"),
+        (r"raw GET /v1/readyz HTTP/1.1\r\n\r\n", "400"),  # no Host
+        ("raw GET /v1/readyz HTTP/1.1\\r\\nHost: m\\r\\nX: " + 9000 * "x", "431"),
+        (r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nContent-Length: 60000000\r\n\r\nabc", "413"),
+        (r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nContent-Length: -1\r\n\r\n", "400"),
+        (
+            r"raw POST /v1/softswitch/drain HTTP/1.1\r\nHost: m\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n"
+            + 5000 * "x",
+            "413",
+        ),
+    ],
+)
 def test_a_bad_management_call_gets_a_plain_answer_and_changes_nothing(asked, answer):
     with Stage() as s:
         s.play(f"m0 send {asked}\nm0 expect ^{answer}\nm0 expect end\nc0 send OPTIONS\nc0 expect 200")
@@ -66,8 +76,10 @@
         began = time.monotonic()
         for n in range(100, 140):  # more than may be there at once
             s.party(f"m{n}")
-        s.play("m139 send raw GET /v1/re\nm0 send GET /v1/readyz\nm0 expect 200\nm0 expect end\n"
-               "m138 expect 408\nm138 expect end")
+        s.play(
+            "m139 send raw GET /v1/re\nm0 send GET /v1/readyz\nm0 expect 200\nm0 expect end\n"
+            "m138 expect 408\nm138 expect end"
+        )
         assert time.monotonic() - began < 4.0
 
 
@@ -145,7 +157,8 @@
 
 def test_a_drain_serves_what_still_comes_and_then_closes_connections_as_they_fall_idle():
     with Stage(settings=STAYS) as s:
-        s.play("""
+        s.play(
+            """
             c0 send INVITE 1 X-Patience=8000
             e0 expect SET_UP {1}
             c1 send OPTIONS
@@ -184,7 +197,8 @@
             c3 send raw SIP/2.0 200 OK\\r\\nCall-ID: {3}\\r\\nCSeq: 2 BYE\\r\\nContent-Length: 0\\r\\n\\r\\n
             m1 send POST /v1/softswitch/activate
             m1 expect 200
-            """.replace("BEATS", 8 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 280\n"))
+            """.replace("BEATS", 8 * "e0 send STATE 0 21=x0:9;x1:9\ne0 wait 280\n")
+        )
         s.play("c4 send OPTIONS\nc4 expect 200\nc4 wait 300\nc4 send INVITE 5")  # held, or sent: not refused
         s.play("c4 expect nothing 100")
 
@@ -197,16 +211,19 @@
     before = figures(stage)
     stage.play("p config " + json.dumps(stage.made | {"settings": settings}))
     until = time.monotonic() + 3
-    while (now := figures(stage))["cfg_accepted"] + now["cfg_invalid"] == \
-            before["cfg_accepted"] + before["cfg_invalid"]:
+    while (now := figures(stage))["cfg_accepted"] + now["cfg_invalid"] == before["cfg_accepted"] + before[
+        "cfg_invalid"
+    ]:
         assert time.monotonic() < until, stage.said()
     return now["cfg_accepted"] - before["cfg_accepted"], now["cfg_invalid"] - before["cfg_invalid"]
 
 
 def test_classes_appear_and_vanish_under_way_and_a_call_keeps_the_one_it_came_with():
     with Stage(engines=1) as s:
-        s.play("c0 send INVITE 1 X-Patience=9000\ne0 expect SET_UP {1}\nc0 send INVITE 2 Subject=y\n"
-               "c0 expect SIP/2.0 503")
+        s.play(
+            "c0 send INVITE 1 X-Patience=9000\ne0 expect SET_UP {1}\nc0 send INVITE 2 Subject=y\n"
+            "c0 expect SIP/2.0 503"
+        )
         lanes = [LANE | {"name": "y"}]
         assert settled(s, INFO | {"lanes": lanes}) == (1, 0)
         s.play("""
@@ -219,8 +236,10 @@
             e0 send ANSWER 1 33=d
             c0 expect 200 .*Call-ID: {1}
             """)
-        assert figures(s)["operations"] == {"x": {"fulfilled": 1, "throttled": 1, "faulted": 0},
-                                            "y": {"fulfilled": 1, "throttled": 0, "faulted": 0}}
+        assert figures(s)["operations"] == {
+            "x": {"fulfilled": 1, "throttled": 1, "faulted": 0},
+            "y": {"fulfilled": 1, "throttled": 0, "faulted": 0},
+        }
 
 
 def test_fewer_attempts_bind_calls_under_way_too():
@@ -243,8 +262,9 @@
             e0 send RELEASE 1 31=41
             c0 wait 800
             """)
-        assert any("SET_UP " + "0" * 15 + "1" in m for e in ("e0", "e1") if e in s.parties
-                   for m in s.parties[e].got)
+        assert any(
+            "SET_UP " + "0" * 15 + "1" in m for e in ("e0", "e1") if e in s.parties for m in s.parties[e].got
+        )
 
 
 def test_a_file_that_is_not_whole_changes_nothing_and_its_line_names_the_key():
@@ -254,8 +274,9 @@
         "settings.lanes[0].hard_limit: 0": {"lanes": [LANE | {"hard_limit": 0}]},
         "settings.lanes[0].hard_limit: -1": {"lanes": [LANE | {"hard_limit": -1}]},
         "settings.lanes[0].hard_limit: True": {"lanes": [LANE | {"hard_limit": True}]},
-        "settings.lanes[1].hard_limit is missing": {"lanes": [LANE, {"name": "y", "aim": 5, "credit": 1,
-                                                                     "late_value": 0}]},
+        "settings.lanes[1].hard_limit is missing": {
+            "lanes": [LANE, {"name": "y", "aim": 5, "credit": 1, "late_value": 0}]
+        },
         "settings.lanes[1].name: 'x' is there twice": {"lanes": [LANE, LANE]},
         "settings.lanes: a list": {"lanes": []},
         "settings.limits.send_cap: 0": {"limits": limits | {"send_cap": 0}},
@@ -275,23 +296,31 @@
     with Stage(engines=1) as s:
         s.play("b expect after 3")
         whole = json.dumps(s.made)
-        texts = ["", whole[:len(whole) // 2], "[]", whole.replace("9000.0", "NaN"),
-                 whole.replace("9000.0", "1e999"),
-                 json.dumps({k: v for k, v in s.made.items() if k != "board"}),
-                 json.dumps(s.made | {"settings": None, "board": "127.0.0.1:9"})]
+        texts = [
+            "",
+            whole[: len(whole) // 2],
+            "[]",
+            whole.replace("9000.0", "NaN"),
+            whole.replace("9000.0", "1e999"),
+            json.dumps({k: v for k, v in s.made.items() if k != "board"}),
+            json.dumps(s.made | {"settings": None, "board": "127.0.0.1:9"}),
+        ]
         for n, text in enumerate(texts):
             s.play(f"p config {text}\np wait 80")
             assert figures(s)["cfg_invalid"] == n + 1, (text[:60], s.said())
-        s.play("b send 4 draining e0\nb wait 50\nc0 send INVITE 1\nc0 expect SIP/2.0 503\n"
-               "b expect nothing 50")
+        s.play(
+            "b send 4 draining e0\nb wait 50\nc0 send INVITE 1\nc0 expect SIP/2.0 503\nb expect nothing 50"
+        )
         assert figures(s)["cfg_accepted"] == 0
 
 
 def test_two_reloads_at_once_and_one_while_drained_keep_the_lifecycle():
     with Stage(engines=1) as s:
-        s.play("m0 send POST /v1/softswitch/drain\nm0 expect 200\np send SIGHUP\np send SIGHUP\np wait 100\n"
-               "m1 send GET /v1/readyz\nm1 expect 503 .*drained\nm2 send POST /v1/softswitch/activate\n"
-               "m2 expect 200\nc0 send INVITE 1\ne0 expect SET_UP {1}")
+        s.play(
+            "m0 send POST /v1/softswitch/drain\nm0 expect 200\np send SIGHUP\np send SIGHUP\np wait 100\n"
+            "m1 send GET /v1/readyz\nm1 expect 503 .*drained\nm2 send POST /v1/softswitch/activate\n"
+            "m2 expect 200\nc0 send INVITE 1\ne0 expect SET_UP {1}"
+        )
         assert 1 <= figures(s)["cfg_accepted"] <= 2
 
 
@@ -478,8 +507,10 @@
     kept.close()
 
 
-INVITE = ("INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
-          "Subject: x\r\nX-Patience: 5000\r\nX-Facts: dest:0;width:1;via:-1\r\nContent-Length: 3\r\n\r\nv=0")
+INVITE = (
+    "INVITE sip:77@net SIP/2.0\r\nVia: SIP/2.0/TCP p\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\n"
+    "Subject: x\r\nX-Patience: 5000\r\nX-Facts: dest:0;width:1;via:-1\r\nContent-Length: 3\r\n\r\nv=0"
+)
 
 
 def test_a_set_up_on_a_new_connection_may_take_over_two_seconds_as_long_as_it_keeps_coming():
@@ -488,7 +519,7 @@
         slow, text = s.party("c1").sock, INVITE.format(1).encode()
         crowd, began = [], time.monotonic()
         for n in range(0, len(text), 6):
-            slow.sendall(text[n:n + 6])
+            slow.sendall(text[n : n + 6])
             if n % 12 == 0:
                 crowd.append(socket.create_connection(s.sip))
                 crowd[-1].sendall(b"INVITE sip:7@net SIP/2.0\r\nVia" if n % 24 else b"")
@@ -509,13 +540,14 @@
 def test_single_bytes_on_every_wire():
     def trickle(party, data, pause=0.004):
         for n in range(len(data)):
-            party.sock.sendall(data[n:n + 1])
+            party.sock.sendall(data[n : n + 1])
             time.sleep(pause)
 
     with Stage(engines=1) as s:
         s.play("b expect after 3")
-        record = struct.pack(">I4sHBBBHIQ", 0, bytes((127, 0, 0, 1)), s.doors["e0"].getsockname()[1],
-                             0, 0, 0, 0, 1000, 0)
+        record = struct.pack(
+            ">I4sHBBBHIQ", 0, bytes((127, 0, 0, 1)), s.doors["e0"].getsockname()[1], 0, 0, 0, 0, 1000, 0
+        )
         frame = struct.pack(">QB", 4, 2) + record
         trickle(s.party("b"), struct.pack(">I", len(frame)) + frame)
         trickle(s.party("c0"), INVITE.format(1).encode())
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,4 +1,5 @@
 """Estimates, planner and simulation: known answers, brute force, and the words that go with short samples."""
+
 import json
 import subprocess
 import sys
@@ -23,8 +24,9 @@
         warm=10.0,
         slot=slot,
     ).records["x"]
-    return traffic.Sample(seen.slot, seen.first, seen.erlang_time, seen.ended, seen.held2,
-                          int(seen.redials.sum()))
+    return traffic.Sample(
+        seen.slot, seen.first, seen.erlang_time, seen.ended, seen.held2, int(seen.redials.sum())
+    )
 
 
 def test_simulation_agrees_with_theory():
@@ -44,15 +46,24 @@
     assert got == pytest.approx(want, rel=0.08)
     both = simulate.play(
         [simulate.Group("1", 8), simulate.Group("2", 14, reserve=3)],
-        [simulate.Demand("a", 10, ("1", "2")), simulate.Demand("b", 8, ("2", "1"))], 20_000, 3, warm=20)
+        [simulate.Demand("a", 10, ("1", "2")), simulate.Demand("b", 8, ("2", "1"))],
+        20_000,
+        3,
+        warm=20,
+    )
     pair = mutual.pair((8, 14), (10, 8), (0, 3))
     assert both.demands["a"].lost / both.demands["a"].calls == pytest.approx(pair.first, rel=0.05)
     assert both.demands["b"].lost / both.demands["b"].calls == pytest.approx(pair.second, rel=0.12)
     free = mutual.pair((8, 14), (10, 8))
     assert free.first == pytest.approx(loss.erlang_b(22, 18)) == pytest.approx(free.second)
     # overflow's moments, and the mean a switched stream holds where nothing blocks it
-    over = simulate.play([simulate.Group("1", 6), simulate.Group("2", 10_000)],
-                         [simulate.Demand("a", 8, ("1", "2"))], 20_000, 4, warm=20)
+    over = simulate.play(
+        [simulate.Group("1", 6), simulate.Group("2", 10_000)],
+        [simulate.Demand("a", 8, ("1", "2"))],
+        20_000,
+        4,
+        warm=20,
+    )
     assert over.carried["2"] == pytest.approx(peaky.overflow(6, 8)[0], rel=0.04)
     peaks = simulate.play(
         [simulate.Group("g", 16)], [simulate.Demand("x", 8, ("g",), on=2, off=2)], 40_000, 5
@@ -123,8 +134,15 @@
     streams = [Stream("sf", "f", random.uniform(1, 6), random.choice((0.01, 0.03)))]
     for k in range(direct):
         groups.append(Group(f"d{k}", random.choice((1, 2, 4)), random.uniform(0.5, 4), most, "f"))
-        streams.append(Stream(f"s{k}", f"d{k}", random.uniform(1, 10), random.choice((0.01, 0.02, 0.05)),
-                              random.choice((1, 1, 1.5))))
+        streams.append(
+            Stream(
+                f"s{k}",
+                f"d{k}",
+                random.uniform(1, 10),
+                random.choice((0.01, 0.02, 0.05)),
+                random.choice((1, 1, 1.5)),
+            )
+        )
     return groups, streams
 
 
@@ -171,8 +189,10 @@
 
 def test_what_if_and_its_ends():
     groups, streams = drawn(2, 2, 8)
-    streams = [Stream(s.name, s.group, s.erlangs, s.target, s.peakedness, 0.9 * s.erlangs, 1.1 * s.erlangs)
-               for s in streams]
+    streams = [
+        Stream(s.name, s.group, s.erlangs, s.target, s.peakedness, 0.9 * s.erlangs, 1.1 * s.erlangs)
+        for s in streams
+    ]
     found = planner.plan(groups, streams, "middle")
     ends = planner.what_if(groups, streams, found.circuits)
     assert not ends["middle"].missed(streams) and not ends["low"].missed(streams)
@@ -251,7 +271,8 @@
         return json.loads(capsys.readouterr().out)
 
     assert said("blocking", "--erlangs", "8", "--circuits", "10")["blocking"] == pytest.approx(
-        loss.erlang_b_recursion(10, 8))
+        loss.erlang_b_recursion(10, 8)
+    )
     assert said("circuits", "--erlangs", "84.1", "--target", "0.01")["circuits"] == 101
     peaky_need = said("circuits", "--erlangs", "50", "--target", "0.01", "--peakedness", "3")
     assert peaky_need["circuits"] > peaky_need["erlang_b_circuits"]
@@ -263,14 +284,23 @@
         )["blocking"]
     )
     file = tmp_path / "p.json"
-    file.write_text(json.dumps({"target": 0.02, "groups": [
-        {"name": "f", "module": 2}, {"name": "d", "overflow": "f", "price": 0.5}],
-        "streams": [{"name": "a", "group": "d", "erlangs": 6, "low": 5, "high": 7},
-                    {"name": "b", "group": "f", "erlangs": 3}]}))
+    file.write_text(
+        json.dumps(
+            {
+                "target": 0.02,
+                "groups": [{"name": "f", "module": 2}, {"name": "d", "overflow": "f", "price": 0.5}],
+                "streams": [
+                    {"name": "a", "group": "d", "erlangs": 6, "low": 5, "high": 7},
+                    {"name": "b", "group": "f", "erlangs": 3},
+                ],
+            }
+        )
+    )
     planned = said("plan", str(file))
     assert max(planned["service"]["high"]["lost"].values()) <= 0.02 * (1 + 1e-9)
-    again = said("whatif", str(file), "--circuits",
-                 ",".join(f"{k}={n}" for k, n in planned["circuits"].items()))
+    again = said(
+        "whatif", str(file), "--circuits", ",".join(f"{k}={n}" for k, n in planned["circuits"].items())
+    )
     assert again["service"]["high"]["lost"] == pytest.approx(planned["service"]["high"]["lost"])
     for out in (
         ["--erlangs", "20", "--low", "18", "--high", "23", "--peakedness", "2"],
@@ -283,10 +313,16 @@
 def test_the_output_of_a_plan_is_json_and_nothing_else(tmp_path):
     """The solver writes a banner past Python: only a process of its own shows it."""
     file = tmp_path / "p.json"
-    file.write_text('{"groups": [{"name": "f"}, {"name": "d", "overflow": "f"}], '
-                    '"streams": [{"name": "s", "group": "d", "erlangs": 5}]}')
-    ran = subprocess.run([sys.executable, "-m", "willowhitch.cli", "trunks", "plan", str(file), "--json"],
-                         capture_output=True, text=True, timeout=60)
+    file.write_text(
+        '{"groups": [{"name": "f"}, {"name": "d", "overflow": "f"}], '
+        '"streams": [{"name": "s", "group": "d", "erlangs": 5}]}'
+    )
+    ran = subprocess.run(
+        [sys.executable, "-m", "willowhitch.cli", "trunks", "plan", str(file), "--json"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert ran.returncode == 0 and json.loads(ran.stdout)["proved"] is True, ran
 
 
--- a/tests/test_policy_held.py
+++ b/tests/test_policy_held.py
@@ -1,4 +1,5 @@
 """Held calls lie in stacks by kind: a thousand of them must not cost a look each at every event."""
+
 from helpers import call, front, sends, stands
 
 from willowhitch import interface as i
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -1,4 +1,5 @@
 """Telemetry against a stand-in collector; the agent and its command line against real softswitches."""
+
 import os
 import signal
 import subprocess
@@ -70,8 +71,9 @@
             s.play("p send SIGTERM\np expect 0")
         collector.shutdown()
         told = collector.latest()
-        counts = {p.attributes[0].value.string_value: p.as_int
-                  for p in told["willowhitch.events"].sum.data_points}
+        counts = {
+            p.attributes[0].value.string_value: p.as_int for p in told["willowhitch.events"].sum.data_points
+        }
         assert collector.got[-1][0] == "/v1/metrics"
         assert (counts["set-ups"], counts["stood"], counts["ended"]) == (3, 3, 3)
         for what in ("set-up", "call"):
@@ -114,11 +116,16 @@
         self.dir = tempfile.TemporaryDirectory()
         self.socket = str(Path(self.dir.name, "agent.sock"))
         self.file = Path(self.dir.name, "agent.toml")
-        self.file.write_text('socket = "agent.sock"\n' + "".join(
-            f'[[instance]]\nname = "n{k}"\nconfig = "{s.config}"\n' for k, s in enumerate(self.stages)))
+        self.file.write_text(
+            'socket = "agent.sock"\n'
+            + "".join(
+                f'[[instance]]\nname = "n{k}"\nconfig = "{s.config}"\n' for k, s in enumerate(self.stages)
+            )
+        )
         self.log = open(Path(self.dir.name, "log"), "w+")
-        self.agent = subprocess.Popen([sys.executable, "-m", "willowhitch.cli", "agent", str(self.file)],
-                                      cwd=ROOT, stderr=self.log)
+        self.agent = subprocess.Popen(
+            [sys.executable, "-m", "willowhitch.cli", "agent", str(self.file)], cwd=ROOT, stderr=self.log
+        )
 
     def tearDown(self):
         if self.agent.poll() is None:
@@ -187,12 +194,21 @@
         self.until(lambda s: s["n1"]["state"] == "running")
 
     def test_a_bad_file_or_a_bad_message_is_one_plain_line(self):
-        for text in ("", 'socket = "s"', 'socket = "s"\n[[instance]]\nname = "a"',
-                     'socket = "s"\n[[instance]]\nname="a"\nconfig="c"\nstrange=1'):
+        for text in (
+            "",
+            'socket = "s"',
+            'socket = "s"\n[[instance]]\nname = "a"',
+            'socket = "s"\n[[instance]]\nname="a"\nconfig="c"\nstrange=1',
+        ):
             bad = Path(self.dir.name, "bad.toml")
             bad.write_text(text)
-            ran = subprocess.run([sys.executable, "-m", "willowhitch.cli", "agent", str(bad)], cwd=ROOT,
-                                 capture_output=True, text=True, timeout=20)
+            ran = subprocess.run(
+                [sys.executable, "-m", "willowhitch.cli", "agent", str(bad)],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=20,
+            )
             assert ran.returncode == 2 and ran.stderr.count("\n") == 1, ran.stderr
         self.until(lambda s: True)
         assert "error" in cli.ask(self.socket, "dance", None)
--- a/tests/test_quiet.py
+++ b/tests/test_quiet.py
@@ -1,4 +1,5 @@
 """The bound on log lines."""
+
 from willowhitch.quiet import MOST, PER, Quiet
 
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,4 +1,5 @@
 """README's example runs as it stands."""
+
 import re
 from pathlib import Path
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -1,4 +1,5 @@
 """The traffic record and its file; the operator file that asks for it."""
+
 import json
 import os
 import subprocess
@@ -93,12 +94,12 @@
         whole = found.good == size and size > 0
         assert bool(found.cut) != whole
     for at in range(6, len(data)):  # a spoilt byte ends it there, and is told
-        cut.write_bytes(data[:at] + bytes((data[at] ^ 0x40,)) + data[at + 1:])
+        cut.write_bytes(data[:at] + bytes((data[at] ^ 0x40,)) + data[at + 1 :])
         found = read(cut)
         assert found.cut and [e["n"] for e in found.entries] == [n for n, end in enumerate(ends) if end <= at]
     # whole frames that have changed places are no record
     first = FRAME.unpack_from(data, ends[0])[0] + FRAME.size
-    cut.write_bytes(data[:ends[0]] + data[ends[0] + first:] + data[ends[0]:ends[0] + first])
+    cut.write_bytes(data[: ends[0]] + data[ends[0] + first :] + data[ends[0] : ends[0] + first])
     assert [e["n"] for e in read(cut).entries] == [0]
     # and a writer that comes back to a torn file goes on behind its last whole entry
     cut.write_bytes(data[:-3])
@@ -164,8 +165,9 @@
     path = Path(__file__).parent.parent / "deploy" / "operator.star"
     assert cli.main(["config", "show", str(path)]) == 0
     assert json.loads(capsys.readouterr().out)["record"] is None
-    uncommented = "\n".join(line.removeprefix("# ") if i > 2 else line
-                            for i, line in enumerate(path.read_text().splitlines()))
+    uncommented = "\n".join(
+        line.removeprefix("# ") if i > 2 else line for i, line in enumerate(path.read_text().splitlines())
+    )
     assert (
         of_text(uncommented, "x").record.file == "traffic.whtr"
         and of_text(uncommented, "x").logs.form == "json"
@@ -266,17 +268,39 @@
         "print(*[m for m in ('starlark', 'msgspec', 'hdrh', 'xxhash', 'numpy', 'scipy', 'typer', 'rich',"
         " 'highspy', 'matplotlib', 'willowhitch.operator', 'willowhitch.measure') if m in sys.modules])"
     )
-    ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30,
-                         cwd=Path(__file__).parent.parent)
+    ran = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        cwd=Path(__file__).parent.parent,
+    )
     assert ran.returncode == 0 and ran.stdout.strip() == "", ran
 
 
 def test_demo_shows_the_main_job_and_leaves_nothing_running(tmp_path):
     kept = tmp_path / "kept.whtr"
     began = time.monotonic()
-    ran = subprocess.run([sys.executable, "-m", "willowhitch.cli", "demo", "--seconds", "3", "--rate", "30",
-                          "--json", "--keep", str(kept)], capture_output=True, text=True, timeout=60,
-                         env=os.environ | {"TMPDIR": str(tmp_path)}, cwd=Path(__file__).parent.parent)
+    ran = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "willowhitch.cli",
+            "demo",
+            "--seconds",
+            "3",
+            "--rate",
+            "30",
+            "--json",
+            "--keep",
+            str(kept),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+        cwd=Path(__file__).parent.parent,
+    )
     assert ran.returncode == 0, ran.stderr
     told = json.loads(ran.stdout)
     assert told["callers"]["calls"] > 40 and told["callers"]["unanswered"] == 0
@@ -289,6 +313,7 @@
 
 def test_encoding_leaves_empty_histograms_out():
     from willowhitch.measure.record import histogram
+
     h = histogram()
     assert encoded(h) == ""
     h.record_value(250)
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -1,4 +1,5 @@
 """The life of a release: drawn interleavings on a model of callers, and the front on sockets."""
+
 import random
 
 import pytest
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """The five rules, one by one and under seeded random event orders; late, odd and unknown events."""
+
 import os
 import random
 import subprocess
@@ -220,8 +221,12 @@
     here = os.path.dirname(__file__)
     path = os.pathsep.join((here, os.path.dirname(here)))
     said = {
-        subprocess.run([sys.executable, "-c", code], check=True, capture_output=True,
-                       env=os.environ | {"PYTHONHASHSEED": h, "PYTHONPATH": path}).stdout
+        subprocess.run(
+            [sys.executable, "-c", code],
+            check=True,
+            capture_output=True,
+            env=os.environ | {"PYTHONHASHSEED": h, "PYTHONPATH": path},
+        ).stdout
         for h in ("0", "1", "77")
     }
     assert len(said) == 1
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -1,4 +1,5 @@
 """What the fleet's standing test refuses is needed nowhere: to start, to serve, to reload, to stop."""
+
 import os
 import re
 import tempfile
@@ -35,6 +36,7 @@
 
 def test_the_deploy_file_ends_run_by_exec_and_its_features_stay_off():
     import tomllib
+
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     assert re.search(r"(^|= )exec \.venv/bin/python -m willowhitch$", deploy["run"])
     assert not re.search(r"[;&|]", deploy["run"].removeprefix("trap '' HUP; "))  # a builtin: starts nothing
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -1,13 +1,16 @@
 """Guards engines, operators and other callers from a turn of the loop that takes seconds: a flood of set-ups
 had a management call wait for 4.1 s."""
+
 from test_core import Bench
 from twisted.internet.testing import StringTransport
 
 from willowhitch.net.sip import SipFront
 from willowhitch.net.sip_connection import OLDEST, READ, TURN
 
-INVITE = ("INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
-          "X-Patience: {}\r\nContent-Length: 3\r\n\r\nv=0")
+INVITE = (
+    "INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
+    "X-Patience: {}\r\nContent-Length: 3\r\n\r\nv=0"
+)
 COST = 15.0  # ms that each set-up takes here
 
 
--- a/willowhitch/__main__.py
+++ b/willowhitch/__main__.py
@@ -1,4 +1,5 @@
 """One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
+
 # ruff: noqa: E402, I001
 from __future__ import annotations
 
@@ -141,8 +142,16 @@
         """The optional parts that the operator file asks for."""
         from willowhitch.parts import BadPart, Host, make
 
-        host = Host(self.sip.name, self.switch, reactor, offset, Path(os.environ[OPERATOR]).resolve().parent,
-                    self.settings, version=VERSION, mgmt=str(self.running.get("mgmt") or ""))
+        host = Host(
+            self.sip.name,
+            self.switch,
+            reactor,
+            offset,
+            Path(os.environ[OPERATOR]).resolve().parent,
+            self.settings,
+            version=VERSION,
+            mgmt=str(self.running.get("mgmt") or ""),
+        )
         try:
             made = make(tables, host)
         except BadPart as e:
@@ -286,8 +295,11 @@
             self.running = config | {key: self.running[key] for key in FIXED if key in self.running}
             self.board.known(known)
             self.board.move(board)
-            logger.info("configuration reloaded, board at {}:{}, classes {}", *board,
-                        ", ".join(c.name for c in settings.classes)[:200])
+            logger.info(
+                "configuration reloaded, board at {}:{}, classes {}",
+                *board,
+                ", ".join(c.name for c in settings.classes)[:200],
+            )
             if later:
                 logger.warning("configuration: {} changes at the next start only", ", ".join(later))
 
@@ -332,8 +344,12 @@
     def _leave(self, at_last: float) -> None:
         """What was written last still goes out, and what lies unread is read and answered."""
         now, unsent_by = self.wheel.now, self.switch.lifecycle.ends_at + UNSENT_BY
-        if (now < at_last and (self.sip.connections or now < at_last - GONE_BY + ALOUD)
-                or now < unsent_by and any(connection.unsent for connection in self.sip.connections)):
+        if (
+            now < at_last
+            and (self.sip.connections or now < at_last - GONE_BY + ALOUD)
+            or now < unsent_by
+            and any(connection.unsent for connection in self.sip.connections)
+        ):
             self.wheel.at(self.wheel.now + 2 * self.settings.tick, self._leave, at_last)
         else:
             reactor.stop()
@@ -349,15 +365,27 @@
 
 def main() -> int:
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False,
-               level=os.environ.get("WILLOWHITCH_LOG", "INFO"), filter=Quiet())
+    logger.add(
+        sys.stderr,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        backtrace=False,
+        diagnose=False,
+        level=os.environ.get("WILLOWHITCH_LOG", "INFO"),
+        filter=Quiet(),
+    )
     try:
         config = configuration()
         tables = operator_file()
         if tables and tables.logs.form == "json":
             logger.remove()
-            logger.add(sys.stderr, serialize=True, backtrace=False, diagnose=False,
-                       level=os.environ.get("WILLOWHITCH_LOG", "INFO"), filter=Quiet())
+            logger.add(
+                sys.stderr,
+                serialize=True,
+                backtrace=False,
+                diagnose=False,
+                level=os.environ.get("WILLOWHITCH_LOG", "INFO"),
+                filter=Quiet(),
+            )
             logger.configure(extra={"softswitch": config["name"]})
         if signals.asked_to_stop():
             return 0  # nobody was let in yet
@@ -375,9 +403,17 @@
         return 2
     globalLogBeginner.beginLoggingTo([say_faults], redirectStandardIO=False, discardBuffer=True)
     reactor.addSystemEventTrigger("before", "shutdown", softswitch.counters)
-    signals.carry_out({number: partial(reactor.callFromThread, act) for number, act in (
-        (signal.SIGTERM, softswitch.stop), (signal.SIGINT, softswitch.stop),
-        (signal.SIGUSR1, softswitch.counters), (signal.SIGHUP, softswitch.reload))})
+    signals.carry_out(
+        {
+            number: partial(reactor.callFromThread, act)
+            for number, act in (
+                (signal.SIGTERM, softswitch.stop),
+                (signal.SIGINT, softswitch.stop),
+                (signal.SIGUSR1, softswitch.counters),
+                (signal.SIGHUP, softswitch.reload),
+            )
+        }
+    )
     gc.collect()
     gc.set_threshold(10_000, 20, 20)
     gc.freeze()  # what is here now stays: a full collection need not look at it, and pauses stay short
--- a/willowhitch/agent.py
+++ b/willowhitch/agent.py
@@ -2,6 +2,7 @@
 
 It is spoken to over a Unix socket: one JSON object a line, one answer to each (`cli.py` does so).
 """
+
 from __future__ import annotations
 
 import os
@@ -47,7 +48,8 @@
             raise ValueError("at least one [[instance]], and no name twice")
         return str(beside / table["socket"]), [
             Instance(i.name, str(beside / i.config), str(beside / i.control) if i.control else "", i.env)
-            for i in instances]
+            for i in instances
+        ]
     except KeyError as e:
         raise BadFile(f"{path}: {e} is missing") from None
     except (OSError, ValueError, TypeError) as e:
@@ -71,8 +73,14 @@
             env["WILLOWHITCH_CONTROL"] = self.instance.control
         self._is("running")
         self.starts += 1
-        reactor.spawnProcess(self, sys.executable, [sys.executable, "-m", "willowhitch"], env=env,
-                             path=str(Path(__file__).resolve().parent.parent), childFDs={0: 0, 1: 1, 2: 2})
+        reactor.spawnProcess(
+            self,
+            sys.executable,
+            [sys.executable, "-m", "willowhitch"],
+            env=env,
+            path=str(Path(__file__).resolve().parent.parent),
+            childFDs={0: 0, 1: 1, 2: 2},
+        )
         logger.info("agent: {} started, process {}", self.instance.name, self.transport.pid)
 
     def _is(self, state: str) -> None:
@@ -127,8 +135,13 @@
 
     def status(self) -> dict[str, Any]:
         pid = self.transport.pid if self.state in ("running", "draining") else None
-        return {"name": self.instance.name, "state": self.state, "pid": pid, "starts": self.starts,
-                "seconds": round(monotonic() - self.since, 1)}
+        return {
+            "name": self.instance.name,
+            "state": self.state,
+            "pid": pid,
+            "starts": self.starts,
+            "seconds": round(monotonic() - self.since, 1),
+        }
 
 
 class AgentLine(LineReceiver):
--- a/willowhitch/benchlink.py
+++ b/willowhitch/benchlink.py
@@ -2,6 +2,7 @@
 
 One JSON value a line on standard input and output; one reply to each batch. Unknown keys are skipped.
 """
+
 from __future__ import annotations
 
 import sys
@@ -16,13 +17,21 @@
 from willowhitch.settings import settings_of
 
 OUTCOMES = {
-    1: i.Outcome.OK, 2: i.Outcome.ERROR, 3: i.Outcome.FULL, 4: i.Outcome.TIMEOUT,
-    5: i.Outcome.CONNECT_FAILED, 6: i.Outcome.RESET, 7: i.Outcome.CANCELLED, 8: i.Outcome.MOOT,
+    1: i.Outcome.OK,
+    2: i.Outcome.ERROR,
+    3: i.Outcome.FULL,
+    4: i.Outcome.TIMEOUT,
+    5: i.Outcome.CONNECT_FAILED,
+    6: i.Outcome.RESET,
+    7: i.Outcome.CANCELLED,
+    8: i.Outcome.MOOT,
 }
 STATES = {"Ready": i.State.READY, "Terminating": i.State.DRAINING, "Gone": i.State.GONE}
 KINDS = {
-    "patch": i.ListKind.CHANGES, "whole": i.ListKind.WHOLE,
-    "stale_copy": i.ListKind.STALE, "broken": i.ListKind.FAILED,
+    "patch": i.ListKind.CHANGES,
+    "whole": i.ListKind.WHOLE,
+    "stale_copy": i.ListKind.STALE,
+    "broken": i.ListKind.FAILED,
 }
 NUMBER_BUSY = 4
 PROCESSOR_FULL = 3  # in the low four bits of an answer's `reason`; the rest is a wait in ms
@@ -38,16 +47,27 @@
 
 def _set_up(m: dict[str, Any]) -> i.SetUp:
     return i.SetUp(
-        m["handle"], m["category"], m.get("terminates_at", -1), m["grace"], bool(m.get("repeat")),
-        bool(m.get("passing")), m.get("slots_needed", 1),
+        m["handle"],
+        m["category"],
+        m.get("terminates_at", -1),
+        m["grace"],
+        bool(m.get("repeat")),
+        bool(m.get("passing")),
+        m.get("slots_needed", 1),
     )
 
 
 def _ended(m: dict[str, Any]) -> i.Ended:
     note = m.get("reason", 0)
     return i.Ended(
-        m["handle"], m.get("n", 0), m["server"], OUTCOMES[m["rc"]], m.get("spent", 0.0),
-        bool(m.get("ended")), note % 16 == PROCESSOR_FULL, note % 16 == NUMBER_BUSY,
+        m["handle"],
+        m.get("n", 0),
+        m["server"],
+        OUTCOMES[m["rc"]],
+        m.get("spent", 0.0),
+        bool(m.get("ended")),
+        note % 16 == PROCESSOR_FULL,
+        note % 16 == NUMBER_BUSY,
         float(note // 16) if note % 16 == PROCESSOR_FULL else 0.0,
         _report(m),
     )
@@ -68,8 +88,11 @@
     i.Fail: lambda a: {"verb": "drop_request", "handle": a.call},
     i.Cancel: lambda a: {"verb": "drop_attempt", "handle": a.call, "n": a.attempt},
     i.WakeAt: lambda a: {"verb": "defer", "instant": a.at, "cookie": a.token},
-    i.Tell: lambda a: {"verb": "write_peer", "target": "*" if a.peer is None else a.peer,
-                       "data": a.data.hex()},
+    i.Tell: lambda a: {
+        "verb": "write_peer",
+        "target": "*" if a.peer is None else a.peer,
+        "data": a.data.hex(),
+    },
     i.Log: lambda a: {"verb": "say_log", "msg": a.text},
     i.Follow: lambda a: {"verb": "follow", "active": True},
 }
@@ -112,8 +135,13 @@
         """Reads the line in full; what is given back then lets the front decide."""
         if verb == "sheet":
             self.sheets[m["table"]] = tuple(
-                i.Entry(e["server"], e.get("cell", -1), STATES[e["mode"]], e.get("start_time", 0.0),
-                        e.get("scale", 1.0))
+                i.Entry(
+                    e["server"],
+                    e.get("cell", -1),
+                    STATES[e["mode"]],
+                    e.get("start_time", 0.0),
+                    e.get("scale", 1.0),
+                )
                 for e in m["records"]
             )
             return list
--- a/willowhitch/budgets/divide.py
+++ b/willowhitch/budgets/divide.py
@@ -1,4 +1,5 @@
 """Division of a whole by need: weighted max-min, in whole slots."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
--- a/willowhitch/budgets/holder.py
+++ b/willowhitch/budgets/holder.py
@@ -4,6 +4,7 @@
 one of a life before does not fit. A grant replaces the one that it names as its basis and no other: grants
 that overtake each other can't bring back what was given up.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -70,9 +71,15 @@
         self.counts["wants"] += 1
         self.told = {name: slots for name, (slots, _) in self.needs.items()}
         lines = tuple(
-            Line(b.name, b.whole, b.floor, 0 if back else self.leased(now, b.name),
-                 *self.needs.get(b.name, (0, 1.0)))
-            for b in self.plan.budgets)
+            Line(
+                b.name,
+                b.whole,
+                b.floor,
+                0 if back else self.leased(now, b.name),
+                *self.needs.get(b.name, (0, 1.0)),
+            )
+            for b in self.plan.budgets
+        )
         return to, Want(self.me, self.boot, self.seq, self.office, self.last, lines, back)
 
     def need(self, now: float, needs: dict[str, tuple[int, float]]) -> None:
--- a/willowhitch/budgets/keeper.py
+++ b/willowhitch/budgets/keeper.py
@@ -2,6 +2,7 @@
 
 Events in, actions out. `now` is a clock in ms that is never set and goes on while the machine sleeps.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
--- a/willowhitch/budgets/messages.py
+++ b/willowhitch/budgets/messages.py
@@ -1,4 +1,5 @@
 """What members say to each other about budgets. They travel inside the fleet's datagrams (`net/peers.py`)."""
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/willowhitch/budgets/office.py
+++ b/willowhitch/budgets/office.py
@@ -9,6 +9,7 @@
 a holder still holds from it is renewed meanwhile, if the holder says so after having heard of this office:
 the office before ended first, so it can't have given that to somebody else.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -188,7 +189,6 @@
             for account, part in zip(here, parts, strict=True):
                 account.target[b.name] = part
 
-
     def _steady(self, now: float, budget: Budget, account: Account, part: int) -> int:
         """The part, or what is out already where the difference is not worth the move, or not yet."""
         out = account.out.get(budget.name, 0)
@@ -317,5 +317,14 @@
         id = (self.office[1], self.number)
         books.owe(now, account, id, parts)
         short = any(part < account.target.get(name, 0) for name, part in parts.items())
-        return Grant(want.boot, want.seq, self.office, self.me, id, want.basis, tuple(parts.items()),
-                     self.plan.lease, min(SOON, self.plan.renew) if short else self.plan.renew)
+        return Grant(
+            want.boot,
+            want.seq,
+            self.office,
+            self.me,
+            id,
+            want.basis,
+            tuple(parts.items()),
+            self.plan.lease,
+            min(SOON, self.plan.renew) if short else self.plan.renew,
+        )
--- a/willowhitch/budgets/plan.py
+++ b/willowhitch/budgets/plan.py
@@ -4,6 +4,7 @@
 ms no more is spent than there are slots. A share of something (what cold engines bear, probes) is divided
 into SHARES slots that are held and not used up.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -33,8 +34,10 @@
         if self.what not in WHATS:
             raise BadPlan(f"{self.name}: `what` is one of {', '.join(WHATS)}")
         if self.whole < 1 or self.floor < 0 or not self.over > 0:
-            raise BadPlan(f"{self.name}: a whole of {self.whole} slots and a floor of {self.floor} can't be "
-                          "kept; raise `whole` or `over_s`")
+            raise BadPlan(
+                f"{self.name}: a whole of {self.whole} slots and a floor of {self.floor} can't be "
+                "kept; raise `whole` or `over_s`"
+            )
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +67,10 @@
         for b in self.budgets:
             floors = b.floor * len(set(self.members))
             if floors > b.whole:
-                raise BadPlan(f"{b.name}: the floors of {len(set(self.members))} members sum to {floors} "
-                              f"slots, the whole is {b.whole}; lower `floor`")
+                raise BadPlan(
+                    f"{b.name}: the floors of {len(set(self.members))} members sum to {floors} "
+                    f"slots, the whole is {b.whole}; lower `floor`"
+                )
 
     def floor_of(self, name: str, member: str) -> int:
         found = self.by_name.get(name)
@@ -111,7 +116,15 @@
 
 def plan_of(budgets: Any, allocation: Any) -> Plan:
     """The plan that an operator file's two tables make; BadPlan names the budget that can't be kept."""
-    made = tuple(Budget(b.name, b.what, b.slots(b.whole), b.slots(b.floor), b.over_s * 1000.0, b.klass,
-                        b.engine) for b in budgets)
-    return Plan(made, allocation.members, allocation.voters, allocation.lease_s * 1000.0,
-                allocation.promise_s * 1000.0, allocation.drift)
+    made = tuple(
+        Budget(b.name, b.what, b.slots(b.whole), b.slots(b.floor), b.over_s * 1000.0, b.klass, b.engine)
+        for b in budgets
+    )
+    return Plan(
+        made,
+        allocation.members,
+        allocation.voters,
+        allocation.lease_s * 1000.0,
+        allocation.promise_s * 1000.0,
+        allocation.drift,
+    )
--- a/willowhitch/budgets/purse.py
+++ b/willowhitch/budgets/purse.py
@@ -3,6 +3,7 @@
 The module asks before it decides, and says what it did. The clock is handed in and read at each question: a
 process that was stopped in the middle of its work must not spend on by a time from before.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -77,8 +78,11 @@
             pocket = self.pockets[b.name] = old.get(b.name) or Pocket(b, self.clock(), plan.drift)
             pocket.budget = b
         self.first = [p for p in self.pockets.values() if p.budget.what == "set-ups" and not p.budget.engine]
-        self.each = [p for p in self.pockets.values()
-                     if p.budget.what == "repeats" or p.budget.what == "set-ups" and p.budget.engine]
+        self.each = [
+            p
+            for p in self.pockets.values()
+            if p.budget.what == "repeats" or p.budget.what == "set-ups" and p.budget.engine
+        ]
 
     # what the module asks
 
@@ -107,8 +111,11 @@
             return True
         now = self.clock()
         what = "repeats" if repeat else "set-ups"
-        return all(p.window.used(now) < self.held(now, p.budget.name)
-                   for p in self.each if p.binds(what, klass, engine))
+        return all(
+            p.window.used(now) < self.held(now, p.budget.name)
+            for p in self.each
+            if p.binds(what, klass, engine)
+        )
 
     def sent(self, klass: str, engine: str, repeat: bool) -> None:
         """An attempt goes there."""
@@ -154,7 +161,16 @@
     def told(self) -> dict[str, dict[str, float | int]]:
         """Figures, by budget."""
         now = self.clock()
-        return {name: {"whole": p.budget.whole, "floor": p.budget.floor, "held": self.held(now, name),
-                       "in_use": p.window.used(now), "wanted": p.wanted, "spent": p.spent,
-                       "refused": p.refused, "over_ms": p.budget.over}
-                for name, p in self.pockets.items()}
+        return {
+            name: {
+                "whole": p.budget.whole,
+                "floor": p.budget.floor,
+                "held": self.held(now, name),
+                "in_use": p.window.used(now),
+                "wanted": p.wanted,
+                "spent": p.spent,
+                "refused": p.refused,
+                "over_ms": p.budget.over,
+            }
+            for name, p in self.pockets.items()
+        }
--- a/willowhitch/budgets/voter.py
+++ b/willowhitch/budgets/voter.py
@@ -4,6 +4,7 @@
 promises
 nothing until such a promise is over by its own clock. What is not kept can't be spoilt, full or forgotten.
 """
+
 from __future__ import annotations
 
 from willowhitch.budgets.messages import NOBODY, Ask, Denied, Office, Promised, Waive
--- a/willowhitch/budgets/window.py
+++ b/willowhitch/budgets/window.py
@@ -5,6 +5,7 @@
 is
 at most 1/CELLS of the throughput. `benchmarks/budgets.py window` holds it against the exact one.
 """
+
 from __future__ import annotations
 
 CELLS = 64
--- a/willowhitch/cli/__init__.py
+++ b/willowhitch/cli/__init__.py
@@ -2,6 +2,7 @@
 
 Each group of commands is a module of this package, loaded when one of its commands is asked for.
 """
+
 from __future__ import annotations
 
 import importlib
@@ -36,14 +37,21 @@
         "With no arguments: runs one softswitch (BALANCER_CONFIG).",
         "",
     ]
-    return "\n".join([*lines, *(f"  {name:<{wide}}{text}" for name, (_, text) in COMMANDS.items()), "",
-                      "`willowhitch COMMAND --help` tells more."])
+    return "\n".join(
+        [
+            *lines,
+            *(f"  {name:<{wide}}{text}" for name, (_, text) in COMMANDS.items()),
+            "",
+            "`willowhitch COMMAND --help` tells more.",
+        ]
+    )
 
 
 def main(words: list[str] | None = None) -> int:
     words = sys.argv[1:] if words is None else words
     if not words:
         from willowhitch.__main__ import main as softswitch
+
         return softswitch()
     if words[0] in ("-h", "--help", "help"):
         print(overview())
@@ -61,8 +69,10 @@
         return 2
     try:
         # A group of one name stands by itself; `agents` has several words of the top level.
-        app(words if group == "agents" else words[1:], prog_name="willowhitch" + (
-            "" if group == "agents" else f" {words[0]}"))
+        app(
+            words if group == "agents" else words[1:],
+            prog_name="willowhitch" + ("" if group == "agents" else f" {words[0]}"),
+        )
     except SystemExit as e:
         return e.code if isinstance(e.code, int) else 0 if e.code is None else 1
     return 0
--- a/willowhitch/cli/__main__.py
+++ b/willowhitch/cli/__main__.py
@@ -1,4 +1,5 @@
 """`python -m willowhitch.cli` is the `willowhitch` command."""
+
 import sys
 
 from willowhitch.cli import main
--- a/willowhitch/cli/agents.py
+++ b/willowhitch/cli/agents.py
@@ -1,4 +1,5 @@
 """`willowhitch agent`, and what one says to it: status, drain, restart, reload."""
+
 from __future__ import annotations
 
 import sys
@@ -21,6 +22,7 @@
     from loguru import logger
 
     from willowhitch import agent as supervision
+
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
     try:
--- a/willowhitch/cli/config.py
+++ b/willowhitch/cli/config.py
@@ -1,4 +1,5 @@
 """`willowhitch config`: operator files."""
+
 from __future__ import annotations
 
 from typing import Annotated
@@ -15,8 +16,9 @@
     return app
 
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                  help="Operator files.")
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False, help="Operator files."
+)
 File = Annotated[str, typer.Argument(help="the operator file, such as deploy/operator.star")]
 
 
--- a/willowhitch/cli/demo.py
+++ b/willowhitch/cli/demo.py
@@ -1,4 +1,5 @@
 """`willowhitch demo`: the main job at work on loopback, with no file to write."""
+
 from __future__ import annotations
 
 import shutil
@@ -71,14 +72,35 @@
             for n, value in enumerate((t.calls, t.carried, t.codes[503], t.lost, t.delay_s)):
                 row[n] += value
     for (klass, dest), (placed, stood, refused, lost, delay) in sorted(sums.items()):
-        calls.add_row(klass, str(dest), f"{placed:.0f}", f"{stood:.0f}", f"{refused:.0f}", f"{lost:.0f}",
-                      f"{1000 * delay / stood:.0f}" if stood else "-")
-    engines = Table("engine", "circuits", "in use", "set-ups", "refused: circuits", "refused: processor",
-                    "queue ms", title="quote engines")
+        calls.add_row(
+            klass,
+            str(dest),
+            f"{placed:.0f}",
+            f"{stood:.0f}",
+            f"{refused:.0f}",
+            f"{lost:.0f}",
+            f"{1000 * delay / stood:.0f}" if stood else "-",
+        )
+    engines = Table(
+        "engine",
+        "circuits",
+        "in use",
+        "set-ups",
+        "refused: circuits",
+        "refused: processor",
+        "queue ms",
+        title="quote engines",
+    )
     for e in fleet.engines:
-        engines.add_row(e.set.name, str(e.set.circuits), str(e.used), str(e.count["set-ups"]),
-                        str(e.count["refused: circuits"]), str(e.count["refused: processor"]),
-                        f"{e.queued * 1000:.0f}")
+        engines.add_row(
+            e.set.name,
+            str(e.set.circuits),
+            str(e.used),
+            str(e.count["set-ups"]),
+            str(e.count["refused: circuits"]),
+            str(e.count["refused: processor"]),
+            f"{e.queued * 1000:.0f}",
+        )
     return Group(calls, engines)
 
 
@@ -128,8 +150,10 @@
     else:
         screen.print(routes_table(told["routes"]))
         screen.print(cells_table(told["cells"]))
-        screen.print(f"{total.calls} calls: {total.carried} stood, {total.lost} lost after all tries, "
-                     f"{total.unanswered} without an answer in time.")
+        screen.print(
+            f"{total.calls} calls: {total.carried} stood, {total.lost} lost after all tries, "
+            f"{total.unanswered} without an answer in time."
+        )
         if keep:
             screen.print(f"record kept: willowhitch trunks estimate {Path(keep)}", markup=False)
     raise typer.Exit(0 if total.unanswered == 0 and total.second_answers == 0 else 1)
--- a/willowhitch/cli/fleet.py
+++ b/willowhitch/cli/fleet.py
@@ -1,5 +1,6 @@
 """`willowhitch fleet`: what many softswitches say of their fleet, drills on processes, runs on virtual
 time."""
+
 from __future__ import annotations
 
 import http.client
@@ -81,15 +82,28 @@
     cut_off = [address for address, view in told.items() if view["cut_off"]]
     heard = bool(told) and len(told) == len(views)
     agree = heard and len(fleets) == 1 and all(row["agree"] for row in rows.values())
-    return {"agree": agree, "cut_off": cut_off, "fleets": sorted(fleets),
-            "errors": {a: v["error"] for a, v in views.items() if "error" in v},
-            "names_taken": {a: v["names_taken"] for a, v in told.items() if v["names_taken"]},
-            "members": [rows[key] for key in sorted(rows)]}
+    return {
+        "agree": agree,
+        "cut_off": cut_off,
+        "fleets": sorted(fleets),
+        "errors": {a: v["error"] for a, v in views.items() if "error" in v},
+        "names_taken": {a: v["names_taken"] for a, v in told.items() if v["names_taken"]},
+        "members": [rows[key] for key in sorted(rows)],
+    }
 
 
 def table_of(found: dict[str, Any], asked: int) -> Table:
-    table = Table("member", "site", "state", "incarnation", "for s", "version", "config", "agree",
-                  title=f"fleet {', '.join(found['fleets']) or '-'}: {asked} asked")
+    table = Table(
+        "member",
+        "site",
+        "state",
+        "incarnation",
+        "for s",
+        "version",
+        "config",
+        "agree",
+        title=f"fleet {', '.join(found['fleets']) or '-'}: {asked} asked",
+    )
     for row in found["members"]:
         by: dict[tuple[str, int], list[dict[str, Any]]] = {}
         for said in row["said"].values():
@@ -98,10 +112,15 @@
         for n, ((state, incarnation), some) in enumerate(most):
             first = some[0]
             table.add_row(
-                row["name"] if n == 0 else "", row["site"] if n == 0 else "",
-                state if len(most) == 1 else f"{state} ({len(some)} say so)", str(incarnation),
-                f"{max(s['for_ms'] for s in some) / 1000:.1f}", first["version"], first["config"][:8],
-                "yes" if row["agree"] else f"no, for {row['differ_ms'] / 1000:.1f} s" if n == 0 else "")
+                row["name"] if n == 0 else "",
+                row["site"] if n == 0 else "",
+                state if len(most) == 1 else f"{state} ({len(some)} say so)",
+                str(incarnation),
+                f"{max(s['for_ms'] for s in some) / 1000:.1f}",
+                first["version"],
+                first["config"][:8],
+                "yes" if row["agree"] else f"no, for {row['differ_ms'] / 1000:.1f} s" if n == 0 else "",
+            )
     return table
 
 
@@ -166,8 +185,10 @@
         bad(e)
     late = [f for f in faults if f.at_s >= seconds]
     if late:
-        bad(f"{schedule}: {late[0].what} at {late[0].at_s:g} s comes after the run's {seconds:g} s; "
-            "give it more --seconds")
+        bad(
+            f"{schedule}: {late[0].what} at {late[0].at_s:g} s comes after the run's {seconds:g} s; "
+            "give it more --seconds"
+        )
     return faults
 
 
@@ -201,8 +222,18 @@
         if live:
             live.update(drill_table(play))
 
-    made = Drill(softswitches, sites, seconds, seed, faults, rate, on_second=show,
-                 budgets=budgets_of(budgets, softswitches), heavy=heavy, moves_s=heavy_moves)
+    made = Drill(
+        softswitches,
+        sites,
+        seconds,
+        seed,
+        faults,
+        rate,
+        on_second=show,
+        budgets=budgets_of(budgets, softswitches),
+        heavy=heavy,
+        moves_s=heavy_moves,
+    )
     try:
         if live:
             with live:
@@ -222,9 +253,12 @@
         screen.print(faults_table(seen.told()))
         if seen.budgets:
             screen.print(budgets_table(seen.budgets))
-        screen.print(f"settled: {'yes' if seen.settled else 'no'}; falsely called gone: "
-                     f"{', '.join(seen.false_gone) or 'nobody'}; {seen.calls} calls, {seen.carried} stood, "
-                     f"{seen.unanswered} without an answer in time", markup=False)
+        screen.print(
+            f"settled: {'yes' if seen.settled else 'no'}; falsely called gone: "
+            f"{', '.join(seen.false_gone) or 'nobody'}; {seen.calls} calls, {seen.carried} stood, "
+            f"{seen.unanswered} without an answer in time",
+            markup=False,
+        )
     raise typer.Exit(0 if seen.settled and not seen.false_gone and not seen.above else 1)
 
 
@@ -252,20 +286,41 @@
 def budgets_table(told: dict[str, Any]) -> Table:
     table = Table("budget", "whole", "in s", "most held", "most spent", "most seen at engines", "in all")
     for name, b in told.items():
-        table.add_row(name, str(b["whole"]), f"{b['over_s']:g}", str(b["most_held"]), str(b["most_spent"]),
-                      str(b["most_at_engines"]), str(b["spent"]))
+        table.add_row(
+            name,
+            str(b["whole"]),
+            f"{b['over_s']:g}",
+            str(b["most_held"]),
+            str(b["most_spent"]),
+            str(b["most_at_engines"]),
+            str(b["spent"]),
+        )
     return table
 
 
 def drill_table(play: Any) -> Table:
-    table = Table("process", "site", "is", "says alive", "suspect", "gone", "cut off",
-                  title=f"second {play.now():.0f} of {play.day.seconds:.0f}")
+    table = Table(
+        "process",
+        "site",
+        "is",
+        "says alive",
+        "suspect",
+        "gone",
+        "cut off",
+        title=f"second {play.now():.0f} of {play.day.seconds:.0f}",
+    )
     for n, name in enumerate(play.names):
         said = play.views.get(n)
         states = [m["state"] for m in said["members"]] if said else []
-        table.add_row(name, play.sites[name], play.meant[n], str(states.count("alive")) if said else "-",
-                      str(states.count("suspect")), str(states.count("gone")),
-                      "yes" if said and said["cut_off"] else "")
+        table.add_row(
+            name,
+            play.sites[name],
+            play.meant[n],
+            str(states.count("alive")) if said else "-",
+            str(states.count("suspect")),
+            str(states.count("gone")),
+            "yes" if said and said["cut_off"] else "",
+        )
     return table
 
 
@@ -299,10 +354,19 @@
         if fault.what in (*DISKS, "flood"):
             bad(f"{schedule}: {fault.what!r} needs processes: play it by `willowhitch fleet drill`")
     o = play(members, sites, seconds, seed, faults, lose=lose, starved=starved)
-    told = {"members": members, "seconds": seconds, "seed": seed, "settled": o.settled,
-            "settle_s": o.settle_s, "known_s": o.know_s, "false_gone": o.false_gone,
-            "falsely_suspected": o.false_suspect, "bytes_s": round(o.bytes_s, 1),
-            "messages_s": round(o.messages_s, 2), "broken": o.broken}
+    told = {
+        "members": members,
+        "seconds": seconds,
+        "seed": seed,
+        "settled": o.settled,
+        "settle_s": o.settle_s,
+        "known_s": o.know_s,
+        "false_gone": o.false_gone,
+        "falsely_suspected": o.false_suspect,
+        "bytes_s": round(o.bytes_s, 1),
+        "messages_s": round(o.messages_s, 2),
+        "broken": o.broken,
+    }
     if as_json:
         print(orjson.dumps(told).decode())
     else:
--- a/willowhitch/cli/line.py
+++ b/willowhitch/cli/line.py
@@ -1,4 +1,5 @@
 """What the command line says to an agent over its local socket."""
+
 from __future__ import annotations
 
 import socket
@@ -31,6 +32,8 @@
         print(f"willowhitch: {answer['error']}", file=sys.stderr)
         return 1
     for i in answer["instances"]:
-        print(f"{i['name']:<16} {i['state']:<9} process {i['pid'] or '-':<8} starts {i['starts']:<4} "
-              f"for {i['seconds']:.1f} s")
+        print(
+            f"{i['name']:<16} {i['state']:<9} process {i['pid'] or '-':<8} starts {i['starts']:<4} "
+            f"for {i['seconds']:.1f} s"
+        )
     return 0
--- a/willowhitch/cli/plots.py
+++ b/willowhitch/cli/plots.py
@@ -1,4 +1,5 @@
 """Pictures of traffic and plans, by matplotlib without a screen."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -17,14 +18,22 @@
     for stream in found.streams:
         width = max(1, len(stream.first) // 120)
         n = len(stream.first) // width
-        rates = [sum(stream.first[k * width:(k + 1) * width]) / width / found.slot for k in range(n)]
-        above.step([k * width * found.slot for k in range(n)], rates, where="post",
-                   label=f"{cell(stream.dest)}/{stream.klass}")
+        rates = [sum(stream.first[k * width : (k + 1) * width]) / width / found.slot for k in range(n)]
+        above.step(
+            [k * width * found.slot for k in range(n)],
+            rates,
+            where="post",
+            label=f"{cell(stream.dest)}/{stream.klass}",
+        )
     above.set(xlabel="s", ylabel="first tries a second")
     above.legend(fontsize="small", ncols=3)
     for number, loads in sorted(found.erlangs.items()):
-        below.step(range(len(loads)), loads, where="post",
-                   label=f"cell {cell(number)}, peak {found.peaks.get(number, 0)}")
+        below.step(
+            range(len(loads)),
+            loads,
+            where="post",
+            label=f"cell {cell(number)}, peak {found.peaks.get(number, 0)}",
+        )
     below.set(xlabel="interval", ylabel="erlangs carried")
     below.legend(fontsize="small", ncols=3)
     return figure
@@ -58,8 +67,13 @@
     above.legend()
     streams = list(found.service.lost)
     for where, service in ends.items():
-        below.plot(streams, [max(1e-6, service.lost[s]) for s in streams], marker="o", linestyle="",
-                   label=f"at the {where} end")
+        below.plot(
+            streams,
+            [max(1e-6, service.lost[s]) for s in streams],
+            marker="o",
+            linestyle="",
+            label=f"at the {where} end",
+        )
     below.set(yscale="log", ylabel="lost from end to end")
     below.legend()
     for axes in (above, below):
--- a/willowhitch/cli/trunks.py
+++ b/willowhitch/cli/trunks.py
@@ -1,4 +1,5 @@
 """`willowhitch trunks`: how many circuits a trunk group needs, and what blocking it has."""
+
 from __future__ import annotations
 
 import os
@@ -30,8 +31,9 @@
     return app
 
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
-                  help="Trunk groups.")
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False, help="Trunk groups."
+)
 Json = Annotated[bool, typer.Option("--json", help="one JSON object")]
 Erlangs = Annotated[float, typer.Option(help="offered traffic, without redials")]
 Peakedness = Annotated[float, typer.Option(help="variance over mean: 1 random, over 1 peaky, under 1 smooth")]
@@ -52,16 +54,22 @@
 
 
 @app.command()
-def blocking(erlangs: Erlangs, circuits: Annotated[float, typer.Option(help="circuits of the group")],
-             peakedness: Peakedness = 1.0, day_variance: Variance = 0.0, redials: Again = 0.0,
-             as_json: Json = False) -> None:
+def blocking(
+    erlangs: Erlangs,
+    circuits: Annotated[float, typer.Option(help="circuits of the group")],
+    peakedness: Peakedness = 1.0,
+    day_variance: Variance = 0.0,
+    redials: Again = 0.0,
+    as_json: Json = False,
+) -> None:
     """The share of calls that find no circuit."""
     try:
         total = erlangs
         if redials:
             if peakedness != 1.0 or day_variance:
-                raise OutOfRange("--redials goes with random traffic alone: leave out --peakedness and "
-                                 "--day-variance")
+                raise OutOfRange(
+                    "--redials goes with random traffic alone: leave out --peakedness and --day-variance"
+                )
             share, total = loss.erlang_b_redials(circuits, erlangs, redials)
         elif day_variance:
             share = peaky.day_to_day(circuits, erlangs, day_variance, peakedness)
@@ -70,15 +78,30 @@
         plain = loss.erlang_b(circuits, erlangs)
     except OutOfRange as e:
         bad(e)
-    told = {"blocking": share, "erlangs": erlangs, "circuits": circuits, "peakedness": peakedness,
-            "erlang_b": plain, "carried_erlangs": total * (1 - share), "offered_with_redials": total}
-    tell(told, as_json, f"blocking {percent(share)} of {total:g} erlangs offered to {circuits:g} circuits",
-         *([f"plain Erlang B: {percent(plain)}"] if share != plain else []))
+    told = {
+        "blocking": share,
+        "erlangs": erlangs,
+        "circuits": circuits,
+        "peakedness": peakedness,
+        "erlang_b": plain,
+        "carried_erlangs": total * (1 - share),
+        "offered_with_redials": total,
+    }
+    tell(
+        told,
+        as_json,
+        f"blocking {percent(share)} of {total:g} erlangs offered to {circuits:g} circuits",
+        *([f"plain Erlang B: {percent(plain)}"] if share != plain else []),
+    )
 
 
 @app.command()
-def circuits(erlangs: Erlangs, target: Annotated[float, typer.Option(help="blocking, such as 0.01")],
-             peakedness: Peakedness = 1.0, as_json: Json = False) -> None:
+def circuits(
+    erlangs: Erlangs,
+    target: Annotated[float, typer.Option(help="blocking, such as 0.01")],
+    peakedness: Peakedness = 1.0,
+    as_json: Json = False,
+) -> None:
     """The circuits that a stated blocking needs."""
     try:
         exact = peaky.circuits_for(erlangs, target, peakedness)
@@ -87,10 +110,21 @@
         share = peaky.blocking(needed, erlangs, peakedness)
     except OutOfRange as e:
         bad(e)
-    told = {"circuits": needed, "exact": exact, "blocking": share, "erlangs": erlangs, "target": target,
-            "peakedness": peakedness, "erlang_b_circuits": plain}
-    tell(told, as_json, f"{needed} circuits for {erlangs:g} erlangs at {percent(target)}: blocking "
-         f"{percent(share)}", *([f"plain Erlang B: {plain}"] if needed != plain else []))
+    told = {
+        "circuits": needed,
+        "exact": exact,
+        "blocking": share,
+        "erlangs": erlangs,
+        "target": target,
+        "peakedness": peakedness,
+        "erlang_b_circuits": plain,
+    }
+    tell(
+        told,
+        as_json,
+        f"{needed} circuits for {erlangs:g} erlangs at {percent(target)}: blocking {percent(share)}",
+        *([f"plain Erlang B: {plain}"] if needed != plain else []),
+    )
 
 
 # from a record
@@ -98,8 +132,16 @@
 
 def sample_of(stream: Stream) -> Sample:
     import numpy as np
-    return Sample(stream.slot, np.array(stream.first, float), stream.call_seconds, stream.ended, stream.held2,
-                  stream.redials, stream.blocked)
+
+    return Sample(
+        stream.slot,
+        np.array(stream.first, float),
+        stream.call_seconds,
+        stream.ended,
+        stream.held2,
+        stream.redials,
+        stream.blocked,
+    )
 
 
 def records(files: list[str]) -> Measured:
@@ -138,23 +180,48 @@
             continue
         notes += report.sentences(name, best, whole, precision)
         tries = stream.carried + stream.lost_tries
-        rows.append({
-            "dest": stream.dest, "class": stream.klass, "erlangs": told_interval(best.erlangs),
-            "bootstrap": told_interval(best.bootstrap) if best.bootstrap else None,
-            "rate": told_interval(best.rate), "hold_s": told_interval(best.hold),
-            "peakedness": told_interval(best.peakedness), "method": best.method, "seconds": best.seconds,
-            "first": best.first, "redial_share": whole.redial_share, "steady": whole.steady,
-            "segments": [{"since": s.since, "to": s.to, "rate": s.rate} for s in whole.segments],
-            "more_seconds": best.more_seconds, "lost_share": stream.lost_tries / tries if tries else 0.0,
-            "circuits": {"low": need.low, "middle": need.middle, "high": need.high, "erlang_b": need.plain}})
+        rows.append(
+            {
+                "dest": stream.dest,
+                "class": stream.klass,
+                "erlangs": told_interval(best.erlangs),
+                "bootstrap": told_interval(best.bootstrap) if best.bootstrap else None,
+                "rate": told_interval(best.rate),
+                "hold_s": told_interval(best.hold),
+                "peakedness": told_interval(best.peakedness),
+                "method": best.method,
+                "seconds": best.seconds,
+                "first": best.first,
+                "redial_share": whole.redial_share,
+                "steady": whole.steady,
+                "segments": [{"since": s.since, "to": s.to, "rate": s.rate} for s in whole.segments],
+                "more_seconds": best.more_seconds,
+                "lost_share": stream.lost_tries / tries if tries else 0.0,
+                "circuits": {
+                    "low": need.low,
+                    "middle": need.middle,
+                    "high": need.high,
+                    "erlang_b": need.plain,
+                },
+            }
+        )
         z = 1.0 if best.method == "random" else max(1.0, best.peakedness.value)
-        streams.append({"name": name, "group": cell(stream.dest), "class": stream.klass,
-                        "erlangs": best.erlangs.value, "low": best.erlangs.low, "high": best.erlangs.high,
-                        "peakedness": z})
+        streams.append(
+            {
+                "name": name,
+                "group": cell(stream.dest),
+                "class": stream.klass,
+                "erlangs": best.erlangs.value,
+                "low": best.erlangs.low,
+                "high": best.erlangs.high,
+                "peakedness": z,
+            }
+        )
     if plan_file and streams:
         groups = [{"name": g} for g in sorted({str(s["group"]) for s in streams})]
-        text = orjson.dumps({"target": target, "groups": groups, "streams": streams},
-                            option=orjson.OPT_INDENT_2)
+        text = orjson.dumps(
+            {"target": target, "groups": groups, "streams": streams}, option=orjson.OPT_INDENT_2
+        )
         try:
             Path(plan_file).write_bytes(text)
         except OSError as e:
@@ -249,11 +316,22 @@
     for klass in told.targets:
         if klass not in classes:
             bad(f"{file}: targets: unknown class {klass!r}; the streams have {', '.join(sorted(classes))}")
-    groups = [network.Group(g.name, g.module, g.price, g.most, g.overflow, g.reserve, g.circuits)
-              for g in told.groups]
-    streams = [network.Stream(s.name, s.group, s.erlangs, told.targets.get(s.klass, told.target)
-                              if s.target is None else s.target, s.peakedness, s.low, s.high)
-               for s in told.streams]
+    groups = [
+        network.Group(g.name, g.module, g.price, g.most, g.overflow, g.reserve, g.circuits)
+        for g in told.groups
+    ]
+    streams = [
+        network.Stream(
+            s.name,
+            s.group,
+            s.erlangs,
+            told.targets.get(s.klass, told.target) if s.target is None else s.target,
+            s.peakedness,
+            s.low,
+            s.high,
+        )
+        for s in told.streams
+    ]
     try:
         network.check(groups, streams)
     except OutOfRange as e:
@@ -355,8 +433,14 @@
     )
     for g in groups:
         load = found.service.loads[g.name]
-        table.add_row(g.name, str(found.modules[g.name]), str(load.circuits), f"{load.offered:.4g}",
-                      f"{load.peakedness:.3g}", percent(load.blocking))
+        table.add_row(
+            g.name,
+            str(found.modules[g.name]),
+            str(load.circuits),
+            f"{load.offered:.4g}",
+            f"{load.peakedness:.3g}",
+            percent(load.blocking),
+        )
     screen.print(table)
     screen.print(_ends_table(streams, ends))
     if not found.monotone:
@@ -366,8 +450,11 @@
 def _ends_table(streams: list[network.Stream], ends: dict[str, network.Service]) -> Table:
     table = Table("stream", "may lose", *(f"loses at {where}" for where in ends))
     for s in streams:
-        table.add_row(s.name, percent(s.target), *(
-            percent(e.lost[s.name]) + (" !" if s.name in e.missed(streams) else "") for e in ends.values()))
+        table.add_row(
+            s.name,
+            percent(s.target),
+            *(percent(e.lost[s.name]) + (" !" if s.name in e.missed(streams) else "") for e in ends.values()),
+        )
     return table
 
 
@@ -397,9 +484,17 @@
     except OutOfRange as e:
         bad(f"{file}: {e}")
     if as_json:
-        print(orjson.dumps({"circuits": given, "lost_group": lose, "factor": factor,
-                            "missed": {w: s.missed(streams) for w, s in ends.items()},
-                            "service": {w: told_service(s) for w, s in ends.items()}}).decode())
+        print(
+            orjson.dumps(
+                {
+                    "circuits": given,
+                    "lost_group": lose,
+                    "factor": factor,
+                    "missed": {w: s.missed(streams) for w, s in ends.items()},
+                    "service": {w: told_service(s) for w, s in ends.items()},
+                }
+            ).decode()
+        )
         return
     Console().print(_ends_table(streams, ends))
 
@@ -416,6 +511,7 @@
 ) -> None:
     """Draws load and loss over time, blocking against circuits with its band, or a plan."""
     from willowhitch.cli import plots
+
     if sum((bool(record), bool(plan_file), erlangs > 0)) != 1:
         bad("plot: name one of --record, --plan and --erlangs")
     try:
--- a/willowhitch/configuration.py
+++ b/willowhitch/configuration.py
@@ -1,4 +1,5 @@
 """Reads the files that a softswitch starts with: configuration, call-control settings, operator file."""
+
 from __future__ import annotations
 
 import os
--- a/willowhitch/core/figures.py
+++ b/willowhitch/core/figures.py
@@ -3,6 +3,7 @@
 The sums balance: taken = fulfilled + throttled + faulted + abandoned + those still owed an answer. A call
 that stands is fulfilled, and an open request until it ends. Counts, since the start.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -60,6 +61,12 @@
     def told(self, open_requests: int, listed: int, avoided: int) -> dict[str, Any]:
         """As the management address gives them."""
         relayed = self.dropped + sum(row.relayed for row in (self.unknown, *self.rows.values()))
-        return {"operations": {name: row.as_dict() for name, row in self.rows.items()}, "relayed": relayed,
-                "open_requests": open_requests, "registry_entries": listed, "out_of_rotation": avoided,
-                "cfg_accepted": self.cfg_accepted, "cfg_invalid": self.cfg_invalid}
+        return {
+            "operations": {name: row.as_dict() for name, row in self.rows.items()},
+            "relayed": relayed,
+            "open_requests": open_requests,
+            "registry_entries": listed,
+            "out_of_rotation": avoided,
+            "cfg_accepted": self.cfg_accepted,
+            "cfg_invalid": self.cfg_invalid,
+        }
--- a/willowhitch/core/lifecycle.py
+++ b/willowhitch/core/lifecycle.py
@@ -1,6 +1,7 @@
 """Whether this process takes callers. The one owner of readiness: SIP's OPTIONS, the management calls,
 SIGTERM and the agent ask it or tell it, and keep no flag of their own. Pure: times in ms come in.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -43,10 +44,17 @@
         return self._phase is Phase.SERVING
 
     def _settle(self, now: float) -> None:
-        phase = (Phase.STOPPING if self.ends_at is not None else
-                 Phase.DRAINED if self.asked_to_drain else
-                 Phase.HANDED_OVER if self.handed_over else
-                 Phase.SERVING if self.listening and self.listed else Phase.STARTING)
+        phase = (
+            Phase.STOPPING
+            if self.ends_at is not None
+            else Phase.DRAINED
+            if self.asked_to_drain
+            else Phase.HANDED_OVER
+            if self.handed_over
+            else Phase.SERVING
+            if self.listening and self.listed
+            else Phase.STARTING
+        )
         if phase is not self._phase:
             self._phase, self.since = phase, now
             for tell in self.on_change:
--- a/willowhitch/core/lives.py
+++ b/willowhitch/core/lives.py
@@ -4,6 +4,7 @@
 is a few short entries; of many calls the oldest go first, and a call with many entries keeps its first and
 its last ones.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -72,6 +73,11 @@
         life = self.system if call == SYSTEM else self.calls.get(call)
         if life is None:
             return None
-        return {"call": call or "links", "left_out": life.between, "life": [
-            {"ms": round(at + offset, 1), "what": what, **({"where": where} if where else {})}
-            for at, what, where in (*life.first, *life.last)]}
+        return {
+            "call": call or "links",
+            "left_out": life.between,
+            "life": [
+                {"ms": round(at + offset, 1), "what": what, **({"where": where} if where else {})}
+                for at, what, where in (*life.first, *life.last)
+            ],
+        }
--- a/willowhitch/core/releases.py
+++ b/willowhitch/core/releases.py
@@ -12,6 +12,7 @@
 front acknowledge at all; the end of a connection is always taken for one, as whoever closed it may have had
 the release unread. A release that comes twice is harmless: calls are known by their id.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -144,8 +145,11 @@
     def _best(self, but: set[Hashable] | None = None) -> Hashable | None:
         """One whose caller reads, before one that does not; one where calls stood: others may be whoever; of
         several the last one heard."""
-        able = [(not way.choked, way.stood, way.heard, key) for key, way in self.ways.items()
-                if not but or key not in but]
+        able = [
+            (not way.choked, way.stood, way.heard, key)
+            for key, way in self.ways.items()
+            if not but or key not in but
+        ]
         return max(able, key=lambda found: found[:3])[3] if able else None
 
     def _send(self, now: float, call: str, way: Hashable) -> Tell:
