--- a/willowhitch/core/switch.py
+++ b/willowhitch/core/switch.py
@@ -3,6 +3,7 @@
 A front hands set-ups in and is told of their answers through `Caller`; engines are reached through `Engines`.
 Every time is in milliseconds on the wheel's clock.
 """
+
 from __future__ import annotations
 
 import re
@@ -56,8 +57,12 @@
 
 
 # In which column of the figures a call is counted, by how it ceased to be owed an answer.
-COLUMNS = {"stands": "fulfilled", "given_up": "abandoned", Verdict.REFUSED.value: "throttled",
-           Verdict.FAILED.value: "faulted"}
+COLUMNS = {
+    "stands": "fulfilled",
+    "given_up": "abandoned",
+    Verdict.REFUSED.value: "throttled",
+    Verdict.FAILED.value: "faulted",
+}
 
 
 class Caller(Protocol):
@@ -184,8 +189,9 @@
         self._busy = False
 
     def _settle(self, settings: i.Settings) -> None:
-        self.set = replace(settings, part=self.part,
-                           release=settings.release + RELEASE_SLACK if settings.release else 0.0)
+        self.set = replace(
+            settings, part=self.part, release=settings.release + RELEASE_SLACK if settings.release else 0.0
+        )
         self.classes = {c.name: c for c in settings.classes}
 
     def new_settings(self, settings: i.Settings) -> None:
@@ -246,8 +252,9 @@
         klass, now = self.classes.get(order.klass), self.wheel.now
         patience = max(0.0, order.patience - max(waited, self.wheel.lag))
         grace = max(0.0, patience - MARGIN)
-        self.calls[order.call] = Call(order, caller, now, now + patience, self.set.max_attempts,
-                                      klass is None or klass.repeatable)
+        self.calls[order.call] = Call(
+            order, caller, now, now + patience, self.set.max_attempts, klass is None or klass.repeatable
+        )
         self.figures.of(order.klass).taken += 1
         self.open += 1
         if self.lives:
@@ -293,8 +300,7 @@
         if call is None and by.survives and self.other and call_id not in self.over:
             self.other.release(call_id, cause)
             return True
-        if (call is None and by.survives and self._of_predecessor(call_id)
-                and self.told_to_all < MOST_TOLD):
+        if call is None and by.survives and self._of_predecessor(call_id) and self.told_to_all < MOST_TOLD:
             self.told_to_all += 1
             self.count["heir releases"] += 1
             self._ended(call_id)
@@ -486,8 +492,7 @@
         call.attempt += 1
         call.server, call.sent = a.server, now
         call.first = call.first or a.server
-        if (self.states.get(a.server) is not i.State.READY or now < call.ready
-                or call.attempt >= call.most):
+        if self.states.get(a.server) is not i.State.READY or now < call.ready or call.attempt >= call.most:
             # Guards the rules on drains, release and attempts, should the module ever miss one.
             self.count["guard: moot"] += 1
             self._attempt_ended(call, i.Outcome.MOOT)
@@ -514,8 +519,20 @@
         call.server = None
         if outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
             call.ready = now + self.set.release
-        self._feed(i.Ended(call.order.call, call.attempt, server, outcome, now - call.sent, False,
-                           note == "cpu_full", note == "number_busy", 0.0, report))
+        self._feed(
+            i.Ended(
+                call.order.call,
+                call.attempt,
+                server,
+                outcome,
+                now - call.sent,
+                False,
+                note == "cpu_full",
+                note == "number_busy",
+                0.0,
+                report,
+            )
+        )
 
     def _if_out(self, server: str, call_id: str, outcome: i.Outcome) -> None:
         call = self.calls.get(call_id)
@@ -570,8 +587,11 @@
 
     def _of_predecessor(self, call_id: str) -> bool:
         """Whether it can be a call of the process before us."""
-        return (self.on_predecessor_release is not None and self.wheel.now < self.predecessor_until
-                and call_id not in self.over)
+        return (
+            self.on_predecessor_release is not None
+            and self.wheel.now < self.predecessor_until
+            and call_id not in self.over
+        )
 
     def _ended(self, call_id: str) -> None:
         if self.wheel.now >= self.predecessor_until:
@@ -595,8 +615,9 @@
             self._measure("call", now - call.stood)
             if self.watcher:
                 self.watcher.over(call)
-        self._feed(i.Ended(call.order.call, call.attempt, call.server, outcome, now - call.sent, True,
-                           report=report))
+        self._feed(
+            i.Ended(call.order.call, call.attempt, call.server, outcome, now - call.sent, True, report=report)
+        )
 
     def relayed(self, call_id: str) -> None:
         """An attempt of this call was written whole to its engine."""
--- a/willowhitch/core/wheel.py
+++ b/willowhitch/core/wheel.py
@@ -1,4 +1,5 @@
 """Timers in coarse ticks. The clock is injected, and stands still between two readings of it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/willowhitch/dimension/loss.py
+++ b/willowhitch/dimension/loss.py
@@ -3,6 +3,7 @@
 Traffic is in erlangs, circuits are a count and may be real where the docstring says so, probabilities are
 0 to 1. All functions raise `OutOfRange` with the argument's name on what has no answer.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -18,11 +19,15 @@
     """An argument for which a formula has no answer; the text names it, its value and what is allowed."""
 
 
-def need(name: str, value: float, low: float, high: float, open_low: bool = False,
-         open_high: bool = False) -> None:
+def need(
+    name: str, value: float, low: float, high: float, open_low: bool = False, open_high: bool = False
+) -> None:
     """Checks one argument; NaN and infinity never pass."""
-    good = isfinite(value) and (value > low if open_low else value >= low) and (
-        value < high if open_high else value <= high)
+    good = (
+        isfinite(value)
+        and (value > low if open_low else value >= low)
+        and (value < high if open_high else value <= high)
+    )
     if not good:
         span = f"{'over' if open_low else 'from'} {low:g} {'and under' if open_high else 'to'} {high:g}"
         raise OutOfRange(f"{name} is {value:g}; it must be {span}")
--- a/willowhitch/dimension/mutual.py
+++ b/willowhitch/dimension/mutual.py
@@ -1,4 +1,5 @@
 """Two groups that overflow to each other, solved exactly: what a softswitch makes of two engines."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -65,5 +66,8 @@
     right[0] = 1.0
     chances = spsolve(matrix.tocsc(), right)
     up = np.arange(size)
-    return Pair(float(lost[0] @ chances), float(lost[1] @ chances),
-                (float((up // wide) @ chances), float((up % wide) @ chances)))
+    return Pair(
+        float(lost[0] @ chances),
+        float(lost[1] @ chances),
+        (float((up // wide) @ chances), float((up % wide) @ chances)),
+    )
--- a/willowhitch/dimension/network.py
+++ b/willowhitch/dimension/network.py
@@ -3,6 +3,7 @@
 A stream is offered to one group; a group may overflow to another, which itself does not (two stages, as in
 alternate routing with high-usage and final groups). Parcels are told by mean and variance in erlangs.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
@@ -142,12 +143,18 @@
     )
     # The first-routed may be peaky too; the joint peakedness rules both.
     of_first, of_rest = widths.overflow_with_reserve(
-        circuits, own[0], (other[0], other[1] + max(0.0, own[1] - own[0])), reserve)
+        circuits, own[0], (other[0], other[1] + max(0.0, own[1] - own[0])), reserve
+    )
     return {**{name: m * of_first for name, m, _ in first}, **{name: m * of_rest for name, m, _ in rest}}
 
 
-def service(groups: Sequence[Group], streams: Sequence[Stream], circuits: Mapping[str, int],
-            where: str = "middle", factor: float = 1.0) -> Service:
+def service(
+    groups: Sequence[Group],
+    streams: Sequence[Stream],
+    circuits: Mapping[str, int],
+    where: str = "middle",
+    factor: float = 1.0,
+) -> Service:
     """End-to-end loss with these circuits by group name; traffic at one end of its estimate, times a factor.
 
     Errors against simulation on drawn networks are in docs/design/trunk-dimensioning.md. Raises OutOfRange.
--- a/willowhitch/dimension/peaky.py
+++ b/willowhitch/dimension/peaky.py
@@ -4,6 +4,7 @@
 would hold in a group without end: 1 for random traffic, over 1 for overflow and surges, under 1 for few
 sources.
 """
+
 from __future__ import annotations
 
 from functools import lru_cache
@@ -149,8 +150,9 @@
     need("peakedness", peakedness, LEAST_Z, MOST_Z)
     if erlangs == 0:
         return 0.0
-    return _falls_to(lambda n: blocking(n, erlangs, peakedness) - target, 0.0, erlangs + sqrt(erlangs), MOST,
-                     "circuits")
+    return _falls_to(
+        lambda n: blocking(n, erlangs, peakedness) - target, 0.0, erlangs + sqrt(erlangs), MOST, "circuits"
+    )
 
 
 def day_to_day(circuits: float, mean: float, variance: float, peakedness: float = 1.0) -> float:
@@ -172,8 +174,11 @@
         at, weight = roots_genlaguerre(64, shape - 1)
         loads = scale * at
     weight = weight / weight.sum()
-    lost = sum(float(w) * float(x) * blocking(circuits, float(x), peakedness)
-               for x, w in zip(loads, weight, strict=True) if w > 1e-16 and x > 0)
+    lost = sum(
+        float(w) * float(x) * blocking(circuits, float(x), peakedness)
+        for x, w in zip(loads, weight, strict=True)
+        if w > 1e-16 and x > 0
+    )
     return lost / mean
 
 
--- a/willowhitch/dimension/planner.py
+++ b/willowhitch/dimension/planner.py
@@ -14,6 +14,7 @@
 the cost of its direct groups and of the fewest circuits that the first kind of cut leaves its final group. It
 ends where the bound reaches the best choice found, or the programme's own bound does.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
@@ -90,8 +91,11 @@
         self.known: dict[tuple[int, ...], bool] = {}
 
     def _parcels(self, group: str) -> list[Parcel]:
-        return [(s.name, self.offered[s.name], self.offered[s.name] * s.peakedness)
-                for s in self.streams if s.group == group]
+        return [
+            (s.name, self.offered[s.name], self.offered[s.name] * s.peakedness)
+            for s in self.streams
+            if s.group == group
+        ]
 
     def top(self) -> tuple[int, ...]:
         return (*(len(table) - 1 for table in self.over), self.final.most)
@@ -102,8 +106,9 @@
     def losses(self, choice: tuple[int, ...]) -> dict[str, float]:
         """Erlangs lost by stream."""
         rest = [p for table, k in zip(self.over, choice, strict=False) for p in table[k] if p[1] > 0]
-        return final_losses(self.final.circuits + choice[-1] * self.final.module, self.final.reserve,
-                            self.first, rest)
+        return final_losses(
+            self.final.circuits + choice[-1] * self.final.module, self.final.reserve, self.first, rest
+        )
 
     def good(self, choice: tuple[int, ...]) -> bool:
         known = self.known.get(choice)
@@ -115,9 +120,12 @@
 
     def missed(self) -> list[str]:
         gone = self.losses(self.top())
-        return [f"{name} loses {m / self.offered[name]:.4g} and may lose "
-                f"{self.allowed[name] / self.offered[name]:.4g}"
-                for name, m in gone.items() if m > self.allowed[name] * (1 + 1e-9)]
+        return [
+            f"{name} loses {m / self.offered[name]:.4g} and may lose "
+            f"{self.allowed[name] / self.offered[name]:.4g}"
+            for name, m in gone.items()
+            if m > self.allowed[name] * (1 + 1e-9)
+        ]
 
     def raised(self, choice: tuple[int, ...]) -> tuple[int, ...]:
         """The largest choice found above one that misses which misses too: first the final group, by halving,
@@ -127,7 +135,7 @@
             low, high = found[place], top[place]
             while low < high:
                 middle = (low + high + 1) // 2
-                tried = (*found[:place], middle, *found[place + 1:])
+                tried = (*found[:place], middle, *found[place + 1 :])
                 low, high = (middle, high) if not self.good(tried) else (low, middle - 1)
             found[place] = low
         return tuple(found)
@@ -168,13 +176,18 @@
         h.setOptionValue("mip_rel_gap", 0.0)
         h.setOptionValue("mip_abs_gap", 1e-9)
         h.setOptionValue("threads", 1)
-        x = [[h.addBinary(obj=k * g.price) for k in range(len(table))]
-             for g, table in zip(self.direct, self.over, strict=True)]
+        x = [
+            [h.addBinary(obj=k * g.price) for k in range(len(table))]
+            for g, table in zip(self.direct, self.over, strict=True)
+        ]
         y = [h.addBinary(obj=k * self.final.price) for k in range(self.final.most + 1)]
         for row in [*x, y]:
             h.addConstr(sum(row[1:], row[0]) == 1)
-        spill = [(var, sum(m for _, m, _ in parcels)) for row, table in zip(x, self.over, strict=True)
-                 for var, parcels in zip(row, table, strict=True)]
+        spill = [
+            (var, sum(m for _, m, _ in parcels))
+            for row, table in zip(x, self.over, strict=True)
+            for var, parcels in zip(row, table, strict=True)
+        ]
         rooms = [self.most_mean(self.final.circuits + k * self.final.module) for k in range(len(y))]
         own = sum(m for _, m, _ in self.first)
         if own or spill:
@@ -191,7 +204,7 @@
             if self.good(choice):
                 return choice, rounds
             above = self.raised(choice)
-            larger = [var for row, k in zip([*x, y], above, strict=True) for var in row[k + 1:]]
+            larger = [var for row, k in zip([*x, y], above, strict=True) for var in row[k + 1 :]]
             h.addConstr(sum(larger[1:], larger[0]) >= 1)
         return self._enumerated(np.array(rooms), own, float(h.getObjectiveValue())), MOST_ROUNDS
 
@@ -199,8 +212,10 @@
         """The cheapest choice, by the lower bound's order; `floor` bounds the cost from below."""
         counts = [len(table) for table in self.over]
         if np.prod([float(c) for c in counts]) > MOST_CHOICES:
-            raise OutOfRange(f"group {self.final.name}: its {len(counts)} overflowing groups have over "
-                             f"{MOST_CHOICES} choices; offer fewer modules, or larger ones")
+            raise OutOfRange(
+                f"group {self.final.name}: its {len(counts)} overflowing groups have over "
+                f"{MOST_CHOICES} choices; offer fewer modules, or larger ones"
+            )
         costs = mean = np.zeros(1)
         for g, table in zip(self.direct, self.over, strict=True):
             costs = np.add.outer(costs, np.arange(len(table)) * g.price).ravel()
@@ -231,8 +246,12 @@
     return choice, "", rounds, len(part.known), part.monotone()
 
 
-def plan(groups: Sequence[Group], streams: Sequence[Stream], where: str = "middle",
-         each: Callable[..., Iterable[Any]] = map) -> Plan:
+def plan(
+    groups: Sequence[Group],
+    streams: Sequence[Stream],
+    where: str = "middle",
+    each: Callable[..., Iterable[Any]] = map,
+) -> Plan:
     """The cheapest modules that meet every stream's target with its traffic at this end of its estimate.
 
     each: `map`, or that of a pool of processes, as clusters don't touch one another. Raises OutOfRange for
@@ -253,8 +272,15 @@
         raise Infeasible("with all that can be bought, " + "; ".join(missed))
     by_name = {g.name: g for g in groups}
     circuits = {name: by_name[name].circuits + k * by_name[name].module for name, k in modules.items()}
-    return Plan(modules, circuits, sum(k * by_name[name].price for name, k in modules.items()),
-                service(groups, streams, circuits, where), rounds, evaluated, monotone)
+    return Plan(
+        modules,
+        circuits,
+        sum(k * by_name[name].price for name, k in modules.items()),
+        service(groups, streams, circuits, where),
+        rounds,
+        evaluated,
+        monotone,
+    )
 
 
 def brute(groups: Sequence[Group], streams: Sequence[Stream], where: str = "middle") -> tuple[float, int]:
@@ -274,8 +300,13 @@
     return total, tried
 
 
-def what_if(groups: Sequence[Group], streams: Sequence[Stream], circuits: dict[str, int],
-            lost_group: str = "", factor: float = 1.0) -> dict[str, Service]:
+def what_if(
+    groups: Sequence[Group],
+    streams: Sequence[Stream],
+    circuits: dict[str, int],
+    lost_group: str = "",
+    factor: float = 1.0,
+) -> dict[str, Service]:
     """Service at both ends and the middle of the estimates, with one group out of use and traffic times a
     factor. Raises OutOfRange."""
     if lost_group and lost_group not in {g.name for g in groups}:
@@ -284,8 +315,15 @@
     return {where: service(groups, streams, left, where, factor) for where in ("low", "middle", "high")}
 
 
-def lost_in_play(groups: Sequence[Group], streams: Sequence[Stream], circuits: dict[str, int], where: str,
-                 seed: int, runs: int = 8, length: float = 3_000.0) -> dict[str, tuple[float, float]]:
+def lost_in_play(
+    groups: Sequence[Group],
+    streams: Sequence[Stream],
+    circuits: dict[str, int],
+    where: str,
+    seed: int,
+    runs: int = 8,
+    length: float = 3_000.0,
+) -> dict[str, tuple[float, float]]:
     """(share lost, its standard error) of each stream by the event simulation, `runs` runs of so many holding
     times. A peaky stream comes in equal phases on and off that give its peakedness (`peaky.switched`)."""
     finals = {g.name: g.overflow for g in groups}
@@ -305,8 +343,9 @@
     return {name: (float(np.mean(x)), float(np.std(x, ddof=1)) / sqrt(runs)) for name, x in shares.items()}
 
 
-def checked(groups: Sequence[Group], streams: Sequence[Stream], where: str = "middle", seed: int = 1,
-            tries: int = 8) -> tuple[Plan, dict[str, tuple[float, float]]]:
+def checked(
+    groups: Sequence[Group], streams: Sequence[Stream], where: str = "middle", seed: int = 1, tries: int = 8
+) -> tuple[Plan, dict[str, tuple[float, float]]]:
     """(plan, what its streams lost in simulation): plans, plays the plan, and plans again with a stricter
     target for each stream that lost more than its own, until none does.
 
--- a/willowhitch/dimension/report.py
+++ b/willowhitch/dimension/report.py
@@ -1,4 +1,5 @@
 """What an estimate or a plan means for circuits: figures over the whole interval, and plain sentences."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -24,8 +25,10 @@
     """Circuits that the target needs at the low end, the middle and the high end. Peakedness goes by its
     middle where the counts did not pass for random calls, and is 1 where they did. Raises OutOfRange."""
     z = 1.0 if found.method == "random" else max(1.0, found.peakedness.value)
-    at = [loss.whole(peaky.circuits_for(x, target, z))
-          for x in (found.erlangs.low, found.erlangs.value, found.erlangs.high)]
+    at = [
+        loss.whole(peaky.circuits_for(x, target, z))
+        for x in (found.erlangs.low, found.erlangs.value, found.erlangs.high)
+    ]
     return Need(at[0], at[1], at[2], loss.whole(loss.circuits_for(found.erlangs.value, target)))
 
 
@@ -75,5 +78,10 @@
 
 
 def _long(seconds: float) -> str:
-    return f"{seconds:.0f} s" if seconds < 120 else f"{seconds / 60:.0f} min" if seconds < 7200 else (
-        f"{seconds / 3600:.1f} h")
+    return (
+        f"{seconds:.0f} s"
+        if seconds < 120
+        else f"{seconds / 60:.0f} min"
+        if seconds < 7200
+        else (f"{seconds / 3600:.1f} h")
+    )
--- a/willowhitch/dimension/simulate.py
+++ b/willowhitch/dimension/simulate.py
@@ -4,6 +4,7 @@
 demand has random streams of its own, so that two networks meet the same calls. Times are in mean holding
 times of the network unless a demand says otherwise.
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -85,8 +86,9 @@
         )
         phases = []
         while begins < until:
-            for on, off in zip(random.exponential(demand.on, count), random.exponential(demand.off, count),
-                               strict=True):
+            for on, off in zip(
+                random.exponential(demand.on, count), random.exponential(demand.off, count), strict=True
+            ):
                 phases.append((begins, min(until, begins + on)))
                 begins += on + off
                 if begins >= until:
@@ -103,8 +105,14 @@
     return times
 
 
-def play(groups: Sequence[Group], demands: Sequence[Demand], seconds: float, seed: int, warm: float = 0.0,
-         slot: float = 0.0) -> Outcome:
+def play(
+    groups: Sequence[Group],
+    demands: Sequence[Demand],
+    seconds: float,
+    seed: int,
+    warm: float = 0.0,
+    slot: float = 0.0,
+) -> Outcome:
     """Plays `warm` and then `seconds` of traffic, counting in the second part; `slot` over 0 keeps records.
 
     Holding times are exponential. The same seed and demands give the same calls, whatever the groups.
--- a/willowhitch/dimension/traffic.py
+++ b/willowhitch/dimension/traffic.py
@@ -5,6 +5,7 @@
 the offered traffic is the rate of first tries times the holding time, and not the load carried. Times in
 seconds.
 """
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -51,10 +52,15 @@
     if not samples or len({s.slot for s in samples}) != 1:
         raise OutOfRange("slot: samples of one stream are at least one, all with the same slot")
     n = min(len(s.first) for s in samples)
-    return Sample(samples[0].slot, np.sum([s.first[:n] for s in samples], axis=0),
-                  sum(s.call_seconds for s in samples), sum(s.ended for s in samples),
-                  sum(s.held2 for s in samples), sum(s.redials for s in samples),
-                  sum(s.blocked for s in samples))
+    return Sample(
+        samples[0].slot,
+        np.sum([s.first[:n] for s in samples], axis=0),
+        sum(s.call_seconds for s in samples),
+        sum(s.ended for s in samples),
+        sum(s.held2 for s in samples),
+        sum(s.redials for s in samples),
+        sum(s.blocked for s in samples),
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,10 +118,12 @@
     Raises OutOfRange under `LEAST_ENDED` calls ended.
     """
     if sample.ended < LEAST_ENDED:
-        raise OutOfRange(f"ended: only {sample.ended} calls have ended in {sample.seconds:g} s, and "
-                         f"{LEAST_ENDED} are needed for a holding time; measure longer")
+        raise OutOfRange(
+            f"ended: only {sample.ended} calls have ended in {sample.seconds:g} s, and "
+            f"{LEAST_ENDED} are needed for a holding time; measure longer"
+        )
     mean = sample.call_seconds / sample.ended
-    spread = sample.held2 / sample.ended / mean ** 2 - 1
+    spread = sample.held2 / sample.ended / mean**2 - 1
     # The counted spread is rough on few calls, and too small where the longest have not ended in the time;
     # exponential times (1) are the prior, of 20 calls' worth and more the shorter the sample.
     prior = 20 + sample.ended * min(20.0, 10 * mean / sample.seconds)
@@ -142,7 +150,7 @@
     width = 1
     while len(counts) // width >= 8:
         n = len(counts) // width
-        seen.append(dispersion(counts[:n * width].reshape(n, width).sum(axis=1)) - 1)
+        seen.append(dispersion(counts[: n * width].reshape(n, width).sum(axis=1)) - 1)
         spans.append(width * sample.slot)
         weights.append(float(n))
         width *= 2
@@ -159,8 +167,11 @@
         c = float((w * s * y).sum() / (w * s * s).sum())
         return c, float((w * (y - c * s) ** 2).sum())
 
-    best = minimize_scalar(lambda u: fitted(exp(u))[1], method="bounded",
-                           bounds=(log(sample.slot / 4), log(max(sample.slot, x[-1]))))
+    best = minimize_scalar(
+        lambda u: fitted(exp(u))[1],
+        method="bounded",
+        bounds=(log(sample.slot / 4), log(max(sample.slot, x[-1]))),
+    )
     tau = exp(float(best.x))
     return fitted(tau)[0], tau
 
@@ -198,7 +209,7 @@
     n = len(sample.first) // width
     if n < 8:
         return whole
-    blocks = sample.first[:n * width].reshape(n, width).sum(axis=1)
+    blocks = sample.first[: n * width].reshape(n, width).sum(axis=1)
     limit = sqrt(-log((1 - sure) / 2) / 2)  # Kolmogorov's tail, first term
     cuts: list[int] = []
 
@@ -220,8 +231,9 @@
     found = []
     for a, b in zip(edges, edges[1:], strict=False):
         to = sample.seconds if b == n else b * width * sample.slot
-        found.append(Segment(a * width * sample.slot, to,
-                             float(blocks[a:b].sum()) / ((b - a) * width * sample.slot)))
+        found.append(
+            Segment(a * width * sample.slot, to, float(blocks[a:b].sum()) / ((b - a) * width * sample.slot))
+        )
     return found
 
 
@@ -233,14 +245,15 @@
         for n in range(BATCHES[1], BATCHES[0] - 1, -1):
             width = len(sample.first) // n
             if width and width * sample.slot >= long * hold and total / n >= 5:
-                batches = sample.first[:n * width].reshape(n, width).sum(axis=1)
+                batches = sample.first[: n * width].reshape(n, width).sum(axis=1)
                 mean = float(batches.mean())
-                return float(batches.var(ddof=1)) / n / mean ** 2, float(n - 1)
+                return float(batches.var(ddof=1)) / n / mean**2, float(n - 1)
     return None
 
 
-def bootstrap(sample: Sample, hold: float, level: float = 0.95, draws: int = 2_000, seed: int = 1
-              ) -> Interval | None:
+def bootstrap(
+    sample: Sample, hold: float, level: float = 0.95, draws: int = 2_000, seed: int = 1
+) -> Interval | None:
     """Offered traffic by the circular block bootstrap (Politis and Romano 1992) of slot counts, with holding
     times drawn from their chi-square law; percentiles. None for a sample under 12 blocks: percentiles of so
     few are too narrow."""
@@ -271,7 +284,7 @@
         n = len(sample.first) // width
         if n < 8:
             break
-        counts = sample.first[:n * width].reshape(n, width).sum(axis=1)
+        counts = sample.first[: n * width].reshape(n, width).sum(axis=1)
         if counts.mean() <= 0:
             return True
         x = dispersion(counts) * (n - 1)
@@ -310,7 +323,7 @@
         assert batches is not None
         spread, dof = batches
         both = spread + 1 / ended
-        joint = both ** 2 / (spread ** 2 / dof + ended ** -2 / (2 * ended))
+        joint = both**2 / (spread**2 / dof + ended**-2 / (2 * ended))
         wide = float(t.ppf(1 - tail, joint)) * sqrt(both)
         low, high = value * exp(-wide), value * exp(wide)
         wide = float(t.ppf(1 - tail, dof)) * sqrt(spread)
@@ -344,8 +357,9 @@
     logs = []
     for k in range(n):
         left = np.delete(sample.first, slice(k * width, (k + 1) * width))
-        logs.append(log(peakedness(Sample(sample.slot, left, sample.call_seconds, sample.ended, sample.held2),
-                                   hold)))
+        logs.append(
+            log(peakedness(Sample(sample.slot, left, sample.call_seconds, sample.ended, sample.held2), hold))
+        )
     spread = sqrt((n - 1) / n * float(((np.array(logs) - np.mean(logs)) ** 2).sum()))
     wide = float(t.ppf((1 + level) / 2, n - 1)) * spread
     return Interval(z, z * exp(-wide), z * exp(wide), level)
--- a/willowhitch/dimension/widths.py
+++ b/willowhitch/dimension/widths.py
@@ -1,4 +1,5 @@
 """Calls of several widths on one group: Kaufman-Roberts, with trunk reservation."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -47,7 +48,7 @@
                 total += work * q[j - width]
         q[j] = total / j
         if q[j] > 1e200:
-            q[:j + 1] *= 1e-200
+            q[: j + 1] *= 1e-200
     shares: np.ndarray = q / q.sum()
     return shares
 
@@ -56,7 +57,7 @@
     """Share of each stream's calls that find too few circuits free (time congestion, which for random calls
     is call congestion). See `occupancy` for source and error. Raises OutOfRange."""
     q = occupancy(circuits, streams)
-    return [float(q[max(0, circuits - s.width - s.reserve + 1):].sum()) for s in streams]
+    return [float(q[max(0, circuits - s.width - s.reserve + 1) :].sum()) for s in streams]
 
 
 def circuits_for(streams: Sequence[Stream], targets: Sequence[float], most: int = 100_000) -> int:
@@ -80,8 +81,9 @@
     return low
 
 
-def overflow_with_reserve(circuits: int, first: float, overflow: tuple[float, float], reserve: int
-                          ) -> tuple[float, float]:
+def overflow_with_reserve(
+    circuits: int, first: float, overflow: tuple[float, float], reserve: int
+) -> tuple[float, float]:
     """(blocking of first-routed calls, of overflowing calls) on a final group that keeps its last `reserve`
     circuits for first-routed random calls of `first` erlangs; `overflow` is (mean, variance) of the rest.
 
@@ -117,8 +119,10 @@
     scaled = circuits / z
     low, part = int(scaled), scaled - int(scaled)
     one, two = chain(low, reserve / z), chain(low + 1, reserve / z) if part > 0 else (0.0, 0.0)
-    mixed = [x ** (1 - part) * y ** part if part > 0 and x > 0 and y > 0 else x * (1 - part) + y * part
-             for x, y in zip(one, two, strict=True)]
+    mixed = [
+        x ** (1 - part) * y**part if part > 0 and x > 0 and y > 0 else x * (1 - part) + y * part
+        for x, y in zip(one, two, strict=True)
+    ]
     if reserve == 0 and mean > 0 and first > 0 and z > 1:
         # Calls that come in heaps find a full group more often: B_i in ratio of 1 + (Z_i - 1) share.
         whole_loss, z_over = mixed[0] * total, max(1.0, variance / mean)
--- a/willowhitch/interface.py
+++ b/willowhitch/interface.py
@@ -3,6 +3,7 @@
 All times and durations are milliseconds on the front's own clock, as floats.
 A *set-up* is a call that asks to stand; an *attempt* is one try of it at one core server.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/willowhitch/lean.py
+++ b/willowhitch/lean.py
@@ -1,4 +1,5 @@
 """Keeps what is imported but never used out of the start: many softswitches may start on one machine."""
+
 from __future__ import annotations
 
 import sys
--- a/willowhitch/measure/record.py
+++ b/willowhitch/measure/record.py
@@ -3,6 +3,7 @@
 The switch tells of each call twice or three times (`came`, `settled`, `over`); everything else happens once
 an interval. Times are milliseconds: on the wheel's clock in calls, Unix milliseconds in what is written.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,8 +16,16 @@
 OTHER = -2  # the cell of what found no room; -1: no cell was named, or none took the call
 LONGEST_MS, DIGITS = 3_600_000, 2  # histograms: 1 ms to an hour, two significant digits
 
-OUTCOMES = ("carried", "late", "blocked", "processor_full", "refused_before", "refused_other", "failed",
-            "given_up")
+OUTCOMES = (
+    "carried",
+    "late",
+    "blocked",
+    "processor_full",
+    "refused_before",
+    "refused_other",
+    "failed",
+    "given_up",
+)
 
 
 def histogram(encoded: str | None = None) -> HdrHistogram:
@@ -62,7 +71,6 @@
         if self.up > self.peak:
             self.peak = self.up
 
-
     def renew(self, now: float) -> None:
         """Begins an interval with the calls that are up."""
         self.integral, self.at, self.peak, self.ended = 0.0, now, self.up, 0
@@ -76,8 +84,14 @@
     length on that clock, so that those of several softswitches lie side by side.
     """
 
-    def __init__(self, interval: float, slot: float, clock: Callable[[float], float],
-                 save: Callable[[dict[str, Any]], None], now: float) -> None:
+    def __init__(
+        self,
+        interval: float,
+        slot: float,
+        clock: Callable[[float], float],
+        save: Callable[[dict[str, Any]], None],
+        now: float,
+    ) -> None:
         self.interval, self.slot, self.clock, self.save = interval, slot, clock, save
         self.slots = round(interval / slot)
         self.since = now
@@ -100,8 +114,9 @@
         n = min(self.slots - 1, int((now - (self.until - self.interval)) / self.slot))
         (seen.redials if redial else seen.first)[n] += 1
 
-    def settled(self, now: float, tried: int, took: int, klass: str, outcome: str, delay: float,
-                redial: bool) -> Occupancy | None:
+    def settled(
+        self, now: float, tried: int, took: int, klass: str, outcome: str, delay: float, redial: bool
+    ) -> Occupancy | None:
         """A set-up has its answer, or was given up. `took` is -1 where it does not stand; where it does, its
         seat comes back, which `over` wants."""
         if now >= self.until:
@@ -166,15 +181,37 @@
 
     def _told(self, end: float) -> dict[str, Any]:
         return {
-            "from": self.clock(self.since), "to": self.clock(end),
+            "from": self.clock(self.since),
+            "to": self.clock(end),
             "begin": self.clock(self.until - self.interval),
-            "arrivals": [{"dest": dest, "class": klass, "first": a.first, "redials": a.redials}
-                         for (dest, klass), a in self.arrivals.items()],
-            "routes": [{"tried": tried, "took": took, "class": klass, **o.counts,
-                        "redials_carried": o.redials_carried, "lost_ms": round(o.lost_ms, 3),
-                        "delay": o.delay} for (tried, took, klass), o in self.routes.items()],
-            "occupied": [{"cell": cell, "class": klass, "call_ms": round(o.integral, 3), "peak": o.peak,
-                          "up": o.up, "ended": o.ended, "held_ms": round(o.held_sum, 3),
-                          "held_s2": round(o.held_squares, 9), "held": o.held}
-                         for (cell, klass), o in self.occupied.items()],
+            "arrivals": [
+                {"dest": dest, "class": klass, "first": a.first, "redials": a.redials}
+                for (dest, klass), a in self.arrivals.items()
+            ],
+            "routes": [
+                {
+                    "tried": tried,
+                    "took": took,
+                    "class": klass,
+                    **o.counts,
+                    "redials_carried": o.redials_carried,
+                    "lost_ms": round(o.lost_ms, 3),
+                    "delay": o.delay,
+                }
+                for (tried, took, klass), o in self.routes.items()
+            ],
+            "occupied": [
+                {
+                    "cell": cell,
+                    "class": klass,
+                    "call_ms": round(o.integral, 3),
+                    "peak": o.peak,
+                    "up": o.up,
+                    "ended": o.ended,
+                    "held_ms": round(o.held_sum, 3),
+                    "held_s2": round(o.held_squares, 9),
+                    "held": o.held,
+                }
+                for (cell, klass), o in self.occupied.items()
+            ],
         }
--- a/willowhitch/measure/recordfile.py
+++ b/willowhitch/measure/recordfile.py
@@ -6,6 +6,7 @@
 A payload is a JSON object: first {"kind":"head",...} of each softswitch that begins to write, then an entry
 an interval. A frame out of place does not pass its checksum: a block that was moved or doubled is noticed.
 """
+
 from __future__ import annotations
 
 import os
@@ -66,8 +67,9 @@
         return found
     magic, version = START.unpack_from(data)
     if magic != MAGIC:
-        raise BadRecord(f"{path}: no traffic record; name a file that a softswitch wrote (`record` in the "
-                        "operator file)")
+        raise BadRecord(
+            f"{path}: no traffic record; name a file that a softswitch wrote (`record` in the operator file)"
+        )
     if version != VERSION:
         raise BadRecord(
             f"{path}: written by version {version} of the format, and this program reads {VERSION}; "
@@ -141,7 +143,7 @@
     def _all(self, data: bytes) -> int:
         left = memoryview(data)
         while left:
-            left = left[self.file.write(left):]
+            left = left[self.file.write(left) :]
         return len(data)
 
     def _append(self, payload: bytes) -> None:
--- a/willowhitch/measure/recording.py
+++ b/willowhitch/measure/recording.py
@@ -1,4 +1,5 @@
 """Ties a traffic record to a running switch and its file. Loaded only where the operator file asks for it."""
+
 from __future__ import annotations
 
 import time
@@ -20,9 +21,16 @@
 class Recording:
     """Fulfils `core.switch.Watcher`. Intervals are encoded and written by `in_thread`, one at a time."""
 
-    def __init__(self, switch: Switch, writer: Writer, interval: float, slot: float,
-                 clock: Callable[[float], float], in_thread: Callable[..., Any],
-                 aims: dict[str, float]) -> None:
+    def __init__(
+        self,
+        switch: Switch,
+        writer: Writer,
+        interval: float,
+        slot: float,
+        clock: Callable[[float], float],
+        in_thread: Callable[..., Any],
+        aims: dict[str, float],
+    ) -> None:
         self.switch, self.writer, self.in_thread, self.aims = switch, writer, in_thread, aims
         self.table: Any = None
         self.waiting: deque[dict[str, Any]] = deque()
@@ -116,11 +124,23 @@
     except BadRecord as e:
         raise ValueError(str(e)) from None
     path.parent.mkdir(parents=True, exist_ok=True)
-    head = {"name": host.name, "interval_ms": table.interval_s * 1000, "slot_ms": table.slot_s * 1000,
-            "classes": [c.name for c in host.settings.classes], "since": time.time() * 1000.0}
+    head = {
+        "name": host.name,
+        "interval_ms": table.interval_s * 1000,
+        "slot_ms": table.slot_s * 1000,
+        "classes": [c.name for c in host.settings.classes],
+        "since": time.time() * 1000.0,
+    }
     aims = {c.name: c.aim for c in host.settings.classes}
-    made = Recording(host.switch, Writer(path, head, table.most_mb << 20), table.interval_s * 1000,
-                     table.slot_s * 1000, lambda now: now - host.offset, host.reactor.callInThread, aims)
+    made = Recording(
+        host.switch,
+        Writer(path, head, table.most_mb << 20),
+        table.interval_s * 1000,
+        table.slot_s * 1000,
+        lambda now: now - host.offset,
+        host.reactor.callInThread,
+        aims,
+    )
     made.table = table
     host.switch.watcher = made
     return made
--- a/willowhitch/measure/streams.py
+++ b/willowhitch/measure/streams.py
@@ -1,5 +1,6 @@
 """From the entries of traffic records to what dimensioning wants: counts by slot and holding times by
 stream."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -48,8 +49,10 @@
         raise BadRecord(f"{contents[0].path}: no whole interval was read; let the softswitch write one first")
     kinds = {(h["interval_ms"], h["slot_ms"]) for h in heads}
     if len(kinds) > 1:
-        raise BadRecord(f"{contents[0].path}: intervals or slots of several lengths, {sorted(kinds)} ms; "
-                        "estimate files of one setting at a time")
+        raise BadRecord(
+            f"{contents[0].path}: intervals or slots of several lengths, {sorted(kinds)} ms; "
+            "estimate files of one setting at a time"
+        )
     ((interval, slot),) = kinds
     by_begin: dict[float, list[dict[str, Any]]] = {}
     for c in contents:
@@ -113,8 +116,10 @@
     if total and not all(idle):  # before the first call and after the last one nothing was offered
         low, high = idle.index(False), total - idle[::-1].index(False)
         if low or high < total:
-            notes.append(f"{(total - high + low) * slot / 1000:g} s before the first call and after the last "
-                         "are left out")
+            notes.append(
+                f"{(total - high + low) * slot / 1000:g} s before the first call and after the last "
+                "are left out"
+            )
         total = high - low
         for stream in found.values():
             stream.first = stream.first[low:high]
--- a/willowhitch/net/board.py
+++ b/willowhitch/net/board.py
@@ -1,4 +1,5 @@
 """The notice board: numbered events with the changes of the list of quote engines."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -29,8 +30,10 @@
     if len(payload) % RECORD.size:
         raise ValueError(f"{len(payload)} bytes are no whole records")
     return [
-        (i.Entry(f"s-{ident:08x}", cell, STATES[state], clock(born), weight / 1000),
-         (".".join(map(str, address)), port))
+        (
+            i.Entry(f"s-{ident:08x}", cell, STATES[state], clock(born), weight / 1000),
+            (".".join(map(str, address)), port),
+        )
         for ident, address, port, state, _, _, cell, weight, born in RECORD.iter_unpack(payload)
     ]
 
@@ -39,8 +42,13 @@
     found = []
     for h in hosts:
         address, _, port = h["dial"].rpartition(":")
-        entry = i.Entry(h["host"], h.get("block", -1), WORDS[h["health"]], clock(h.get("born_ms") or 0),
-                        float(h.get("share", 1.0)))
+        entry = i.Entry(
+            h["host"],
+            h.get("block", -1),
+            WORDS[h["health"]],
+            clock(h.get("born_ms") or 0),
+            float(h.get("share", 1.0)),
+        )
         found.append((entry, (address, int(port))))
     return found
 
@@ -58,7 +66,7 @@
             return  # what stands behind a bad frame, or comes from a board that was left
         try:
             number, kind = HEAD.unpack_from(frame)
-            self.factory.heard(number, kind, frame[HEAD.size:])
+            self.factory.heard(number, kind, frame[HEAD.size :])
         except Exception as e:
             logger.warning("notice board: bad frame, connection closed: {!r}", e)
             self.factory.ask_again()
@@ -75,8 +83,14 @@
     noisy = False
     initialDelay, maxDelay, factor, jitter = 0.05, 0.5, 2.0, 0.1
 
-    def __init__(self, reactor: object, address: tuple[str, int], switch: Switch, engines: EngineLinks,
-                 clock: Callable[[int], float]) -> None:
+    def __init__(
+        self,
+        reactor: object,
+        address: tuple[str, int],
+        switch: Switch,
+        engines: EngineLinks,
+        clock: Callable[[int], float],
+    ) -> None:
         self.clock_source, self.address = reactor, address
         self.switch, self.engines, self.to_clock = switch, engines, clock
         self.rev, self.watch, self.last = 0, None, switch.wheel.now
@@ -84,9 +98,14 @@
 
     def read(self, config: dict[str, Any]) -> Known:
         """The events that a configuration holds; nothing is taken in yet."""
-        events = [(int(event.get("rev") or 0), bool(event["pool"].get("whole")),
-                   entries_of_json(event["pool"].get("hosts") or (), self.to_clock))
-                  for event in config.get("notices") or ()]
+        events = [
+            (
+                int(event.get("rev") or 0),
+                bool(event["pool"].get("whole")),
+                entries_of_json(event["pool"].get("hosts") or (), self.to_clock),
+            )
+            for event in config.get("notices") or ()
+        ]
         return int(config.get("rev") or 0), events
 
     def known(self, told: Known) -> None:
@@ -137,16 +156,18 @@
             # Once: a board that leaves numbers out would be asked without end.
             self.asked_again = self.rev
             self.switch.count["notices asked again"] += 1
-            logger.warning("notice board: events after {} are missing before {}, asking again", self.rev,
-                           number)
+            logger.warning(
+                "notice board: events after {} are missing before {}, asking again", self.rev, number
+            )
             return self.ask_again()
         if kind not in (WHOLE, CHANGES):
             return
         if number <= self.rev:
             self.switch.count["repeated notices"] += 1
             return
-        self._take(i.ListKind.WHOLE if kind == WHOLE else i.ListKind.CHANGES,
-                   entries_of(payload, self.to_clock))
+        self._take(
+            i.ListKind.WHOLE if kind == WHOLE else i.ListKind.CHANGES, entries_of(payload, self.to_clock)
+        )
         self.rev = number
 
     def ask_again(self) -> None:
--- a/willowhitch/net/budgets.py
+++ b/willowhitch/net/budgets.py
@@ -3,6 +3,7 @@
 Nothing here decides: events go to `budgets.keeper.Keeper`, its actions are carried out. The clock is one that
 is never set and goes on while the machine sleeps, read anew for every event and every question of the module.
 """
+
 from __future__ import annotations
 
 import time
@@ -114,8 +115,12 @@
         self.host.switch.lifecycle.on_change.append(self._phase)
         self.host.switch.new_constraints(self.purse)
         plan = self.keeper.plan
-        logger.info("budgets: {}; {} voters, {}", ", ".join(b.name for b in plan.budgets)[:200],
-                    len(plan.voters), "one of them" if self.keeper.votes else "not one of them")
+        logger.info(
+            "budgets: {}; {} voters, {}",
+            ", ".join(b.name for b in plan.budgets)[:200],
+            len(plan.voters),
+            "one of them" if self.keeper.votes else "not one of them",
+        )
         self._unknown_classes(self.host.settings)
         self._needs()
         self._tick(self.wheel.now)
@@ -147,10 +152,17 @@
 
     def figures(self) -> dict[str, Any]:
         holder, candidate, now = self.keeper.holder, self.keeper.candidate, clock()
-        return {"in_office": candidate.holds(now), "allocator": holder.at, "at_the_floor": holder.fresh,
-                "offices": candidate.offices, "granted": candidate.granted, "garbage": self.garbage,
-                "unsent": self.unsent, **{what.replace(" ", "_"): n for what, n in holder.counts.items()},
-                "by_name": self.purse.told()}
+        return {
+            "in_office": candidate.holds(now),
+            "allocator": holder.at,
+            "at_the_floor": holder.fresh,
+            "offices": candidate.offices,
+            "granted": candidate.granted,
+            "garbage": self.garbage,
+            "unsent": self.unsent,
+            **{what.replace(" ", "_"): n for what, n in holder.counts.items()},
+            "by_name": self.purse.told(),
+        }
 
     def stop(self) -> None:
         pass
@@ -191,8 +203,9 @@
         except (msgspec.DecodeError, msgspec.ValidationError) as e:
             self.garbage += 1
             if self.garbage == 1:
-                logger.warning("budgets: a message that can't be read, dropped, and others like it: {:.120}",
-                               str(e))
+                logger.warning(
+                    "budgets: a message that can't be read, dropped, and others like it: {:.120}", str(e)
+                )
             return
         now = clock()
         self._do(self.keeper.heard(now, message))
@@ -218,16 +231,28 @@
             told[b.name] |= {"leased": holder.leased(now, b.name), "need": need, "weight": weight}
         office = candidate.holds(now)
         view: dict[str, Any] = {
-            "me": self.me, "member": self.peers.member.me.name, "at_ms": now, "in_office": office,
-            "allocator": holder.at, "term": candidate.term, "lease_left_ms": max(0.0, holder.until - now),
-            "voters": list(plan.voters), "denied": candidate.denied, "budgets": told}
+            "me": self.me,
+            "member": self.peers.member.me.name,
+            "at_ms": now,
+            "in_office": office,
+            "allocator": holder.at,
+            "term": candidate.term,
+            "lease_left_ms": max(0.0, holder.until - now),
+            "voters": list(plan.voters),
+            "denied": candidate.denied,
+            "budgets": told,
+        }
         if office:
             books = candidate.books
             view["books"] = {
                 "bound": {name: whole for name, (whole, _) in books.bound.items()},
-                "out": books.out, "resting": books.resting,
-                "holders": [{"address": a.address, "out": a.out, "need": a.need, "target": a.target}
-                            for a in list(books.accounts.values())[:1_000]]}
+                "out": books.out,
+                "resting": books.resting,
+                "holders": [
+                    {"address": a.address, "out": a.out, "need": a.need, "target": a.target}
+                    for a in list(books.accounts.values())[:1_000]
+                ],
+            }
         return 200, view
 
     def spendings(self, rest: str) -> tuple[int, dict[str, Any]]:
--- a/willowhitch/net/callbook.py
+++ b/willowhitch/net/callbook.py
@@ -1,4 +1,5 @@
 """The lives of calls on request: `GET /v1/calls/ID` at the management address, and a file at exit."""
+
 from __future__ import annotations
 
 import os
--- a/willowhitch/net/control.py
+++ b/willowhitch/net/control.py
@@ -1,4 +1,5 @@
 """The WebSocket front: desk tools place, watch and release calls with JSON messages (docs/control-api.md)."""
+
 from __future__ import annotations
 
 import binascii
@@ -73,9 +74,16 @@
         description = b64decode(text_of(said, "description_b64", ""), validate=True)
     except binascii.Error:
         raise ValueError("description_b64 is not base64") from None
-    return Order(text_of(said, "id").lower(), text_of(said, "class"), text_of(said, "number"),
-                 number_of(said, "patience_ms"), description, whole_of(said, "dest", -1),
-                 said.get("retry") is True, number_of(said, "width", 1))
+    return Order(
+        text_of(said, "id").lower(),
+        text_of(said, "class"),
+        text_of(said, "number"),
+        number_of(said, "patience_ms"),
+        description,
+        whole_of(said, "dest", -1),
+        said.get("retry") is True,
+        number_of(said, "width", 1),
+    )
 
 
 class ControlSocket(Protocol):
@@ -238,7 +246,7 @@
         except ValueError:
             return socket.error(BAD_JSON, "not JSON")
         if not isinstance(said, dict) or said.get("v") != VERSION:
-            return socket.error(BAD_VERSION, f"an object with \"v\":{VERSION} is wanted")
+            return socket.error(BAD_VERSION, f'an object with "v":{VERSION} is wanted')
         act = ASKS.get(said["do"]) if isinstance(said.get("do"), str) else None
         call = said["id"].lower() if isinstance(said.get("id"), str) else None
         if act is None or call is None:
--- a/willowhitch/net/engine.py
+++ b/willowhitch/net/engine.py
@@ -1,4 +1,5 @@
 """The binary link to the quote engines: one connection to each, reopened promptly when it ends."""
+
 from __future__ import annotations
 
 from struct import error as StructError
@@ -59,7 +60,7 @@
             raise ValueError("parameter longer than the message")
         if code in found:
             raise ValueError("parameter given twice")
-        found[code] = data[at - size:at]
+        found[code] = data[at - size : at]
     kind = data[0]
     if kind not in meant:
         raise ValueError("type not known")
@@ -481,8 +482,14 @@
 
     def written(self, call: Call) -> bytes:
         order, left = call.order, max(1.0, call.deadline - self.switch.wheel.now)
-        return message(SET_UP, order.call, (CLASS, order.klass.encode()), (LEFT, b"%d" % left),
-                       (NUMBER, order.number.encode()), (DESCRIPTION, order.description))
+        return message(
+            SET_UP,
+            order.call,
+            (CLASS, order.klass.encode()),
+            (LEFT, b"%d" % left),
+            (NUMBER, order.number.encode()),
+            (DESCRIPTION, order.description),
+        )
 
     def drains(self, server: str) -> None:
         """The list says so: set-ups that are not written yet go elsewhere."""
--- a/willowhitch/net/handover.py
+++ b/willowhitch/net/handover.py
@@ -5,6 +5,7 @@
 Whatever is missing or refused, the successor starts as on a plain day. Which of the two takes callers, the
 lifecycle says.
 """
+
 from __future__ import annotations
 
 import os
@@ -305,5 +306,11 @@
 
 
 SAID: dict[str, Callable[[Handover, Channel, dict[str, Any]], None]] = {
-    "take": Handover._take, "given": Handover._given, "holds": Handover._holds, "serving": Handover._serving,
-    "release": Handover._heard, "cleared": Handover._heard, "released": Handover._heard}
+    "take": Handover._take,
+    "given": Handover._given,
+    "holds": Handover._holds,
+    "serving": Handover._serving,
+    "release": Handover._heard,
+    "cleared": Handover._heard,
+    "released": Handover._heard,
+}
--- a/willowhitch/net/mgmt.py
+++ b/willowhitch/net/mgmt.py
@@ -2,6 +2,7 @@
 
 Nothing here decides: the calls ask and tell the lifecycle, and ask the switch for its figures.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -22,10 +23,20 @@
 WHOLE_BY = 3_500.0  # ms from connecting to a whole request
 CLOSED_BY = 500.0  # ms that a caller may take to close once it was answered
 SWEEP = 100.0  # ms between two looks at the connections
-REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large", 417: b"Expectation Failed",
-           431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 501: b"Not Implemented",
-           503: b"Service Unavailable"}
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    417: b"Expectation Failed",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    503: b"Service Unavailable",
+}
 
 Answer = tuple[int, dict[str, Any]]  # status, and what goes out as JSON
 
@@ -82,16 +93,21 @@
         if any(k == b"content-length" and int(v) > LONGEST_BODY for k, v in request.headers):
             self.say(413, {"error": f"a body of over {LONGEST_BODY} bytes"})
         elif self.http.they_are_waiting_for_100_continue:
-            self.transport.write(self.http.send(
-                h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")) or b"")
+            self.transport.write(
+                self.http.send(h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue"))
+                or b""
+            )
 
     def say(self, status: int, what: dict[str, Any]) -> None:
         """The one answer; the connection closes behind it."""
         self.answered_at = self.front.switch.wheel.now
         self.front.switch.count[f"mgmt {status}"] += 1
         body = orjson.dumps(what)
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-                   ("Connection", "close")]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
         if status == 405:
             headers.append(("Allow", what["allow"]))
         answer = h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b""))
@@ -139,7 +155,7 @@
                 if path == begin or begin.endswith("/") and path.startswith(begin):
                     if method != wants:
                         return 405, {"error": f"{path} wants {wants}", "allow": wants}
-                    return answer(path[len(begin):])
+                    return answer(path[len(begin) :])
             return 404, {"error": f"no such call; there are {', '.join((*CALLS, *self.more))}"}
         allowed, act = known
         if method != allowed:
@@ -184,6 +200,8 @@
 
 
 CALLS: dict[str, tuple[str, Callable[[MgmtFront], Answer]]] = {
-    "/v1/readyz": ("GET", MgmtFront._ready), "/v1/metrics": ("GET", MgmtFront._figures),
+    "/v1/readyz": ("GET", MgmtFront._ready),
+    "/v1/metrics": ("GET", MgmtFront._figures),
     "/v1/softswitch/drain": ("POST", MgmtFront._drain),
-    "/v1/softswitch/activate": ("POST", MgmtFront._activate)}
+    "/v1/softswitch/activate": ("POST", MgmtFront._activate),
+}
--- a/willowhitch/net/peers.py
+++ b/willowhitch/net/peers.py
@@ -3,6 +3,7 @@
 Every message is checked whole by msgspec; what can't be read is counted and dropped. Nothing here decides:
 events go to `fleet.member.Member`, its actions are carried out.
 """
+
 from __future__ import annotations
 
 from collections import Counter
@@ -156,8 +157,17 @@
         known = self._known()
         incarnation = known.incarnation + 1 if known else 1
         name, boot = table.member or host.name, draw.getrandbits(BITS)
-        me = Record(name, table.address, incarnation, State.JOINING, boot, table.site, host.version,
-                    host.digest, host.mgmt)
+        me = Record(
+            name,
+            table.address,
+            incarnation,
+            State.JOINING,
+            boot,
+            table.site,
+            host.version,
+            host.digest,
+            host.mgmt,
+        )
         seeds = dict.fromkeys((*table.seeds, *(known.others if known else ())))
         periods = Periods(period=table.period_ms, answer=table.answer_ms)
         self.member = Member(table.name, me, seeds, periods, draw.getrandbits(64), self.wheel.now)
@@ -228,8 +238,13 @@
 
     def start(self) -> None:
         self.switch.lifecycle.on_change.append(self._phase)
-        logger.info("fleet: {} in fleet {}, site {!r}, {} seeds", self.member.me.key, self.table.name,
-                    self.table.site, len(self.member.seeds))
+        logger.info(
+            "fleet: {} in fleet {}, site {!r}, {} seeds",
+            self.member.me.key,
+            self.table.name,
+            self.table.site,
+            len(self.member.seeds),
+        )
         self._bind()
         self.wheel.at(self.wheel.now + SAVE_EVERY, self._save)
         self.wheel.at(self.wheel.now + 1_000.0, self._sizes)
@@ -244,10 +259,16 @@
     def figures(self) -> dict[str, Any]:
         count = self.member.table.count
         counts = dict(self.count) | self.member.counts  # a copy in one step: a thread may add to it meanwhile
-        return {"alive": count[State.ALIVE] + count[State.JOINING], "suspect": count[State.SUSPECT],
-                "gone": count[State.GONE], "left": count[State.LEFT], "cut_off": self.member.cut_off,
-                "size": self.told_size, "health": self.member.health,
-                **{what.replace(" ", "_"): n for what, n in counts.items()}}
+        return {
+            "alive": count[State.ALIVE] + count[State.JOINING],
+            "suspect": count[State.SUSPECT],
+            "gone": count[State.GONE],
+            "left": count[State.LEFT],
+            "cut_off": self.member.cut_off,
+            "size": self.told_size,
+            "health": self.member.health,
+            **{what.replace(" ", "_"): n for what, n in counts.items()},
+        }
 
     def stop(self) -> None:
         self._close()
@@ -386,7 +407,7 @@
             return
         data = self.encoder.encode(message)
         while len(data) > LONGEST and getattr(message, "news", None):
-            message = msgspec.structs.replace(message, news=message.news[:len(message.news) // 2])
+            message = msgspec.structs.replace(message, news=message.news[: len(message.news) // 2])
             data = self.encoder.encode(message)
         try:
             self.port.write(data, self._dial(to))
@@ -405,8 +426,13 @@
     def _changed(self, change: Changed) -> None:
         record, was = change.record, change.was
         before = "not known" if was is None else was.name.lower()
-        logger.info("fleet: {} {}, {} before, incarnation {}", record.key, record.state.name.lower(), before,
-                    record.incarnation)
+        logger.info(
+            "fleet: {} {}, {} before, incarnation {}",
+            record.key,
+            record.state.name.lower(),
+            before,
+            record.incarnation,
+        )
 
     # what is told
 
@@ -415,14 +441,32 @@
         member, now = self.member, self.wheel.now
         table = member.table
         members = [
-            {"name": r.name, "address": r.address, "site": r.site, "state": r.state.name.lower(),
-             "incarnation": r.incarnation, "boot": f"{r.boot:016x}", "version": r.version, "config": r.config,
-             "mgmt": r.mgmt, "for_ms": round(now - table.since.get(r.key, now))}
-            for r in sorted(member.known(), key=lambda r: r.key)]
-        return 200, {"fleet": member.fleet, "me": member.me.key, "cut_off": member.cut_off,
-                     "joined": member.me.state is not State.JOINING, "digest": f"{table.digest:016x}",
-                     "size": self.told_size, "names_taken": list(member.taken), "refused": member.refusals,
-                     "sites": member.sites(), "members": members}
+            {
+                "name": r.name,
+                "address": r.address,
+                "site": r.site,
+                "state": r.state.name.lower(),
+                "incarnation": r.incarnation,
+                "boot": f"{r.boot:016x}",
+                "version": r.version,
+                "config": r.config,
+                "mgmt": r.mgmt,
+                "for_ms": round(now - table.since.get(r.key, now)),
+            }
+            for r in sorted(member.known(), key=lambda r: r.key)
+        ]
+        return 200, {
+            "fleet": member.fleet,
+            "me": member.me.key,
+            "cut_off": member.cut_off,
+            "joined": member.me.state is not State.JOINING,
+            "digest": f"{table.digest:016x}",
+            "size": self.told_size,
+            "names_taken": list(member.taken),
+            "refused": member.refusals,
+            "sites": member.sites(),
+            "members": members,
+        }
 
 
 def make(table: Any, host: Host) -> Peers:
--- a/willowhitch/net/sip.py
+++ b/willowhitch/net/sip.py
@@ -1,4 +1,5 @@
 """The SIP front: callers' connections, many calls on each."""
+
 from __future__ import annotations
 
 import re
@@ -28,8 +29,15 @@
 NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")  # float() takes nan, 1_0, 1e99 and far digits too
 CAUSE = re.compile(r"cause\s*=\s*(\d+)", re.I)
-CODES = {Verdict.REFUSED: 503, Verdict.FAILED: 500, Verdict.REPEATED: 482, Verdict.TABLE_FULL: 503,
-         Verdict.DRAINED: 503, Verdict.GIVEN_UP: 487, Verdict.UNKNOWN: 481}
+CODES = {
+    Verdict.REFUSED: 503,
+    Verdict.FAILED: 500,
+    Verdict.REPEATED: 482,
+    Verdict.TABLE_FULL: 503,
+    Verdict.DRAINED: 503,
+    Verdict.GIVEN_UP: 487,
+    Verdict.UNKNOWN: 481,
+}
 
 
 def call_of(headers: dict[str, str]) -> str:
@@ -55,8 +63,16 @@
     dest = facts.get("dest", -1.0)
     if dest != int(dest):
         raise ValueError("dest is no whole number")
-    return Order(call_of(headers), headers.get("subject", ""), number[1], patience, body,
-                 int(dest), headers.get("x-retry", "") not in ("", "0"), facts.get("width", 1.0))
+    return Order(
+        call_of(headers),
+        headers.get("subject", ""),
+        number[1],
+        patience,
+        body,
+        int(dest),
+        headers.get("x-retry", "") not in ("", "0"),
+        facts.get("width", 1.0),
+    )
 
 
 class SipFront(Factory):
@@ -182,8 +198,12 @@
         if connection not in self.connections or connection.closed_at is not None:
             return
         connection.look()
-        if (connection not in self.connections or connection.calls or connection.began is not None
-                or connection in self.put_off):
+        if (
+            connection not in self.connections
+            or connection.calls
+            or connection.began is not None
+            or connection in self.put_off
+        ):
             return
         life = self.switch.lifecycle
         if life.empties and not (self._last(connection) and life.lingers(self.switch.wheel.now)):
@@ -198,9 +218,15 @@
 
     def _last(self, connection: SipConnection) -> bool:
         """Whether it is the only one left to carry releases of calls that stand."""
-        return connection.heard is not None and bool(self.stood_on) and not any(
-            other.heard is not None and other.closed_at is None
-            for other in self.connections if other is not connection)
+        return (
+            connection.heard is not None
+            and bool(self.stood_on)
+            and not any(
+                other.heard is not None and other.closed_at is None
+                for other in self.connections
+                if other is not connection
+            )
+        )
 
     def changed(self, phase: Phase) -> None:
         """The lifecycle changed: where callers are to go, idle connections go at once."""
@@ -244,8 +270,15 @@
 
     # what callers ask
 
-    def asked(self, connection: SipConnection, method: str, address: str, headers: dict[str, str],
-              vias: list[str], body: bytes) -> None:
+    def asked(
+        self,
+        connection: SipConnection,
+        method: str,
+        address: str,
+        headers: dict[str, str],
+        vias: list[str],
+        body: bytes,
+    ) -> None:
         self.switch.count[f"sip {method}" if method in METHODS else "sip other"] += 1
         act = METHODS.get(method)
         if act in CALLERS:
@@ -312,8 +345,15 @@
             self.switch.count["releases sent to callers"] += 1
             if self.switch.lives:
                 self.switch.lives.note(tell.call, "caller told", tell.way.name)
-            tell.way.write([f"BYE sip:{tell.number}@net SIP/2.0", f"Via: SIP/2.0/TCP {self.name}",
-                            f"Call-ID: {tell.call}", "CSeq: 2 BYE", f"Reason: Q.850;cause={tell.cause}"])
+            tell.way.write(
+                [
+                    f"BYE sip:{tell.number}@net SIP/2.0",
+                    f"Via: SIP/2.0/TCP {self.name}",
+                    f"Call-ID: {tell.call}",
+                    "CSeq: 2 BYE",
+                    f"Reason: Q.850;cause={tell.cause}",
+                ]
+            )
         if self.releases.owed and not self.looks:
             self.looks = True
             self.switch.wheel.at(self.switch.wheel.now + OWED, self._look)
@@ -326,8 +366,11 @@
                 self.releases.hand_on(call)
                 self.switch.other.released(call, owed.cause)
         self._say(self.releases.turn(self.switch.wheel.now))
-        for what, n in (("never sent", self.releases.lost), ("not acknowledged", self.releases.unheard),
-                        ("sent again", self.releases.moved + self.releases.repeated)):
+        for what, n in (
+            ("never sent", self.releases.lost),
+            ("not acknowledged", self.releases.unheard),
+            ("sent again", self.releases.moved + self.releases.repeated),
+        ):
             if n:
                 self.switch.count[f"releases {what}"] = n
 
@@ -407,16 +450,23 @@
                 known = self.switch.calls.get(call)
                 if known and self.switch.lifecycle.overstays(now, known.came):
                     self.switch.fail(call, self)
-        for what, kept, most in (("silent", self.new, FIRST_BY), ("idle", self.idle, IDLE_FOR),
-                                 ("idle", self.proven, IDLE_FOR)):
+        for what, kept, most in (
+            ("silent", self.new, FIRST_BY),
+            ("idle", self.idle, IDLE_FOR),
+            ("idle", self.proven, IDLE_FOR),
+        ):
             few = KEPT * self.most if what == "idle" else 0.0
             while len(kept) > few and now - next(iter(kept.values())) > most:
                 connection = next(iter(kept))
                 del kept[connection]
                 if connection.look():
                     self._too_slow(connection, what)
-                elif (connection in self.connections and not connection.calls and not connection.newcomer
-                        and connection.closed_at is None):
+                elif (
+                    connection in self.connections
+                    and not connection.calls
+                    and not connection.newcomer
+                    and connection.closed_at is None
+                ):
                     self.rests(connection)
         for connection, moved in list(self.begun.items()):
             if now - connection.since > (BEGUN_BY if now - moved > PAUSE else WHOLE_BY):
@@ -428,12 +478,21 @@
                 connection.transport.abortConnection()
             elif connection.closed_at is not None and now - connection.closed_at > CLOSED_BY:
                 connection.transport.abortConnection()  # a close waits for what was written to be read
-            elif (connection.closed_at is None and connection.began is not None
-                    and now - connection.began > WHOLE_BY):
+            elif (
+                connection.closed_at is None
+                and connection.began is not None
+                and now - connection.began > WHOLE_BY
+            ):
                 connection._bad("not whole in time", 408)
 
 
-METHODS = {"INVITE": SipFront._invite, "CANCEL": SipFront._cancel, "BYE": SipFront._bye_heard,
-           "OPTIONS": SipFront._options, "ACK": SipFront._nothing, "NOTIFY": SipFront._nothing}
+METHODS = {
+    "INVITE": SipFront._invite,
+    "CANCEL": SipFront._cancel,
+    "BYE": SipFront._bye_heard,
+    "OPTIONS": SipFront._options,
+    "ACK": SipFront._nothing,
+    "NOTIFY": SipFront._nothing,
+}
 CALLERS = (SipFront._invite, SipFront._cancel, SipFront._bye_heard, SipFront._nothing)  # not OPTIONS
 UNANSWERED = (SipFront._nothing, SipFront._invite)  # ACK and the like; an INVITE's answer comes by itself
--- a/willowhitch/net/sip_connection.py
+++ b/willowhitch/net/sip_connection.py
@@ -1,4 +1,5 @@
 """One connection from a caller: bytes in pieces become SIP messages, and answers go out."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -20,9 +21,18 @@
 ECHOED = ("via", "from", "to", "call-id", "cseq")
 SHORT = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length", "s": "subject"}
 NAMES = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
-REASONS = {200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 481: "Call Does Not Exist",
-           482: "Loop Detected", 487: "Request Terminated", 500: "Server Failure", 408: "Request Timeout",
-           503: "Service Unavailable", 513: "Message Too Large"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    405: "Method Not Allowed",
+    481: "Call Does Not Exist",
+    482: "Loop Detected",
+    487: "Request Terminated",
+    500: "Server Failure",
+    408: "Request Timeout",
+    503: "Service Unavailable",
+    513: "Message Too Large",
+}
 
 
 class SipConnection(LineReceiver):
@@ -188,7 +198,7 @@
         have = sum(map(len, self.body))
         if have >= self.length:
             whole = b"".join(self.body)
-            rest, body = whole[self.length:], whole[:self.length]
+            rest, body = whole[self.length :], whole[: self.length]
             self._whole(body)
             if self.closed_at is None:
                 self.setLineMode()
@@ -208,8 +218,9 @@
             self.front.later(self)
             super().pauseProducing()
 
-    def answer(self, code: int, headers: dict[str, str], vias: list[str], body: bytes = b"",
-               later: float = 0.0) -> None:
+    def answer(
+        self, code: int, headers: dict[str, str], vias: list[str], body: bytes = b"", later: float = 0.0
+    ) -> None:
         lines = [f"SIP/2.0 {code} {REASONS[code]}", *(f"Via: {via}" for via in vias)]
         lines += [f"{NAMES[name]}: {headers[name]}" for name in ECHOED[1:] if name in headers]
         if later > 0:
--- a/willowhitch/operator/load.py
+++ b/willowhitch/operator/load.py
@@ -1,4 +1,5 @@
 """Reads an operator file. Hermetic: no `load`, no I/O, bounded size, depth and time."""
+
 from __future__ import annotations
 
 import re
@@ -54,8 +55,10 @@
         if text[found.end() - 1] != "=" or word in ("def", "for", "if", "load"):
             continue
         if word not in known:
-            raise BadOperatorFile(f"{name}:{line}: `{word}` is no table; there are "
-                                  f"{', '.join(sorted(known))}, and names of the file's own begin with `_`")
+            raise BadOperatorFile(
+                f"{name}:{line}: `{word}` is no table; there are "
+                f"{', '.join(sorted(known))}, and names of the file's own begin with `_`"
+            )
         tables[word] = module[word]
     try:
         return msgspec.convert(tables, Operator)
--- a/willowhitch/operator/tables.py
+++ b/willowhitch/operator/tables.py
@@ -2,6 +2,7 @@
 
 Types and limits are checked by msgspec; what spans two fields is checked in `__post_init__`.
 """
+
 from __future__ import annotations
 
 from ipaddress import IPv4Address
@@ -87,8 +88,10 @@
     def __post_init__(self) -> None:
         if self.what in ("cold", "probes"):
             if self.whole > 1 or self.klass:
-                raise ValueError(f"`{self.what}` is a share of what engines take: `whole` is 1 at most, and "
-                                 "no `class` is named")
+                raise ValueError(
+                    f"`{self.what}` is a share of what engines take: `whole` is 1 at most, and "
+                    "no `class` is named"
+                )
         elif self.slots(self.whole) < 1:
             raise ValueError("`whole` times `over_s` is less than one; make `over_s` longer")
         elif self.floor and not self.slots(self.floor):
--- a/willowhitch/parts.py
+++ b/willowhitch/parts.py
@@ -3,6 +3,7 @@
 A part is named here by its table and by the place that makes it, which is loaded only where the table is
 there. `__main__` holds the list and knows no part by name.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/willowhitch/policy.py
+++ b/willowhitch/policy.py
@@ -3,6 +3,7 @@
 A gate per core server is open while one more set-up would finish within its aim (docs/design.md).
 Times are milliseconds. handle(now, event) -> actions; nothing here reads a clock or does I/O.
 """
+
 from __future__ import annotations
 
 from math import exp, floor, sqrt
@@ -163,8 +164,10 @@
     def avoided(self, now: float, servers: list[str]) -> int:
         """How many of these servers are out of use: draining, barred but for trials, or as they asked."""
         gates = [self.gates.get(s) for s in servers]
-        return sum(g is None or g.state is not i.State.READY or g.faults >= FAULTY or now < g.shut_until
-                   for g in gates)
+        return sum(
+            g is None or g.state is not i.State.READY or g.faults >= FAULTY or now < g.shut_until
+            for g in gates
+        )
 
     # events
 
@@ -212,8 +215,9 @@
         if FAULTY <= gate.faults < FAULTY + 1:
             self.acts.append(i.Log(f"{gate.server} fails or is silent: trials only"))
 
-    def _learn(self, now: float, gate: Gate, event: i.Stands | i.Ended, outcome: i.Outcome | None,
-               sent: float | None) -> None:
+    def _learn(
+        self, now: float, gate: Gate, event: i.Stands | i.Ended, outcome: i.Outcome | None, sent: float | None
+    ) -> None:
         """What an answer tells of its server; `sent` is None for a call that stood before."""
         gate.standing = max(0, gate.standing + (outcome is None) - (sent is None))
         if outcome in (i.Outcome.RESET, i.Outcome.CONNECT_FAILED):
@@ -281,8 +285,11 @@
             # Overtaken: lost, sent anew. Silent since: moved at the last moment that leaves time to stand.
             lost = sent < gate.passed - 2 * BEAT and now - sent > 2 * gate.delay
             silent = gate.heard < sent and now - sent >= 2 * BEAT and left < 5 * BEAT
-            if left >= 0 and (lost or silent) and any(
-                    g.open(now, self._limit(call)) for g in self._eligible(call) if lost or g is not gate):
+            if (
+                left >= 0
+                and (lost or silent)
+                and any(g.open(now, self._limit(call)) for g in self._eligible(call) if lost or g is not gate)
+            ):
                 call.cancelling = True
                 self.acts.append(i.Cancel(call.id, call.sends - 1))
 
@@ -379,9 +386,15 @@
 
     def _eligible(self, call: Call) -> list[Gate]:
         cells, own, dest = call.klass.cells, self.set.own_cell, call.event.dest
-        return [g for g in self.gates.values()
-                if g.state is i.State.READY and (cells is None or g.cell in cells) and g not in call.erred
-                and (g.cell != own or own < 0) and (g.cell == dest or not call.event.transit)]
+        return [
+            g
+            for g in self.gates.values()
+            if g.state is i.State.READY
+            and (cells is None or g.cell in cells)
+            and g not in call.erred
+            and (g.cell != own or own < 0)
+            and (g.cell == dest or not call.event.transit)
+        ]
 
     def _paid(self, call: Call, gates: list[Gate]) -> list[Gate]:
         """Those of them where what is shared with other fronts lets it go now."""
@@ -390,13 +403,22 @@
 
     def _choose(self, now: float, call: Call) -> Gate | None:
         limit = self._limit(call)
-        able = [g for g in self._paid(call, self._eligible(call))
-                if g.size >= call.event.width and self._turn(now, g)]
+        able = [
+            g
+            for g in self._paid(call, self._eligible(call))
+            if g.size >= call.event.width and self._turn(now, g)
+        ]
         opened = [g for g in able if g.open(now, limit)]
         direct = next((g for g in able if g.cell == call.event.dest), None)
         due = [g for g in able if g not in opened and self._trial_due(now, g)]
-        tries = [g for g in due if g is direct and (not opened or call.value < self.top)
-                 or g.faults >= FAULTY and call.value <= self.least]  # barred: opens by a trial alone
+        tries = [
+            g
+            for g in due
+            if g is direct
+            and (not opened or call.value < self.top)
+            or g.faults >= FAULTY
+            and call.value <= self.least
+        ]  # barred: opens by a trial alone
         if tries:
             gate = direct if direct in tries else self.random.choice(tries)
             gate.trial_at = now
@@ -433,8 +455,11 @@
     def _bears(self, now: float, gate: Gate) -> float:
         """Set-ups per ms that it bears when warm: what its cell was seen to bear, or as its warm like."""
         if now - gate.bears_at > self.span / 2:
-            warm = [g for g in self.gates.values()
-                    if g.state is i.State.READY and g.cold_since is None and g.most > 0]
+            warm = [
+                g
+                for g in self.gates.values()
+                if g.state is i.State.READY and g.cold_since is None and g.most > 0
+            ]
             fill = max(SPARSE, sum(g.most for g in warm) / max(1.0, sum(g.size for g in warm)))
             seen = max(g.most for g in self._kin(gate))
             gate.bears, gate.bears_at = max(max(seen, gate.size * fill) / self.hold, 1 / TRIAL_EVERY), now
--- a/willowhitch/quiet.py
+++ b/willowhitch/quiet.py
@@ -1,4 +1,5 @@
 """Bounds the log: whoever sends us nonsense at full speed must not fill it, nor cost us the writing."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/willowhitch/settings.py
+++ b/willowhitch/settings.py
@@ -3,6 +3,7 @@
 The simulator hands the object to an instance in its first message; a softswitch has it in its configuration,
 and checks it strictly before anything of it is taken. Unknown keys are skipped.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -11,8 +12,15 @@
 
 from willowhitch import interface as i
 
-FIELDS = {"spare": "free", "total": "size", "waiting": "queue", "avg_ms": "latency_ms", "allowed": "qps",
-          "x0": "free", "x1": "size"}
+FIELDS = {
+    "spare": "free",
+    "total": "size",
+    "waiting": "queue",
+    "avg_ms": "latency_ms",
+    "allowed": "qps",
+    "x0": "free",
+    "x1": "size",
+}
 
 
 def settings_of(info: dict[str, Any]) -> i.Settings:
@@ -22,8 +30,11 @@
     holding = fam.get("holding") or []
     classes = tuple(
         i.CallClass(
-            name=lane["name"], aim=lane["aim"], worth=lane.get("credit", 1.0),
-            hold=holding[n] if n < len(holding) else 0.0, late_share=lane.get("late_value", 0.0),
+            name=lane["name"],
+            aim=lane["aim"],
+            worth=lane.get("credit", 1.0),
+            hold=holding[n] if n < len(holding) else 0.0,
+            late_share=lane.get("late_value", 0.0),
             deadline=lane.get("hard_limit", 0.0),
             repeatable=lane.get("idempotency", "read_like") == "read_like",
             cells=tuple(pools[n]) if n < len(pools) and pools[n] is not None else None,
@@ -70,7 +81,8 @@
 
 def _cells(value: Any) -> bool:
     return isinstance(value, list) and all(
-        cells is None or isinstance(cells, list) and all(map(_whole, cells)) for cells in value)
+        cells is None or isinstance(cells, list) and all(map(_whole, cells)) for cells in value
+    )
 
 
 POSITIVE: tuple[Check, str] = (lambda v: _number(v) and v > 0, "a positive number")
@@ -80,25 +92,50 @@
 FLAG: tuple[Check, str] = (lambda v: isinstance(v, bool), "true or false")
 TEXT: tuple[Check, str] = (lambda v: isinstance(v, str) and v != "", "a text")
 # What is read of each part, and what it has to be. A key with `True` must be there.
-LANE = {"name": (*TEXT, True), "aim": (*POSITIVE, True), "hard_limit": (*POSITIVE, False),
-        "credit": (*DURATION[:1], "a worth, 0 or more", False), "late_value": (*SHARE, False),
-        "idempotency": (*TEXT, False)}
+LANE = {
+    "name": (*TEXT, True),
+    "aim": (*POSITIVE, True),
+    "hard_limit": (*POSITIVE, False),
+    "credit": (*DURATION[:1], "a worth, 0 or more", False),
+    "late_value": (*SHARE, False),
+    "idempotency": (*TEXT, False),
+}
 PARTS = {
     "": {"fleet_size": (*COUNT, False), "registry_mode": (*TEXT, False), "tick": (*POSITIVE, False)},
-    "limits": {"may_cancel": (*FLAG, False), "peers": (*FLAG, False), "retry_after": (*FLAG, False),
-               "probes": (*FLAG, False),
-               "max_retry_after": (*DURATION, False), "send_cap": (*COUNT, False),
-               "connect_timeout": (*POSITIVE, False)},
-    "rules": {"cold": (*DURATION, False), "cold_from": (lambda v: _number(v) and 0 < v <= 1,
-                                                       "a number over 0, 1 at most", False),
-              "overload_factor": (*POSITIVE, False), "overload_for": (*POSITIVE, False)},
-    "family_info": {"own_number": (_whole, "a whole number", False), "clear_wait": (*DURATION, False),
-                    "repeat": (*DURATION, False), "network_form": (*TEXT, False),
-                    "holding": (lambda v: isinstance(v, list) and all(_number(h) and h >= 0 for h in v),
-                                "a list of ms", False),
-                    "skilled_pools": (_cells, "a list with the cells of each class, or null", False)},
-    "stats": {"fields": (lambda v: isinstance(v, list) and all(isinstance(f, str) for f in v),
-                         "a list of texts", False)},
+    "limits": {
+        "may_cancel": (*FLAG, False),
+        "peers": (*FLAG, False),
+        "retry_after": (*FLAG, False),
+        "probes": (*FLAG, False),
+        "max_retry_after": (*DURATION, False),
+        "send_cap": (*COUNT, False),
+        "connect_timeout": (*POSITIVE, False),
+    },
+    "rules": {
+        "cold": (*DURATION, False),
+        "cold_from": (lambda v: _number(v) and 0 < v <= 1, "a number over 0, 1 at most", False),
+        "overload_factor": (*POSITIVE, False),
+        "overload_for": (*POSITIVE, False),
+    },
+    "family_info": {
+        "own_number": (_whole, "a whole number", False),
+        "clear_wait": (*DURATION, False),
+        "repeat": (*DURATION, False),
+        "network_form": (*TEXT, False),
+        "holding": (
+            lambda v: isinstance(v, list) and all(_number(h) and h >= 0 for h in v),
+            "a list of ms",
+            False,
+        ),
+        "skilled_pools": (_cells, "a list with the cells of each class, or null", False),
+    },
+    "stats": {
+        "fields": (
+            lambda v: isinstance(v, list) and all(isinstance(f, str) for f in v),
+            "a list of texts",
+            False,
+        )
+    },
 }
 
 
--- a/willowhitch/signals.py
+++ b/willowhitch/signals.py
@@ -1,6 +1,7 @@
 """Signals from the first instant on. What is asked while the program starts is kept until there is somebody
 to carry it out: SIGHUP would end a process that has no handler yet, and one left out would be lost.
 """
+
 from __future__ import annotations
 
 import signal
--- a/willowhitch/standin/board.py
+++ b/willowhitch/standin/board.py
@@ -1,4 +1,5 @@
 """A notice board: numbered events with the list of quote engines."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -124,5 +125,7 @@
     def known(self) -> dict[str, Any]:
         """The events of the start, for a configuration."""
         hosts = [one.host() for one in self.listed.values()]
-        return {"rev": self.number,
-                "notices": [{"rev": self.number, "pool": {"seq": 1, "whole": True, "hosts": hosts}}]}
+        return {
+            "rev": self.number,
+            "notices": [{"rev": self.number, "pool": {"seq": 1, "whole": True, "hosts": hosts}}],
+        }
--- a/willowhitch/standin/caller.py
+++ b/willowhitch/standin/caller.py
@@ -1,4 +1,5 @@
 """Callers by SIP: place calls as they fall due, wait with patience, redial, and book what became of each."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -38,7 +39,8 @@
 
     def told(self) -> dict[str, Any]:
         return {name: getattr(self, name) for name in FIGURES} | {
-            "codes": {str(code): n for code, n in sorted(self.codes.items())}}
+            "codes": {str(code): n for code, n in sorted(self.codes.items())}
+        }
 
 
 FIGURES = tuple(f.name for f in fields(Tally) if f.name != "codes")
@@ -94,7 +96,7 @@
     def rawDataReceived(self, data: bytes) -> None:
         self.body += data
         if len(self.body) >= self.length:
-            rest, body = self.body[self.length:], self.body[:self.length]
+            rest, body = self.body[self.length :], self.body[: self.length]
             self._whole(body)
             self.setLineMode(rest)
 
@@ -104,8 +106,16 @@
         self.callers.heard(self, first, headers, body)
 
     def say(self, first: str, call: str, method: str, *more: str, body: bytes = b"") -> None:
-        lines = (first, "Via: SIP/2.0/TCP standin", f"Call-ID: {call}", f"CSeq: 1 {method}", *more,
-                 f"Content-Length: {len(body)}", "", "")
+        lines = (
+            first,
+            "Via: SIP/2.0/TCP standin",
+            f"Call-ID: {call}",
+            f"CSeq: 1 {method}",
+            *more,
+            f"Content-Length: {len(body)}",
+            "",
+            "",
+        )
         self.transport.write("\r\n".join(lines).encode("latin-1") + body)
 
 
@@ -120,8 +130,17 @@
     noisy = False
     maxDelay, initialDelay = 0.5, 0.05
 
-    def __init__(self, reactor: Any, address: tuple[str, int], seed: int, patience: float = 3.0,
-                 tries: int = 1, again: float = 0.0, pause: float = 1.0, honour: bool = False) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: tuple[str, int],
+        seed: int,
+        patience: float = 3.0,
+        tries: int = 1,
+        again: float = 0.0,
+        pause: float = 1.0,
+        honour: bool = False,
+    ) -> None:
         self.clock_, self.address, self.random = reactor, address, Random(seed)
         self.patience, self.tries, self.again = patience, tries, again
         self.pause, self.honour = pause, honour
@@ -175,9 +194,16 @@
             self._settle(call, 0, 0.0)
             return
         more = ("X-Retry: 1",) if nth else ()
-        self.line.say(f"INVITE sip:{stream.number}@net SIP/2.0", call, "INVITE", f"Subject: {stream.klass}",
-                      f"X-Patience: {self.patience * 1000:.0f}",
-                      f"X-Facts: dest:{stream.dest};width:{stream.width};via:-1", *more, body=description)
+        self.line.say(
+            f"INVITE sip:{stream.number}@net SIP/2.0",
+            call,
+            "INVITE",
+            f"Subject: {stream.klass}",
+            f"X-Patience: {self.patience * 1000:.0f}",
+            f"X-Facts: dest:{stream.dest};width:{stream.width};via:-1",
+            *more,
+            body=description,
+        )
 
     def _given_up(self, call: str) -> None:
         one = self.waiting[call]
--- a/willowhitch/standin/engine.py
+++ b/willowhitch/standin/engine.py
@@ -4,6 +4,7 @@
 A call takes its circuits when its set-up is looked at, and holds them until it ends. Times are seconds in the
 settings and in the code, but for what the wire counts in milliseconds.
 """
+
 from __future__ import annotations
 
 from collections import Counter, deque
@@ -123,8 +124,13 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, settings: EngineSettings, seed: int,
-                 watch: Callable[[str, str], None] | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        settings: EngineSettings,
+        seed: int,
+        watch: Callable[[str, str], None] | None = None,
+    ) -> None:
         self.reactor, self.set, self.random = reactor, settings, Random(seed)
         self.watch = watch or (lambda what, call: None)
         self.came: Callable[[str, str], None] | None = None  # told (call, class) of each set-up as it comes
@@ -187,7 +193,8 @@
             self.lately.popleft()
         bears = self.set.overload_factor * self.set.bears * warmth * self.set.overload_for
         self.count["most of what a cold engine bears, %"] = max(
-            self.count["most of what a cold engine bears, %"], round(100 * len(self.lately) / bears))
+            self.count["most of what a cold engine bears, %"], round(100 * len(self.lately) / bears)
+        )
         # What comes by itself varies by the root of its number; only what lies beyond that pushes it over.
         return len(self.lately) > bears + 3 * sqrt(bears) + 3
 
--- a/willowhitch/standin/faults/audit.py
+++ b/willowhitch/standin/faults/audit.py
@@ -4,6 +4,7 @@
 Three witnesses that know nothing of each other: what each process says that it holds, the times at which each
 says that it spent (one machine, so one clock), and the set-ups that the stand-in engines saw.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -78,12 +79,23 @@
                 book.came.append(now)
 
     def told(self) -> dict[str, Any]:
-        return {name: {"whole": b.whole, "over_s": b.over / 1000, "most_held": b.most_held,
-                       "most_spent": b.most_spent(), "most_at_engines": b.most_came(), "spent": len(b.spent),
-                       "at_engines": len(b.came)}
-                for name, b in self.books.items()}
+        return {
+            name: {
+                "whole": b.whole,
+                "over_s": b.over / 1000,
+                "most_held": b.most_held,
+                "most_spent": b.most_spent(),
+                "most_at_engines": b.most_came(),
+                "spent": len(b.spent),
+                "at_engines": len(b.came),
+            }
+            for name, b in self.books.items()
+        }
 
     def above(self) -> list[str]:
         """The budgets of which somebody saw more than the whole."""
-        return [name for name, t in self.told().items()
-                if max(t["most_held"], t["most_spent"], t["most_at_engines"]) > t["whole"]]
+        return [
+            name
+            for name, t in self.told().items()
+            if max(t["most_held"], t["most_spent"], t["most_at_engines"]) > t["whole"]
+        ]
--- a/willowhitch/standin/faults/budget_model.py
+++ b/willowhitch/standin/faults/budget_model.py
@@ -7,6 +7,7 @@
 member held within the last window sums to no more than the whole: so no slot can have been used twice in a
 window, whoever spends when.
 """
+
 from __future__ import annotations
 
 import pickle
@@ -147,8 +148,9 @@
                     past.pop(-2)
                 total += max(held for at, held in past if at > state.now - b.over)
             if total > b.whole:
-                self.broken = (f"{b.name}: {total} slots could be used in {b.over:.0f} ms, the whole is "
-                               f"{b.whole}")
+                self.broken = (
+                    f"{b.name}: {total} slots could be used in {b.over:.0f} ms, the whole is {b.whole}"
+                )
 
     def calm(self, state: State, ms: float, without: tuple[int, ...] = ()) -> None:
         """Plays on in good order: all timers run, all messages arrive, but for those of some members."""
--- a/willowhitch/standin/faults/budget_world.py
+++ b/willowhitch/standin/faults/budget_world.py
@@ -4,6 +4,7 @@
 A run is a function of its arguments. After each step the checker holds what all hold, and what all spent in
 any window, to the whole; and that at most one process is in office.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -101,12 +102,23 @@
 class BudgetWorld:
     """Members, links, clocks and time."""
 
-    def __init__(self, plan: Plan, members: int, sites: int, seed: int, faults: Sequence[Fault] = (),
-                 demand: Demand | None = None, make: Callable[..., Any] = Keeper, strict: bool = True,
-                 drift: float | None = None, late: float = LATE, lose: float = 0.0,
-                 plans: Sequence[tuple[float, str, Plan]] = (),
-                 look: Callable[[BudgetWorld], None] | None = None,
-                 joins: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        members: int,
+        sites: int,
+        seed: int,
+        faults: Sequence[Fault] = (),
+        demand: Demand | None = None,
+        make: Callable[..., Any] = Keeper,
+        strict: bool = True,
+        drift: float | None = None,
+        late: float = LATE,
+        lose: float = 0.0,
+        plans: Sequence[tuple[float, str, Plan]] = (),
+        look: Callable[[BudgetWorld], None] | None = None,
+        joins: dict[str, float] | None = None,
+    ) -> None:
         self.rng, self.now, self.plan, self.make, self.strict = Random(seed), 0.0, plan, make, strict
         self.drift = plan.drift if drift is None else drift
         self.late, self.lose, self.demand = late, lose, demand or even(5.0)
@@ -160,8 +172,9 @@
             return
         node.up, node.boots, node.inbox, node.stuck = True, node.boots + 1, [], []
         clock = node.clock
-        node.keeper = self.make(node.plan, node.address, self.rng.getrandbits(62), self.rng.getrandbits(32),
-                                clock())
+        node.keeper = self.make(
+            node.plan, node.address, self.rng.getrandbits(62), self.rng.getrandbits(32), clock()
+        )
         keeper = node.keeper
         node.purse = Purse(node.plan, lambda now, name: keeper.held(now, name), clock)
         self._tick(node, node.boots)
@@ -297,8 +310,11 @@
         return sum(n.keeper.held(n.clock(), name) for n in self.nodes.values() if n.up)
 
     def _check(self) -> None:
-        in_office = [n.name for n in self.nodes.values() if n.up and n.keeper.votes
-                     and n.keeper.candidate.holds(n.clock())]
+        in_office = [
+            n.name
+            for n in self.nodes.values()
+            if n.up and n.keeper.votes and n.keeper.candidate.holds(n.clock())
+        ]
         if len(in_office) > 1:
             raise Broken(f"{self.now:.0f} ms: {' and '.join(in_office)} are in office at once")
         for b in self.plan.budgets:
@@ -310,8 +326,10 @@
             if held > whole or len(uses) > whole:
                 self.over += 1
                 if self.strict:
-                    raise Broken(f"{self.now:.0f} ms: {b.name}: {held} slots held, {len(uses)} used in "
-                                 f"{b.over:.0f} ms, the whole is {whole}")
+                    raise Broken(
+                        f"{self.now:.0f} ms: {b.name}: {held} slots held, {len(uses)} used in "
+                        f"{b.over:.0f} ms, the whole is {whole}"
+                    )
 
     def settled(self) -> bool:
         """One allocator, and everyone has its part from it; with no majority of voters up, all are at their
@@ -319,16 +337,19 @@
         up = [n for n in self.nodes.values() if n.up and n.stopped_until <= self.now]
         if sum(n.keeper.votes for n in up) < self.plan.majority:
             return all(n.keeper.holder.fresh for n in up)
-        return all(not n.keeper.holder.fresh for n in up) and sum(
-            n.keeper.votes and n.keeper.candidate.holds(n.clock()) for n in up) == 1
+        return (
+            all(not n.keeper.holder.fresh for n in up)
+            and sum(n.keeper.votes and n.keeper.candidate.holds(n.clock()) for n in up) == 1
+        )
 
 
 def address_of(n: int) -> str:
     return f"10.0.{n >> 8}.{n & 255}:7946"
 
 
-def play(plan: Plan, members: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault],
-         **more: Any) -> Outcome:
+def play(
+    plan: Plan, members: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault], **more: Any
+) -> Outcome:
     """One run, with what the checker saw."""
     world = BudgetWorld(plan, members, sites, seed, faults, **more)
     broken = ""
@@ -337,6 +358,14 @@
     except Broken as e:
         broken = str(e)
     nodes = world.nodes.values()
-    return Outcome(not broken and world.settled(), broken, world.events, world.spent, world.offices,
-                   world.lapses, sum(n.bytes_out for n in nodes) / seconds / members,
-                   sum(n.messages for n in nodes) / seconds / members, world.over)
+    return Outcome(
+        not broken and world.settled(),
+        broken,
+        world.events,
+        world.spent,
+        world.offices,
+        world.lapses,
+        sum(n.bytes_out for n in nodes) / seconds / members,
+        sum(n.messages for n in nodes) / seconds / members,
+        world.over,
+    )
--- a/willowhitch/standin/faults/drill.py
+++ b/willowhitch/standin/faults/drill.py
@@ -3,6 +3,7 @@
 The checker asks each process for its view once in 100 ms and holds all against each other and against what is
 true. What was done when is kept, and is a schedule again.
 """
+
 from __future__ import annotations
 
 import os
@@ -74,18 +75,40 @@
     above: list[str] = field(default_factory=list)  # budgets of which more than the whole was seen
 
     def told(self) -> dict[str, Any]:
-        faults = [{"what": e.fault.what, "who": list(e.fault.who), "began_s": round(e.began, 2),
-                   "ended_s": None if e.ended is None else round(e.ended, 2), "known_s": e.known,
-                   "settle_s": e.settled} for e in self.events]
-        return {"settled": self.settled, "settle_s": [e.settled for e in self.events],
-                "start_s": self.start_s, "false_gone": len(self.false_gone),
-                "falsely_gone": self.false_gone, "processes": self.processes,
-                "sites": self.sites, "seed": self.seed, "seconds": self.seconds, "faults": faults,
-                "calls": {"placed": self.calls, "stood": self.carried, "cut": self.cut,
-                          "unanswered": self.unanswered, "second_answers": self.second_answers,
-                          "wrong_descriptions": self.wrong_descriptions},
-                "looks": self.looks, "unread": self.unread,
-                **({"budgets": self.budgets, "above": self.above} if self.budgets else {})}
+        faults = [
+            {
+                "what": e.fault.what,
+                "who": list(e.fault.who),
+                "began_s": round(e.began, 2),
+                "ended_s": None if e.ended is None else round(e.ended, 2),
+                "known_s": e.known,
+                "settle_s": e.settled,
+            }
+            for e in self.events
+        ]
+        return {
+            "settled": self.settled,
+            "settle_s": [e.settled for e in self.events],
+            "start_s": self.start_s,
+            "false_gone": len(self.false_gone),
+            "falsely_gone": self.false_gone,
+            "processes": self.processes,
+            "sites": self.sites,
+            "seed": self.seed,
+            "seconds": self.seconds,
+            "faults": faults,
+            "calls": {
+                "placed": self.calls,
+                "stood": self.carried,
+                "cut": self.cut,
+                "unanswered": self.unanswered,
+                "second_answers": self.second_answers,
+                "wrong_descriptions": self.wrong_descriptions,
+            },
+            "looks": self.looks,
+            "unread": self.unread,
+            **({"budgets": self.budgets, "above": self.above} if self.budgets else {}),
+        }
 
     def schedule(self) -> bytes:
         return msgspec.json.encode([e.fault for e in self.events])
@@ -128,25 +151,47 @@
     hold = {"price-check": 1.6, "save-quote": 2.4}
     return Day(
         engines=tuple(
-            EngineSettings(f"s-{n + 1:08x}", n, 400, hold=hold, work=0.002) for n in range(engines)),
+            EngineSettings(f"s-{n + 1:08x}", n, 400, hold=hold, work=0.002) for n in range(engines)
+        ),
         classes=(ClassSettings("price-check", 2.0, 1.6), ClassSettings("save-quote", 1.5, 2.4, worth=3.0)),
-        streams=tuple(StreamSettings(name, rate * share / engines, n, number=str(n))
-                      for n in range(engines)
-                      for name, share in (("price-check", 0.78), ("save-quote", 0.22))),
-        seconds=seconds, softswitches=softswitches, seed=seed, patience=3.0)
+        streams=tuple(
+            StreamSettings(name, rate * share / engines, n, number=str(n))
+            for n in range(engines)
+            for name, share in (("price-check", 0.78), ("save-quote", 0.22))
+        ),
+        seconds=seconds,
+        softswitches=softswitches,
+        seed=seed,
+        patience=3.0,
+    )
 
 
 class Drill(Fleet):
     """Plays one drill. With `view` off the same processes, load and faults without the fleet's part; with
     `watched` off nobody asks for the views, so that what they cost by themselves can be measured."""
 
-    def __init__(self, softswitches: int, sites: int, seconds: float, seed: int, faults: Sequence[Fault],
-                 rate: float = 24.0, view: bool = True, watched: bool = True, tables: str = "",
-                 periods: str = "", budgets: Sequence[dict[str, Any]] = (), heavy: float = 0.0,
-                 moves_s: float = 0.0, engines: int = 3,
-                 on_second: Callable[[Drill], None] | None = None) -> None:
-        super().__init__(day_of(softswitches, seconds, seed, rate, engines),
-                         (lambda fleet: on_second(self)) if on_second else None)
+    def __init__(
+        self,
+        softswitches: int,
+        sites: int,
+        seconds: float,
+        seed: int,
+        faults: Sequence[Fault],
+        rate: float = 24.0,
+        view: bool = True,
+        watched: bool = True,
+        tables: str = "",
+        periods: str = "",
+        budgets: Sequence[dict[str, Any]] = (),
+        heavy: float = 0.0,
+        moves_s: float = 0.0,
+        engines: int = 3,
+        on_second: Callable[[Drill], None] | None = None,
+    ) -> None:
+        super().__init__(
+            day_of(softswitches, seconds, seed, rate, engines),
+            (lambda fleet: on_second(self)) if on_second else None,
+        )
         self.view, self.tables, self.periods = view, tables, periods
         self.watched = view and watched
         self.budgets = list(budgets)
@@ -188,18 +233,32 @@
         dial = {}
         for m in range(len(self.names)):
             if m != n:
-                relay = Relay(self.reactor, self.links, self.names[n], self.names[m], self.peer_at[m],
-                              self.rng.getrandbits(32))
+                relay = Relay(
+                    self.reactor,
+                    self.links,
+                    self.names[n],
+                    self.names[m],
+                    self.peer_at[m],
+                    self.rng.getrandbits(32),
+                )
                 self.relays[n, m] = relay
                 dial[self._at(m)] = "{}:{}".format(*relay.listen())
-        table = {"name": "drill", "address": self._at(n), "site": self.sites[self.names[n]],
-                 "seeds": [self._at(m) for m in range(min(3, len(self.names)))], "dial": dial,
-                 "folder": f"state-{n}"}
+        table = {
+            "name": "drill",
+            "address": self._at(n),
+            "site": self.sites[self.names[n]],
+            "seeds": [self._at(m) for m in range(min(3, len(self.names)))],
+            "dial": dial,
+            "folder": f"state-{n}",
+        }
         text = f"fleet = {orjson.dumps(table).decode()[:-1]}{self.periods}}}\n{self.tables}"
         if self.budgets:
             everyone = [self._at(m) for m in range(len(self.names))]
-            allocation = {"members": everyone, "voters": everyone[:min(5, len(everyone))],
-                          "record": 4_000 if self.watched else 0}
+            allocation = {
+                "members": everyone,
+                "voters": everyone[: min(5, len(everyone))],
+                "record": 4_000 if self.watched else 0,
+            }
             text += f"\nbudgets = {orjson.dumps(self.budgets).decode()}\n"
             text += f"allocation = {orjson.dumps(allocation).decode()}\n"
         return text
@@ -215,8 +274,14 @@
         env.pop("WILLOWHITCH_OPERATOR", None)
         if star.exists():
             env["WILLOWHITCH_OPERATOR"] = str(star)
-        made = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=Path(__file__).parents[3], env=env,
-                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        made = subprocess.Popen(
+            [sys.executable, "-m", "willowhitch"],
+            cwd=Path(__file__).parents[3],
+            env=env,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
 
         def copy() -> None:
             assert made.stdout is not None
@@ -314,8 +379,11 @@
                 self.links.away.discard(self.names[n])
                 self.programs[n].send_signal(signal.SIGCONT)
             elif fault.what == "disk full" and self.programs[n].poll() is None:
-                resource.prlimit(self.programs[n].pid, resource.RLIMIT_FSIZE,
-                                 (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+                resource.prlimit(
+                    self.programs[n].pid,
+                    resource.RLIMIT_FSIZE,
+                    (resource.RLIM_INFINITY, resource.RLIM_INFINITY),
+                )
             elif fault.what == "disk read-only":
                 folder = Path(self.dir.name, f"state-{n}")
                 if folder.is_file():
@@ -385,8 +453,11 @@
         for n in range(len(self.names)):
             if self.meant[n] == "run":
                 asked = [("/v1/budgets", partial(self._holds, n))]
-                asked += [(f"/v1/budgets/{name}", partial(self._spent, n, name))
-                          for name, book in self.audit.books.items() if book.what in ("set-ups", "repeats")]
+                asked += [
+                    (f"/v1/budgets/{name}", partial(self._spent, n, name))
+                    for name, book in self.audit.books.items()
+                    if book.what in ("set-ups", "repeats")
+                ]
                 for path, done in asked:
                     self.reactor.connectTCP(*self.mgmt_at[n], Asker(path, done), timeout=ASKED)
         self.reactor.callLater(ADDED, self._add_up)
@@ -421,11 +492,14 @@
             said = f"{self.names[n]} of {member['name']}, incarnation {member['incarnation']}"
             same = ("name", "state", "incarnation")
             known = before is not None and any(
-                all(m[key] == member[key] for key in same) for m in before["members"])
+                all(m[key] == member[key] for key in same) for m in before["members"]
+            )
             # What is said of a life that truly ended, by one who only now hears of it, accuses nobody.
             own = self.views.get(self.names.index(member["name"]), {"members": ()})
-            runs = any(m["name"] == member["name"] and m["boot"] == member["boot"] and m["state"] == "alive"
-                       for m in own["members"])
+            runs = any(
+                m["name"] == member["name"] and m["boot"] == member["boot"] and m["state"] == "alive"
+                for m in own["members"]
+            )
             excused = self.links.excused(self.now() * 1000, self.names[n], member["name"])
             if runs and not known and not excused:
                 self.false_gone.setdefault(said)
@@ -452,10 +526,17 @@
                 e.settled = round(now - e.ended, 2)
             if e.fault.what in ("kill", "leave", "restart") and e.known is None and now > e.began + LOOK:
                 dead = set(selected(e.fault.who, self.sites))
-                running = [n for n in self.views if self.meant[n] == "run" and n in self.ready
-                           and self.names[n] not in dead]
-                if running and all(m["state"] not in ("alive", "joining") for n in running
-                                   for m in self.views[n]["members"] if m["name"] in dead):
+                running = [
+                    n
+                    for n in self.views
+                    if self.meant[n] == "run" and n in self.ready and self.names[n] not in dead
+                ]
+                if running and all(
+                    m["state"] not in ("alive", "joining")
+                    for n in running
+                    for m in self.views[n]["members"]
+                    if m["name"] in dead
+                ):
                     e.known = round(now - e.began, 2)
 
     def _stop(self) -> None:
@@ -479,7 +560,23 @@
         total = result.total()
         settled = self.start_s is not None and all(e.settled is not None for e in self.events)
         settled |= not self.watched
-        return Seen(len(self.names), self.places, self.day.seed, self.day.seconds, settled,
-                    self.start_s, self.events, list(self.false_gone), total.calls, total.carried, total.cut,
-                    total.unanswered, total.second_answers, total.wrong_description, self.looks, self.unread,
-                    self.audit.told() if self.audit else {}, self.audit.above() if self.audit else [])
+        return Seen(
+            len(self.names),
+            self.places,
+            self.day.seed,
+            self.day.seconds,
+            settled,
+            self.start_s,
+            self.events,
+            list(self.false_gone),
+            total.calls,
+            total.carried,
+            total.cut,
+            total.unanswered,
+            total.second_answers,
+            total.wrong_description,
+            self.looks,
+            self.unread,
+            self.audit.told() if self.audit else {},
+            self.audit.above() if self.audit else [],
+        )
--- a/willowhitch/standin/faults/links.py
+++ b/willowhitch/standin/faults/links.py
@@ -3,6 +3,7 @@
 Shared by the world on virtual time and by the relays between real processes, so that one schedule means the
 same in both. Times in ms.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
--- a/willowhitch/standin/faults/relay.py
+++ b/willowhitch/standin/faults/relay.py
@@ -3,6 +3,7 @@
 A process dials the relay of (itself, the other) in place of the other; what the faults that are on say
 happens to each datagram and each piece of a connection.
 """
+
 from __future__ import annotations
 
 from random import Random
@@ -31,7 +32,7 @@
             return
         if way.spoilt and data:
             at = rng.randrange(len(data))
-            data = data[:at] + bytes((data[at] ^ (1 + rng.randrange(255)),)) + data[at + 1:]
+            data = data[:at] + bytes((data[at] ^ (1 + rng.randrange(255)),)) + data[at + 1 :]
         for late in (0.0, rng.uniform(0.0, 50.0)) if way.double else (0.0,):
             relay.reactor.callLater((way.delay + relay.queued(way, len(data)) + late) / 1000, self._on, data)
 
@@ -120,8 +121,9 @@
 class Relay:
     """From one process to another; `listen` tells where the first one is to dial."""
 
-    def __init__(self, reactor: Any, links: Links, src: str, dst: str, to: tuple[str, int],
-                 seed: int) -> None:
+    def __init__(
+        self, reactor: Any, links: Links, src: str, dst: str, to: tuple[str, int], seed: int
+    ) -> None:
         self.reactor, self.links, self.src, self.dst, self.to = reactor, links, src, dst, to
         self.rng = Random(seed)
         self.halves: dict[Half, None] = {}
--- a/willowhitch/standin/fleet.py
+++ b/willowhitch/standin/fleet.py
@@ -3,6 +3,7 @@
 One process holds the stand-ins; each softswitch is a process of its own, started as the platform does it. The
 runs of a day begin with `warm` seconds that are not counted.
 """
+
 from __future__ import annotations
 
 import os
@@ -71,15 +72,34 @@
     def settings(self) -> dict[str, Any]:
         """The softswitches' settings, as the platform's configuration has them."""
         return {
-            "family": "trunks", "fleet_size": self.softswitches,
-            "family_info": {"own_number": -1, "clear_wait": 200.0, "repeat": 500.0,
-                            "holding": [c.hold * 1000 for c in self.classes]},
-            "lanes": [{"name": c.name, "aim": c.aim * 1000, "credit": c.worth, "late_value": c.late_share,
-                       "hard_limit": c.given_up * 1000} for c in self.classes],
-            "limits": {"may_cancel": False, "probes": True, "send_cap": self.max_attempts,
-                       "retry_after": True, "max_retry_after": 2000.0},
+            "family": "trunks",
+            "fleet_size": self.softswitches,
+            "family_info": {
+                "own_number": -1,
+                "clear_wait": 200.0,
+                "repeat": 500.0,
+                "holding": [c.hold * 1000 for c in self.classes],
+            },
+            "lanes": [
+                {
+                    "name": c.name,
+                    "aim": c.aim * 1000,
+                    "credit": c.worth,
+                    "late_value": c.late_share,
+                    "hard_limit": c.given_up * 1000,
+                }
+                for c in self.classes
+            ],
+            "limits": {
+                "may_cancel": False,
+                "probes": True,
+                "send_cap": self.max_attempts,
+                "retry_after": True,
+                "max_retry_after": 2000.0,
+            },
             "rules": {"cold": 1000.0, "cold_from": 0.3, "overload_factor": 3.0, "overload_for": 1000.0},
-            "stats": {"fields": ["x0", "x1", "qps"], "how": "answers"}, "tick": 5.0,
+            "stats": {"fields": ["x0", "x1", "qps"], "how": "answers"},
+            "tick": 5.0,
         }
 
 
@@ -159,17 +179,34 @@
         for n in range(self.day.softswitches):
             port = free_port()
             config = Path(self.dir.name, f"n{n}.json")
-            config.write_bytes(orjson.dumps({
-                "name": f"n{n}", "listen": f"127.0.0.1:{port}", "seed": f"{self.day.seed * 31 + n:016x}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                "board": f"{board[0]}:{board[1]}", "known": self.board.known(),
-                "settings": self.day.settings()} | self.configured(n)))
+            config.write_bytes(
+                orjson.dumps(
+                    {
+                        "name": f"n{n}",
+                        "listen": f"127.0.0.1:{port}",
+                        "seed": f"{self.day.seed * 31 + n:016x}",
+                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                        "board": f"{board[0]}:{board[1]}",
+                        "known": self.board.known(),
+                        "settings": self.day.settings(),
+                    }
+                    | self.configured(n)
+                )
+            )
             if tables := self.operator_text(n):
                 Path(self.dir.name, f"n{n}.star").write_text(tables)
             self.logs.append(Path(self.dir.name, f"n{n}.log"))
             self.programs.append(self.program(n))
-            callers = Callers(self.reactor, ("127.0.0.1", port), self.day.seed * 65537 + n, self.day.patience,
-                              self.day.tries, self.day.again, self.day.pause, self.day.honour)
+            callers = Callers(
+                self.reactor,
+                ("127.0.0.1", port),
+                self.day.seed * 65537 + n,
+                self.day.patience,
+                self.day.tries,
+                self.day.again,
+                self.day.pause,
+                self.day.honour,
+            )
             callers.on_up = self._one_up
             self.callers.append(callers)
             callers.connect()
@@ -184,8 +221,10 @@
         """Its operator file; empty: it has none."""
         if not self.day.record_interval:
             return ""
-        return (f'record = {{"file": "n{n}.whtr", "interval_s": {self.day.record_interval:g}, '
-                f'"slot_s": {self.day.record_slot:g}}}\n')
+        return (
+            f'record = {{"file": "n{n}.whtr", "interval_s": {self.day.record_interval:g}, '
+            f'"slot_s": {self.day.record_slot:g}}}\n'
+        )
 
     def program(self, n: int) -> subprocess.Popen[bytes]:
         """Starts a softswitch, for the first time or again; its log goes on."""
@@ -195,13 +234,22 @@
         if star.exists():
             env["WILLOWHITCH_OPERATOR"] = str(star)
         with open(self.logs[n], "ab") as out:
-            return subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=env, stdout=out,
-                                    stderr=out, stdin=subprocess.DEVNULL)
+            return subprocess.Popen(
+                [sys.executable, "-m", "willowhitch"],
+                cwd=ROOT,
+                env=env,
+                stdout=out,
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+            )
 
     def _fail(self, why: str) -> None:
         if not self.failed:
-            said = [f"{log.name}: {line}" for log in self.logs
-                    for line in log.read_text(errors="replace").splitlines()[-5:]]
+            said = [
+                f"{log.name}: {line}"
+                for log in self.logs
+                for line in log.read_text(errors="replace").splitlines()[-5:]
+            ]
             self.failed = "; ".join([why, *said])
             self._stop()
 
@@ -306,9 +354,15 @@
         for callers in self.callers:
             for key, tally in callers.tallies.items():
                 tallies.setdefault(key, Tally()).add(tally)
-        engines = [{"cell": e.set.cell, "circuits": e.set.circuits, "erlangs": load,
-                    **{k: v - base.get(k, 0) for k, v in e.count.items()}}
-                   for e, load, base in zip(self.engines, self.loads, self.counts_base, strict=True)]
+        engines = [
+            {
+                "cell": e.set.cell,
+                "circuits": e.set.circuits,
+                "erlangs": load,
+                **{k: v - base.get(k, 0) for k, v in e.count.items()},
+            }
+            for e, load, base in zip(self.engines, self.loads, self.counts_base, strict=True)
+        ]
         counters = []
         for log in self.logs:
             lines = [line for line in log.read_text(errors="replace").splitlines() if "counters {" in line]
--- a/willowhitch/standin/traffic.py
+++ b/willowhitch/standin/traffic.py
@@ -1,4 +1,5 @@
 """Arrivals of calls: random, switched (peaky), or following a profile; seeded, one stream each."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
@@ -59,9 +60,12 @@
             yield at
 
 
-def merged(streams: list[StreamSettings], seed: int, until: float,
-           one: Callable[[StreamSettings, int, float], Iterator[float]] = arrivals
-           ) -> list[tuple[float, StreamSettings]]:
+def merged(
+    streams: list[StreamSettings],
+    seed: int,
+    until: float,
+    one: Callable[[StreamSettings, int, float], Iterator[float]] = arrivals,
+) -> list[tuple[float, StreamSettings]]:
     """All streams' calls in order of time; each stream has its own seed."""
     found = [(at, n) for n, s in enumerate(streams) for at in one(s, seed * 1009 + n, until)]
     return [(at, streams[n]) for at, n in sorted(found)]
--- a/willowhitch/storage/snapshot.py
+++ b/willowhitch/storage/snapshot.py
@@ -3,6 +3,7 @@
 What was written is there whole after a kill, or what was there before is. Written beside the file, synced and
 renamed over it; then the folder is synced. The calls block: they belong in a thread.
 """
+
 from __future__ import annotations
 
 import os
@@ -82,7 +83,7 @@
         if len(data) < HEAD.size:
             raise BadSnapshot(f"{self.path}: cut short at {len(data)} bytes")
         magic, kind, version, length, checksum = HEAD.unpack_from(data)
-        record = data[HEAD.size:]
+        record = data[HEAD.size :]
         if magic != MAGIC or kind != self.kind:
             raise BadSnapshot(f"{self.path}: no snapshot of this kind")
         if len(record) != length or checksum != _checksum(kind, version, record):
--- a/willowhitch/telemetry.py
+++ b/willowhitch/telemetry.py
@@ -3,6 +3,7 @@
 The exporter's own thread sends; the loop only counts. Nothing waits for a collector, and while it is down
 nothing piles up: the figures are sums, and an export that fails is left out.
 """
+
 from __future__ import annotations
 
 import logging
@@ -45,14 +46,17 @@
             return [Observation(n, {"what": what}) for what, n in dict(switch.count).items()]
 
         def now(_: Any) -> Iterable[Observation]:
-            return [Observation(switch.open, {"state": "setting up"}),
-                    Observation(len(switch.calls) - switch.open, {"state": "standing"})]
+            return [
+                Observation(switch.open, {"state": "setting up"}),
+                Observation(len(switch.calls) - switch.open, {"state": "standing"}),
+            ]
 
         meter.create_observable_counter("willowhitch.events", [counters], description="what was counted")
         meter.create_observable_gauge("willowhitch.calls", [now], description="calls known now")
         self.times = {
-            what: meter.create_histogram(f"willowhitch.{what}.duration", "ms",
-                                         explicit_bucket_boundaries_advisory=BOUNDS)
+            what: meter.create_histogram(
+                f"willowhitch.{what}.duration", "ms", explicit_bucket_boundaries_advisory=BOUNDS
+            )
             for what in ("set-up", "call")
         }
         switch.on_duration = self.measured
