--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 .PHONY: demo test
 demo: .venv/ready  ## a softswitch among stand-ins on loopback: a live table for 20 s, then a traffic report
-	$(PY) -m willowhitch.cli demo
+	$(PY) -m softswitch.cli demo
 
 test: .venv/ready  ## what CI runs: lint, types, import rules, tests; known failures by KNOWN-RED.txt
 	.venv/bin/ruff check .
--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -17,13 +17,13 @@
 from random import Random
 from statistics import mean
 
-from willowhitch.budgets import holder, keeper, office, plan, voter
-from willowhitch.budgets.keeper import Keeper
-from willowhitch.budgets.messages import Promised
-from willowhitch.budgets.plan import Budget, Plan
-from willowhitch.budgets.window import Window
-from willowhitch.standin.faults.budget_world import BudgetWorld, address_of, even, play
-from willowhitch.standin.faults.schedule import drawn
+from softswitch.budgets import allocator, lease_client, lease_holder, plan, voter
+from softswitch.budgets.lease_client import Keeper
+from softswitch.budgets.messages import Promised
+from softswitch.budgets.plan import Budget, Plan
+from softswitch.budgets.sliding_window import Window
+from softswitch.standin.faults.budget_simulation import BudgetWorld, address_of, even, play
+from softswitch.standin.faults.schedule import drawn
 
 SECONDS, STEPS = 40.0, 600  # of a drawn schedule; of a way through the model
 
@@ -90,7 +90,7 @@
         if now < self.next:
             return []
         self.next = now + 1_000.0
-        return [keeper.Say(m, Promised(self.me, (1, 1), 1)) for m in self.plan.members if m != self.me]
+        return [lease_client.Say(m, Promised(self.me, (1, 1), 1)) for m in self.plan.members if m != self.me]
 
     def heard(self, now, message):
         self.heard_at[message.voter] = now
@@ -263,28 +263,28 @@
     return {
         "a voter that started anew promises at once": lambda: patch(voter.Voter, "__init__", after_start),
         "a voter promises itself to two": lambda: patch(voter.Voter, "asked", promises_all),
-        "one promise is a majority": lambda: patch(office.Candidate, "promised", any_number),
+        "one promise is a majority": lambda: patch(allocator.Candidate, "promised", any_number),
         "an office counts from the answer, not the question": lambda: patch(
-            office.Candidate, "promised", from_answer
+            allocator.Candidate, "promised", from_answer
         ),
-        "an office never ends by its clock": lambda: patch(office.Candidate, "holds", never_asks_clock),
-        "a grant replaces whatever is held": lambda: patch(holder.Holder, "granted", any_basis),
-        "a part runs from its arrival": lambda: patch(holder.Holder, "granted", from_arrival),
-        "a grant of a life before is taken": lambda: patch(holder.Holder, "granted", any_life),
-        "a part is held after its time": lambda: patch(holder.Holder, "leased", keeps_on),
+        "an office never ends by its clock": lambda: patch(allocator.Candidate, "holds", never_asks_clock),
+        "a grant replaces whatever is held": lambda: patch(lease_holder.Holder, "granted", any_basis),
+        "a part runs from its arrival": lambda: patch(lease_holder.Holder, "granted", from_arrival),
+        "a grant of a life before is taken": lambda: patch(lease_holder.Holder, "granted", any_life),
+        "a part is held after its time": lambda: patch(lease_holder.Holder, "leased", keeps_on),
         "freed slots do not rest": lambda: patch(plan.Plan, "rests", no_rest),
         "leases are written off early": lambda: patch(plan.Plan, "owed", own_lease),
-        "a renewal needs no echo of the office": lambda: patch(office.Candidate, "wanted", no_echo),
-        "a new office grants at once": lambda: patch(office.Books, "settled", settles),
-        "a holder is believed whatever it says": lambda: patch(office.Candidate, "wanted", trusts_held),
-        "only the last grant is in the books": lambda: patch(office.Books, "owe", last_debt),
-        "floors are left out of the sum": lambda: patch(office.Books, "leasable", no_floors),
-        "a restart ends what the life before holds": lambda: patch(office.Books, "heard", two_lives),
-        "who is silent is written off": lambda: patch(office.Books, "sweep", forgets),
-        "all is free": lambda: patch(office.Books, "free", whole_target),
-        "a few more are free": lambda: patch(office.Books, "free", keeps_books),
-        "parts are rounded up": lambda: patch(office, "divided", rounds_up),
-        "a restart has its floor at once": lambda: patch(holder.Holder, "floor", floor_at_once),
+        "a renewal needs no echo of the office": lambda: patch(allocator.Candidate, "wanted", no_echo),
+        "a new office grants at once": lambda: patch(allocator.Books, "settled", settles),
+        "a holder is believed whatever it says": lambda: patch(allocator.Candidate, "wanted", trusts_held),
+        "only the last grant is in the books": lambda: patch(allocator.Books, "owe", last_debt),
+        "floors are left out of the sum": lambda: patch(allocator.Books, "leasable", no_floors),
+        "a restart ends what the life before holds": lambda: patch(allocator.Books, "heard", two_lives),
+        "who is silent is written off": lambda: patch(allocator.Books, "sweep", forgets),
+        "all is free": lambda: patch(allocator.Books, "free", whole_target),
+        "a few more are free": lambda: patch(allocator.Books, "free", keeps_books),
+        "parts are rounded up": lambda: patch(allocator, "divided", rounds_up),
+        "a restart has its floor at once": lambda: patch(lease_holder.Holder, "floor", floor_at_once),
         "one use in ten is not counted": lambda: patch(Window, "used", loses_uses),
     }
 
@@ -305,7 +305,7 @@
                 wrong = f"{type(e).__name__}: {e}"
             if wrong:
                 return f"schedule {seed}", wrong
-        from willowhitch.standin.faults.budget_model import Model
+        from softswitch.standin.faults.budget_model import Model
 
         model = Model(3)
         for where, start in model.starts().items():
@@ -329,7 +329,7 @@
 
 
 def explore_from(task):
-    from willowhitch.standin.faults.budget_model import Model
+    from softswitch.standin.faults.budget_model import Model
 
     members, name, most = task
     model = Model(members)
@@ -337,7 +337,7 @@
 
 
 def wander(task):
-    from willowhitch.standin.faults.budget_model import Model
+    from softswitch.standin.faults.budget_model import Model
 
     members, name, first, last, steps = task
     model = Model(members)
@@ -347,7 +347,7 @@
 
 def explore(members, most, ways):
     """All orders from each start, then long ways drawn at random."""
-    from willowhitch.standin.faults.budget_model import Model
+    from softswitch.standin.faults.budget_model import Model
 
     began, names, states, bad = time.monotonic(), list(Model(members).starts()), 0, 0
     with ProcessPoolExecutor(len(sched_getaffinity(0))) as pool:
--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -42,12 +42,12 @@
 def one(calls):
     from twisted.internet.testing import StringTransport
 
-    from willowhitch import interface as i
-    from willowhitch.core.switch import Switch
-    from willowhitch.core.wheel import Wheel
-    from willowhitch.net import engine as e
-    from willowhitch.net.sip import SipFront
-    from willowhitch.settings import checked
+    from softswitch import interface as i
+    from softswitch.core.switch import Switch
+    from softswitch.core.timer_wheel import Wheel
+    from softswitch.net import engine as e
+    from softswitch.net.sip import SipFront
+    from softswitch.settings import checked
 
     class Wire(StringTransport):
         dataBuffer, offset, _tempDataLen = b"", 0, 0
--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -12,9 +12,9 @@
 from statistics import mean
 from time import time
 
-from willowhitch.standin.board import Listed
-from willowhitch.standin.engine import EngineSettings
-from willowhitch.standin.faults.drill import Drill
+from softswitch.standin.board import Listed
+from softswitch.standin.engine import EngineSettings
+from softswitch.standin.faults.drill import Drill
 
 SOFTSWITCHES, ENGINES, BEARS, RATE = 12, 4, 100.0, 270.0  # set-ups a second that one bears; calls a second
 COLD_FROM, FACTOR, COLD_S = 0.15, 2.0, 6.0
--- a/benchmarks/coverage.py
+++ b/benchmarks/coverage.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from willowhitch.dimension import peaky, simulate, traffic
+from softswitch.dimension import peaked_traffic, simulate, traffic
 
 CASES = {  # erlangs, seconds in holding times, and what else; "short" is what a few minutes would give
     "random, long": (10.0, 400.0, {}, 100),
@@ -42,7 +42,7 @@
     except traffic.OutOfRange:
         return name, None
     boot = found.bootstrap
-    z = peaky.switched(erlangs, more["on"], more["off"])[1] if more.get("on", inf) < inf else 1.0
+    z = peaked_traffic.switched(erlangs, more["on"], more["off"])[1] if more.get("on", inf) < inf else 1.0
     return name, (
         found.erlangs.low <= erlangs <= found.erlangs.high,
         found.erlangs.half_width,
--- a/benchmarks/erlang.py
+++ b/benchmarks/erlang.py
@@ -2,7 +2,7 @@
 
 import time
 
-from willowhitch.dimension import loss
+from softswitch.dimension import loss
 
 
 def by_recursion(erlangs, target):
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,6 +1,7 @@
 """What the fleet view costs: processor time a call and mean set-up time with it and without, paired in one
 run; memory of a view of 1,000 members. `fleet_cost.py [PAIRS] [SECONDS] [SOFTSWITCHES] [WHAT]`;
-WHAT is `view` (with it against without) or `budgets` (the view and budgets against the view alone)."""
+WHAT is `view` (with it against without) or `budgets` (the view and budgets against the view alone).
+"""
 
 import subprocess
 import sys
@@ -20,7 +21,7 @@
 
 
 def day(on, seconds, softswitches, seed, what="view"):
-    from willowhitch.standin.faults.drill import Drill
+    from softswitch.standin.faults.drill import Drill
 
     class Measured(Drill):
         def spent(self):
@@ -53,8 +54,8 @@
 
 
 def memory(n=1_000):
-    from willowhitch.fleet.member import Member, Periods
-    from willowhitch.fleet.messages import Record, State
+    from softswitch.fleet.member import Member, Periods
+    from softswitch.fleet.messages import Record, State
 
     tracemalloc.start()
     me = Record("n0", "10.0.0.1:7946", 1, State.JOINING, 1, "east", "0.1.0", "0123456789ab", "10.0.0.1:15000")
--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -15,12 +15,12 @@
 
 import msgspec
 
-from willowhitch.fleet import member as code
-from willowhitch.fleet.member import Member, Send
-from willowhitch.fleet.messages import Ping, State
-from willowhitch.fleet.table import Table
-from willowhitch.standin.faults.schedule import Fault, drawn
-from willowhitch.standin.faults.virtual import World, play
+from softswitch.fleet import member as code
+from softswitch.fleet.member import Member, Send
+from softswitch.fleet.member_table import Table
+from softswitch.fleet.messages import Ping, State
+from softswitch.standin.faults.fleet_simulation import World, play
+from softswitch.standin.faults.schedule import Fault, drawn
 
 
 def one(seed, make=Member):
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -78,10 +78,10 @@
 
 
 def measure(tree, config, seconds):
-    env = os.environ | {"BALANCER_CONFIG": str(config), "WILLOWHITCH_LOG": "WARNING"}
+    env = os.environ | {"BALANCER_CONFIG": str(config), "SOFTSWITCH_LOG": "WARNING"}
     for name in ("TMPDIR", "PYTHONDONTWRITEBYTECODE"):  # as the platform: what is compiled is kept
         env.pop(name, None)
-    program = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=tree, env=env)
+    program = subprocess.Popen([sys.executable, "-m", "softswitch"], cwd=tree, env=env)
     at = json.loads(config.read_text())["listen"].split(":")
     try:
         while True:
@@ -127,7 +127,7 @@
     door, board_at = listening()
     threading.Thread(target=board, args=(door,), daemon=True).start()
     sys.path.insert(0, str(ROOT / "tests"))
-    from test_benchlink import INFO
+    from test_simulator_adapter import INFO
 
     trees = [("this", ROOT)] + ([("against", Path(given.against))] if given.against else [])
     seen = {name: [] for name, _ in trees}
--- a/benchmarks/operation.py
+++ b/benchmarks/operation.py
@@ -34,9 +34,9 @@
     """Board and engines, for ever; prints what a softswitch's configuration needs."""
     from twisted.internet import reactor
 
-    from willowhitch.cli.demo import day
-    from willowhitch.standin.board import Board, Listed
-    from willowhitch.standin.engine import Engine
+    from softswitch.cli.demo import day
+    from softswitch.standin.board import Board, Listed
+    from softswitch.standin.engine import Engine
 
     made = day(10.0, 100.0, 3, 400, 1)
     engines = [Engine(reactor, e, n) for n, e in enumerate(made.engines)]
@@ -84,10 +84,10 @@
             "BALANCER_CONFIG": str(self.config),
             "TMPDIR": self.dir.name,
             "BALANCER_MGMT": f"127.0.0.1:{mgmt}" if mgmt else "",
-            "WILLOWHITCH_HANDOVER": way,
+            "SOFTSWITCH_HANDOVER": way,
         }
         with open(Path(self.dir.name, "log"), "ab") as log:
-            made = subprocess.Popen([sys.executable, "-m", "willowhitch"], cwd=ROOT, env=env, stderr=log)
+            made = subprocess.Popen([sys.executable, "-m", "softswitch"], cwd=ROOT, env=env, stderr=log)
         if pin is not None:
             os.sched_setaffinity(made.pid, {pin})
         self.programs.append(made)
--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -1,5 +1,6 @@
 """The planner against brute force on drawn small networks, 100 groups against the clock, and plans fed back
-through the event simulation. `python benchmarks/planning.py [NETWORKS]` (default 200)."""
+through the event simulation. `python benchmarks/planning.py [NETWORKS]` (default 200).
+"""
 
 import sys
 import time
@@ -8,8 +9,8 @@
 
 import numpy as np
 
-from willowhitch.dimension import planner, simulate
-from willowhitch.dimension.network import Group, Stream
+from softswitch.dimension import planner, simulate
+from softswitch.dimension.network import Group, Stream
 
 
 def drawn(seed, finals=1, direct=2, most=6, reserve=0):
@@ -51,7 +52,8 @@
 
 def fed_back(seed):
     """(stream, target, lost in the simulation, its standard error over ten runs) of a plan with random
-    streams."""
+    streams.
+    """
     groups, streams = drawn(seed, 1, 3, 14)
     streams = [Stream(s.name, s.group, s.erlangs, s.target) for s in streams]
     try:
@@ -86,7 +88,8 @@
 
 def checked(seed):
     """(stream, target, lost on other seeds, its standard error) of a plan that was played before it was
-    told."""
+    told.
+    """
     groups, streams = drawn(seed, 1, 3, 14)
     streams = [Stream(s.name, s.group, s.erlangs, s.target) for s in streams]
     try:
--- a/benchmarks/record_cost.py
+++ b/benchmarks/record_cost.py
@@ -1,5 +1,6 @@
 """What the traffic record costs: CPU of the softswitch per call with and without it, paired in one run; the
-bytes of a day's file and of the record in memory. `python benchmarks/record_cost.py [PAIRS] [SECONDS]`."""
+bytes of a day's file and of the record in memory. `python benchmarks/record_cost.py [PAIRS] [SECONDS]`.
+"""
 
 import resource
 import subprocess
@@ -7,13 +8,13 @@
 import tracemalloc
 from statistics import median
 
-from willowhitch.measure.record import TrafficRecord
-from willowhitch.measure.recordfile import encoded
+from softswitch.measure.record import TrafficRecord
+from softswitch.measure.recordfile import encoded
 
 
 def day(record, seconds, seed):
-    from willowhitch.cli.demo import day as demo_day
-    from willowhitch.standin.fleet import Day, Fleet
+    from softswitch.cli.demo import day as demo_day
+    from softswitch.standin.fleet import Day, Fleet
 
     made = demo_day(seconds, 100.0, 3, 200, seed)
     fields = {name: getattr(made, name) for name in made.__dataclass_fields__} | {
--- a/benchmarks/replay_sockets.py
+++ b/benchmarks/replay_sockets.py
@@ -16,9 +16,9 @@
 
 
 def days():
-    from willowhitch.standin.engine import EngineSettings
-    from willowhitch.standin.fleet import ClassSettings
-    from willowhitch.standin.traffic import StreamSettings
+    from softswitch.standin.engine import EngineSettings
+    from softswitch.standin.fleet import ClassSettings
+    from softswitch.standin.traffic import StreamSettings
 
     def engine(n, circuits, **more):
         return EngineSettings(f"s-{n + 1:08x}", n, circuits, hold={"x": HOLD, "wide": HOLD}, **more)
@@ -60,12 +60,12 @@
 
 def play(name, seconds, seed):
     """One day in this process: what was predicted and what was seen, as a dict."""
-    from willowhitch.cli.trunks import sample_of
-    from willowhitch.dimension import loss, mutual, peaky, report, traffic, widths
-    from willowhitch.dimension.traffic import joined
-    from willowhitch.measure.recordfile import read
-    from willowhitch.measure.streams import measured
-    from willowhitch.standin.fleet import Day, Fleet
+    from softswitch.cli.trunks import sample_of
+    from softswitch.dimension import loss, mutual, peaked_traffic, report, traffic, widths
+    from softswitch.dimension.traffic import joined
+    from softswitch.measure.recordfile import read
+    from softswitch.measure.streams import measured
+    from softswitch.standin.fleet import Day, Fleet
 
     day = Day(
         **days()[name],
@@ -96,13 +96,16 @@
     if name == "peaky":
         best = found[0, "x"][0]
         z, phases = best.peakedness.value, traffic.phases(samples[0, "x"], best.hold.value)
-        predicted = peaky.switched_blocking(circuits[0], total, *phases)[0]
-        need = (loss.whole(loss.circuits_for(total, 0.01)), loss.whole(peaky.circuits_for(total, 0.01, z)))
+        predicted = peaked_traffic.switched_blocking(circuits[0], total, *phases)[0]
+        need = (
+            loss.whole(loss.circuits_for(total, 0.01)),
+            loss.whole(peaked_traffic.circuits_for(total, 0.01, z)),
+        )
         more = {
-            "two moments": round(peaky.blocking(circuits[0], total, z), 4),
+            "two moments": round(peaked_traffic.blocking(circuits[0], total, z), 4),
             "phases": phases,
             "z": z,
-            "z true": peaky.switched(16, 2, 2)[1],
+            "z true": peaked_traffic.switched(16, 2, 2)[1],
         }
     elif name == "surge":
         parts, hold = found[0, "x"][1].segments, found[0, "x"][1].hold.value
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -1,5 +1,5 @@
-# Settings for installations of your own. Named in WILLOWHITCH_OPERATOR; not read otherwise, as on the platform.
-# `willowhitch config check FILE` tells whether a file can be served. Names of your own begin with `_`.
+# Settings for installations of your own. Named in SOFTSWITCH_OPERATOR; not read otherwise, as on the platform.
+# `softswitch config check FILE` tells whether a file can be served. Names of your own begin with `_`.
 
 # record = {
 #     "file": "traffic.whtr",    # the traffic record, beside this file (docs/trunks.md)
--- a/willowhitch/__main__.py
+++ b/softswitch/__main__.py
@@ -1,13 +1,13 @@
 """One softswitch: reads its configuration, wires the parts together, and ends in good order on SIGTERM."""
 
-# ruff: noqa: E402, I001
+# ruff: noqa: E402, I001  # signals first, then the trimmed imports
 from __future__ import annotations
 
-from willowhitch import signals
+from softswitch import signals
 
 signals.keep()  # before all that takes time
 
-import willowhitch.lean  # noqa: F401  # what follows imports what it keeps out
+import softswitch.lazy_import  # noqa: F401  # what follows imports what it keeps out
 
 import gc
 import os
@@ -28,25 +28,24 @@
 from twisted.internet.error import CannotListenError
 from twisted.logger import globalLogBeginner
 
-from willowhitch import telemetry
-from willowhitch.configuration import (
-    OPERATOR,
+from softswitch import environment, telemetry
+from softswitch.configuration import (
     BadConfiguration,
     address,
     configuration,
     control_settings,
     operator_file,
 )
-from willowhitch.core.lifecycle import Phase
-from willowhitch.core.switch import MOST_CALLS, MOST_HELD, Switch
-from willowhitch.core.wheel import Wheel
-from willowhitch.net.board import Board
-from willowhitch.net.engine import EngineLinks
-from willowhitch.net.handover import Handover, listening
-from willowhitch.net.mgmt import MgmtFront
-from willowhitch.net.sip import SipFront
-from willowhitch.quiet import Quiet
-from willowhitch.settings import BadSettings, checked
+from softswitch.core.lifecycle import Phase
+from softswitch.core.switch import MOST_CALLS, MOST_HELD, Switch
+from softswitch.core.timer_wheel import Wheel
+from softswitch.log_rate_limit import Quiet
+from softswitch.net.endpoint_watch import Board
+from softswitch.net.engine import EngineLinks
+from softswitch.net.handover import Handover, listening
+from softswitch.net.management import MgmtFront
+from softswitch.net.sip import SipFront
+from softswitch.settings import BadSettings, checked
 
 VERSION = "0.1.0"
 CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
@@ -55,7 +54,7 @@
 LIST_BY = 1_000.0  # ms that a process which replaces another gives the board to bring its list up to date
 MOST_REST = 50.0  # ms without a look at the clock; a standstill within it goes unseen
 SEEK_FOR = 5_000.0  # ms from the start in which it asks for the listeners; the platform waits 6 s for its yes
-SHARED = "WILLOWHITCH_HANDOVER"  # "reuseport": the kernel shares the address out, where none can be given
+SHARED = environment.names(environment.HANDOVER_MODE)[0]
 FIXED = ("name", "listen", "limits")  # what a reload can't change
 # Ms. SIGKILL may come 0.7 s after SIGTERM and the longest deadline, which counts as 3 s where longer or not
 # told, and as 5 s where the next process has taken over.
@@ -120,7 +119,7 @@
         self.ticking: Any = None  # the reactor's call of the next tick
         self.rests = False  # whether ticks with nothing due are left out
         tmp = os.environ.get("TMPDIR", "")
-        way = os.environ.get(SHARED, "")
+        way = environment.variable(environment.HANDOVER_MODE)
         if way not in ("", "reuseport"):
             raise BadConfiguration(f"{SHARED}: {way!r:.40} is not 'reuseport'; empty: handed over")
         self.shared = way == "reuseport"
@@ -128,7 +127,7 @@
         self.parts = self._parts(tables, offset) if tables else {}
 
     def _control_front(self, settings: Any, room: int) -> Any:
-        from willowhitch.net.control import ControlFront  # and its packages, where it listens
+        from softswitch.net.call_control import ControlFront  # and its packages, where it listens
 
         return ControlFront(settings, room)
 
@@ -140,14 +139,14 @@
 
     def _parts(self, tables: Any, offset: float) -> dict[str, Any]:
         """The optional parts that the operator file asks for."""
-        from willowhitch.parts import BadPart, Host, make
+        from softswitch.components import BadPart, Host, make
 
         host = Host(
             self.sip.name,
             self.switch,
             reactor,
             offset,
-            Path(os.environ[OPERATOR]).resolve().parent,
+            Path(environment.variable(environment.OPERATOR_FILE)).resolve().parent,
             self.settings,
             version=VERSION,
             mgmt=str(self.running.get("mgmt") or ""),
@@ -232,7 +231,8 @@
 
     def _tick(self) -> None:
         """One timer of the reactor drives all others. After a standstill the sockets are read first: what
-        came in meanwhile came before the timers that are overdue, and must not look late."""
+        came in meanwhile came before the timers that are overdue, and must not look late.
+        """
         wheel, tick = self.wheel, self.settings.tick
         now = wheel.read()
         self.ticking = None
@@ -330,8 +330,8 @@
 
     def _end_when_done(self, earliest: float) -> None:
         now = self.wheel.now
-        held = self.switch.calls or self.switch.lifecycle.handed_over and self.sip.connections
-        if now >= self.switch.lifecycle.ends_at or not held and now >= earliest:
+        held = self.switch.calls or (self.switch.lifecycle.handed_over and self.sip.connections)
+        if now >= self.switch.lifecycle.ends_at or (not held and now >= earliest):
             self.switch.lifecycle.close(now)  # what still comes is refused, and callers go
             self.switch.refuse_rest()
             self.switch.cut_rest()
@@ -344,11 +344,8 @@
     def _leave(self, at_last: float) -> None:
         """What was written last still goes out, and what lies unread is read and answered."""
         now, unsent_by = self.wheel.now, self.switch.lifecycle.ends_at + UNSENT_BY
-        if (
-            now < at_last
-            and (self.sip.connections or now < at_last - GONE_BY + ALOUD)
-            or now < unsent_by
-            and any(connection.unsent for connection in self.sip.connections)
+        if (now < at_last and (self.sip.connections or now < at_last - GONE_BY + ALOUD)) or (
+            now < unsent_by and any(connection.unsent for connection in self.sip.connections)
         ):
             self.wheel.at(self.wheel.now + 2 * self.settings.tick, self._leave, at_last)
         else:
@@ -370,7 +367,7 @@
         format="{time:HH:mm:ss.SSS} {level} {message}",
         backtrace=False,
         diagnose=False,
-        level=os.environ.get("WILLOWHITCH_LOG", "INFO"),
+        level=environment.variable(environment.LOG_LEVEL, "INFO"),
         filter=Quiet(),
     )
     try:
@@ -383,7 +380,7 @@
                 serialize=True,
                 backtrace=False,
                 diagnose=False,
-                level=os.environ.get("WILLOWHITCH_LOG", "INFO"),
+                level=environment.variable(environment.LOG_LEVEL, "INFO"),
                 filter=Quiet(),
             )
             logger.configure(extra={"softswitch": config["name"]})
@@ -401,6 +398,8 @@
     except BadConfiguration as e:
         print(f"willowhitch: {e}", file=sys.stderr)
         return 2
+    if old_names := environment.deprecated_in_use():
+        logger.warning("environment: {} deprecated, use SOFTSWITCH_*", ", ".join(old_names))
     globalLogBeginner.beginLoggingTo([say_faults], redirectStandardIO=False, discardBuffer=True)
     reactor.addSystemEventTrigger("before", "shutdown", softswitch.counters)
     signals.carry_out(
--- a/willowhitch/agent.py
+++ b/softswitch/agent.py
@@ -35,7 +35,7 @@
 class Instance:
     name: str
     config: str  # its BALANCER_CONFIG
-    control: str = ""  # its WILLOWHITCH_CONTROL; empty: the repository's
+    control: str = ""  # its SOFTSWITCH_CONTROL; empty: the repository's
     env: dict[str, str] = field(default_factory=dict)
 
 
@@ -70,13 +70,13 @@
             return
         env = os.environ | {"BALANCER_CONFIG": self.instance.config} | self.instance.env
         if self.instance.control:
-            env["WILLOWHITCH_CONTROL"] = self.instance.control
+            env["SOFTSWITCH_CONTROL"] = self.instance.control
         self._is("running")
         self.starts += 1
         reactor.spawnProcess(
             self,
             sys.executable,
-            [sys.executable, "-m", "willowhitch"],
+            [sys.executable, "-m", "softswitch"],
             env=env,
             path=str(Path(__file__).resolve().parent.parent),
             childFDs={0: 0, 1: 1, 2: 2},
--- a/willowhitch/budgets/office.py
+++ b/softswitch/budgets/allocator.py
@@ -17,8 +17,8 @@
 from math import sqrt
 from random import Random
 
-from willowhitch.budgets.divide import divided
-from willowhitch.budgets.messages import (
+from softswitch.budgets.division import divided
+from softswitch.budgets.messages import (
     NOBODY,
     Ask,
     Denied,
@@ -31,7 +31,7 @@
     Waive,
     Want,
 )
-from willowhitch.budgets.plan import SHARED, Budget, Plan, lowest
+from softswitch.budgets.plan import SHARED, Budget, Plan, lowest
 
 BITS = 62
 MOST_HOLDERS = 20_000
--- a/willowhitch/budgets/keeper.py
+++ b/softswitch/budgets/lease_client.py
@@ -9,11 +9,11 @@
 from hashlib import blake2b
 from random import Random
 
-from willowhitch.budgets.holder import Holder
-from willowhitch.budgets.messages import NOBODY, Ask, Denied, Grant, Message, Promised, See, Waive, Want
-from willowhitch.budgets.office import Candidate
-from willowhitch.budgets.plan import Plan
-from willowhitch.budgets.voter import Voter
+from softswitch.budgets.allocator import Candidate
+from softswitch.budgets.lease_holder import Holder
+from softswitch.budgets.messages import NOBODY, Ask, Denied, Grant, Message, Promised, See, Waive, Want
+from softswitch.budgets.plan import Plan
+from softswitch.budgets.voter import Voter
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,7 +171,8 @@
     def now_is(self, now: float, plan: Plan) -> list[Act]:
         """Another file holds from now on. Wholes change at once, and floors that fall. What a budget is, a
         floor that rises, who votes and the times change at the next start only: they are what slots were
-        counted by that are out."""
+        counted by that are out.
+        """
         budgets = []
         for new in plan.budgets:
             old = self.plan.by_name.get(new.name)
--- a/willowhitch/budgets/holder.py
+++ b/softswitch/budgets/lease_holder.py
@@ -10,8 +10,8 @@
 from collections import OrderedDict
 from random import Random
 
-from willowhitch.budgets.messages import NOBODY, NOTHING, Grant, Id, Line, Office, See, Want
-from willowhitch.budgets.plan import Plan
+from softswitch.budgets.messages import NOBODY, NOTHING, Grant, Id, Line, Office, See, Want
+from softswitch.budgets.plan import Plan
 
 KEPT = 16  # wants whose grants may still come
 LEAST = 50.0  # ms between two wants, whatever is heard: voters may each point at the other
@@ -46,7 +46,8 @@
 
     def held(self, now: float, name: str) -> int:
         """Slots, floor and all. The floor is there once the slots have rested that a life before may have
-        used."""
+        used.
+        """
         return self.leased(now, name) + self.floor(now, name)
 
     def floor(self, now: float, name: str) -> int:
--- a/willowhitch/budgets/messages.py
+++ b/softswitch/budgets/messages.py
@@ -6,7 +6,7 @@
 
 from msgspec import Meta, Struct
 
-from willowhitch.fleet.messages import Address, Digest, Whole
+from softswitch.fleet.messages import Address, Digest, Whole
 
 MOST_BUDGETS = 16  # so many fit one datagram, whatever their names and figures
 Name = Annotated[str, Meta(min_length=1, max_length=32)]
--- a/willowhitch/budgets/plan.py
+++ b/softswitch/budgets/plan.py
@@ -83,13 +83,15 @@
     @property
     def office(self) -> float:
         """Ms of its own clock that an allocator may count on promises, from when it asked for them: in true
-        time it is over before any voter's promise is."""
+        time it is over before any voter's promise is.
+        """
         return self.promise * (1 - self.drift) / (1 + self.drift)
 
     @property
     def owed(self) -> float:
         """Ms of its own clock after which an allocator may count on a lease being over that was asked for
-        before: the holder's clock may be the slowest, its own the fastest."""
+        before: the holder's clock may be the slowest, its own the fastest.
+        """
         return self.lease * (1 + self.drift) / (1 - self.drift)
 
     def rests(self, budget: Budget) -> float:
@@ -105,7 +107,8 @@
 def lowest(plan: Plan, told: Iterable[dict[str, tuple[int, int]]]) -> dict[str, tuple[int, int]]:
     """Whole and floor of each budget of the plan that bind, where others run other files: the lowest whole
     and
-    the highest floor of all."""
+    the highest floor of all.
+    """
     found = {b.name: (b.whole, b.floor) for b in plan.budgets}
     for other in told:
         for name, (whole, floor) in other.items():
--- a/willowhitch/budgets/window.py
+++ b/softswitch/budgets/sliding_window.py
@@ -14,7 +14,7 @@
 class Window:
     """Uses in the last `over` ms."""
 
-    __slots__ = ("over", "cell", "counts", "at", "count")
+    __slots__ = ("at", "cell", "count", "counts", "over")
 
     def __init__(self, over: float) -> None:
         self.over = over
--- a/willowhitch/budgets/purse.py
+++ b/softswitch/budgets/spending.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from math import ceil, exp, sqrt
 
-from willowhitch.budgets.plan import SHARED, SHARES, Budget, Plan
-from willowhitch.budgets.window import Window
+from softswitch.budgets.plan import SHARED, SHARES, Budget, Plan
+from softswitch.budgets.sliding_window import Window
 
 QUICK, SLOW = 1_500.0, 10_000.0  # ms; two means of what is asked for
 CHANGED = 3.0  # standard deviations of the quick mean from the slow one, from which on the load has moved
@@ -18,9 +18,10 @@
 
 class Offered:
     """How much is asked for, and its mean worth. A slow mean, so that what comes unevenly by itself moves no
-    parts; once the quick one differs by more than that can explain, the load has moved, and it holds."""
+    parts; once the quick one differs by more than that can explain, the load has moved, and it holds.
+    """
 
-    __slots__ = ("quick", "slow", "at", "worth")
+    __slots__ = ("at", "quick", "slow", "worth")
 
     def __init__(self, now: float) -> None:
         self.quick = self.slow = 0.0  # a ms
@@ -81,7 +82,7 @@
         self.each = [
             p
             for p in self.pockets.values()
-            if p.budget.what == "repeats" or p.budget.what == "set-ups" and p.budget.engine
+            if p.budget.what == "repeats" or (p.budget.what == "set-ups" and p.budget.engine)
         ]
 
     # what the module asks
--- a/willowhitch/budgets/voter.py
+++ b/softswitch/budgets/voter.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from willowhitch.budgets.messages import NOBODY, Ask, Denied, Office, Promised, Waive
-from willowhitch.budgets.plan import Plan
+from softswitch.budgets.messages import NOBODY, Ask, Denied, Office, Promised, Waive
+from softswitch.budgets.plan import Plan
 
 
 class Voter:
--- a/willowhitch/cli/__init__.py
+++ b/softswitch/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The `willowhitch` command. With no arguments it runs one softswitch, as the platform starts it.
+"""The `softswitch` command. With no arguments it runs one softswitch, as the platform starts it.
 
 Each group of commands is a module of this package, loaded when one of its commands is asked for.
 """
@@ -9,7 +9,7 @@
 import sys
 from typing import NoReturn
 
-from willowhitch.cli.line import ask
+from softswitch.cli.agent_client import ask
 
 __all__ = ["ask", "main"]
 
@@ -32,7 +32,7 @@
 def overview() -> str:
     wide = max(map(len, COMMANDS)) + 2
     lines = [
-        "usage: willowhitch [COMMAND ...]",
+        "usage: softswitch [COMMAND ...]",
         "",
         "With no arguments: runs one softswitch (BALANCER_CONFIG).",
         "",
@@ -42,7 +42,7 @@
             *lines,
             *(f"  {name:<{wide}}{text}" for name, (_, text) in COMMANDS.items()),
             "",
-            "`willowhitch COMMAND --help` tells more.",
+            "`softswitch COMMAND --help` tells more.",
         ]
     )
 
@@ -50,7 +50,7 @@
 def main(words: list[str] | None = None) -> int:
     words = sys.argv[1:] if words is None else words
     if not words:
-        from willowhitch.__main__ import main as softswitch
+        from softswitch.__main__ import main as softswitch
 
         return softswitch()
     if words[0] in ("-h", "--help", "help"):
@@ -61,9 +61,9 @@
         return 2
     group = COMMANDS[words[0]][0]
     try:
-        app = importlib.import_module(f"willowhitch.cli.{group}").application()
+        app = importlib.import_module(f"softswitch.cli.{group}").application()
     except ImportError as e:
-        if (e.name or "willowhitch").startswith("willowhitch"):
+        if (e.name or "softswitch").startswith("softswitch"):
             raise
         print(f"willowhitch: {e.name} is missing; {EXTRA}", file=sys.stderr)
         return 2
@@ -71,7 +71,7 @@
         # A group of one name stands by itself; `agents` has several words of the top level.
         app(
             words if group == "agents" else words[1:],
-            prog_name="willowhitch" + ("" if group == "agents" else f" {words[0]}"),
+            prog_name="softswitch" + ("" if group == "agents" else f" {words[0]}"),
         )
     except SystemExit as e:
         return e.code if isinstance(e.code, int) else 0 if e.code is None else 1
--- a/willowhitch/cli/agents.py
+++ b/softswitch/cli/agents.py
@@ -1,4 +1,4 @@
-"""`willowhitch agent`, and what one says to it: status, drain, restart, reload."""
+"""`softswitch agent`, and what one says to it: status, drain, restart, reload."""
 
 from __future__ import annotations
 
@@ -7,11 +7,13 @@
 
 import typer
 
-from willowhitch.cli.line import tell
+from softswitch import environment
+from softswitch.cli.agent_client import tell
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 Name = Annotated[str, typer.Argument(help="its name; else all")]
-At = Annotated[str, typer.Option("--socket", help="the agent's socket", envvar="WILLOWHITCH_AGENT")]
+AGENT_NAMES = environment.names(environment.AGENT_SOCKET)
+At = Annotated[str, typer.Option("--socket", help="the agent's socket", envvar=AGENT_NAMES)]
 
 
 def application() -> typer.Typer:
@@ -21,7 +23,7 @@
 def supervise(file: str) -> int:
     from loguru import logger
 
-    from willowhitch import agent as supervision
+    from softswitch import agent as supervision
 
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
--- a/willowhitch/cli/budgets.py
+++ b/softswitch/cli/budgets.py
@@ -10,7 +10,8 @@
 def summed(said: dict[str, dict[str, Any]]) -> dict[str, Any]:
     """By budget: the lowest whole that a file names, what each holds until when, and the sum. Two members
     asked some ms apart can't both tell a slot that went from one to the other: it rests for a
-    whole window."""
+    whole window.
+    """
     told = {address: view for address, view in said.items() if "error" not in view}
     budgets: dict[str, dict[str, Any]] = {}
     for view in told.values():
--- a/willowhitch/cli/config.py
+++ b/softswitch/cli/config.py
@@ -1,4 +1,4 @@
-"""`willowhitch config`: operator files."""
+"""`softswitch config`: operator files."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import msgspec
 import typer
 
-from willowhitch.cli import bad
-from willowhitch.operator.load import BadOperatorFile, load
-from willowhitch.operator.tables import Operator
+from softswitch.cli import bad
+from softswitch.operator.load import BadOperatorFile, load
+from softswitch.operator.tables import Operator
 
 
 def application() -> typer.Typer:
--- a/willowhitch/cli/demo.py
+++ b/softswitch/cli/demo.py
@@ -1,4 +1,4 @@
-"""`willowhitch demo`: the main job at work on loopback, with no file to write."""
+"""`softswitch demo`: the main job at work on loopback, with no file to write."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 from rich.live import Live
 from rich.table import Table
 
-from willowhitch.cli import bad
-from willowhitch.cli.traffic import cells_table, routes_table, summary
-from willowhitch.measure.recordfile import read
-from willowhitch.standin.engine import EngineSettings
-from willowhitch.standin.fleet import ClassSettings, Day, Fleet, FleetFailed
-from willowhitch.standin.traffic import StreamSettings
+from softswitch.cli import bad
+from softswitch.cli.traffic import cells_table, routes_table, summary
+from softswitch.measure.recordfile import read
+from softswitch.standin.engine import EngineSettings
+from softswitch.standin.fleet import ClassSettings, Day, Fleet, FleetFailed
+from softswitch.standin.traffic import StreamSettings
 
 
 def application() -> typer.Typer:
@@ -155,5 +155,5 @@
             f"{total.unanswered} without an answer in time."
         )
         if keep:
-            screen.print(f"record kept: willowhitch trunks estimate {Path(keep)}", markup=False)
+            screen.print(f"record kept: softswitch trunks estimate {Path(keep)}", markup=False)
     raise typer.Exit(0 if total.unanswered == 0 and total.second_answers == 0 else 1)
--- a/willowhitch/cli/fleet.py
+++ b/softswitch/cli/fleet.py
@@ -1,5 +1,6 @@
-"""`willowhitch fleet`: what many softswitches say of their fleet, drills on processes, runs on virtual
-time."""
+"""`softswitch fleet`: what many softswitches say of their fleet, drills on processes, runs on virtual
+time.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +16,7 @@
 from rich.live import Live
 from rich.table import Table
 
-from willowhitch.cli import bad
+from softswitch.cli import bad
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
 MOST_ADDRESSES = 1_000
@@ -38,7 +39,8 @@
 
 def ask(address: str, seconds: float, what: str, key: str) -> dict[str, Any]:
     """What the softswitch whose management address this is says of its fleet, or of `what`; `error` says why
-    there is nothing."""
+    there is nothing.
+    """
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
         return {"error": f"{address!r} is no address; host:port of `mgmt` is wanted"}
@@ -64,7 +66,8 @@
 
 def compared(views: dict[str, dict[str, Any]]) -> dict[str, Any]:
     """What all say, member by member. `disagree`: where they differ, and since when that can be at the
-    most."""
+    most.
+    """
     told = {address: view for address, view in views.items() if "error" not in view}
     rows: dict[str, dict[str, Any]] = {}
     for address, view in told.items():
@@ -155,8 +158,9 @@
     as_json: AsJson = False,
 ) -> None:
     """Who holds which part of the fleet's budgets until when. Exit 0 only if all were reached and no sum is
-    above its whole."""
-    from willowhitch.cli.budgets import summed, tables
+    above its whole.
+    """
+    from softswitch.cli.budgets import summed, tables
 
     found = summed(ask_all(addresses, seconds, "budgets", "budgets"))
     if as_json:
@@ -175,7 +179,7 @@
 
 
 def faults_of(schedule: str, seed: int, sites: dict[str, str], seconds: float) -> list[Any]:
-    from willowhitch.standin.faults.schedule import BadSchedule, drawn, read
+    from softswitch.standin.faults.schedule import BadSchedule, drawn, read
 
     if not schedule:
         return drawn(seed, list(sites), sites, seconds)
@@ -207,9 +211,10 @@
     as_json: AsJson = False,
 ) -> None:
     """Starts softswitches with faults between them. Exit 0 only if all settled, nobody was falsely called
-    gone and no sum of a budget was above its whole."""
-    from willowhitch.standin.faults.drill import Drill
-    from willowhitch.standin.fleet import FleetFailed
+    gone and no sum of a budget was above its whole.
+    """
+    from softswitch.standin.faults.drill import Drill
+    from softswitch.standin.fleet import FleetFailed
 
     names = {f"n{n}": "abcdefghijkl"[n % sites] for n in range(softswitches)}
     faults = faults_of(schedule, seed, names, seconds)
@@ -268,8 +273,8 @@
         return []
     import msgspec
 
-    from willowhitch.budgets.plan import plan_of
-    from willowhitch.operator.tables import Allocation, Budget
+    from softswitch.budgets.plan import plan_of
+    from softswitch.operator.tables import Allocation, Budget
 
     try:
         found = msgspec.json.decode(Path(path).read_bytes(), type=tuple[Budget, ...])
@@ -344,15 +349,16 @@
     as_json: AsJson = False,
 ) -> None:
     """The same code on virtual time. Exit 0 only if all settled, no rule broke and nobody was falsely called
-    gone."""
-    from willowhitch.standin.faults.schedule import DISKS
-    from willowhitch.standin.faults.virtual import play
+    gone.
+    """
+    from softswitch.standin.faults.fleet_simulation import play
+    from softswitch.standin.faults.schedule import DISKS
 
     names = {f"n{n}": "abcdefghijklmnopqrstuvwxyz"[n % sites] for n in range(members)}
     faults = faults_of(schedule, seed, names, seconds)
     for fault in faults:
         if fault.what in (*DISKS, "flood"):
-            bad(f"{schedule}: {fault.what!r} needs processes: play it by `willowhitch fleet drill`")
+            bad(f"{schedule}: {fault.what!r} needs processes: play it by `softswitch fleet drill`")
     o = play(members, sites, seconds, seed, faults, lose=lose, starved=starved)
     told = {
         "members": members,
--- a/willowhitch/cli/plots.py
+++ b/softswitch/cli/plots.py
@@ -6,9 +6,9 @@
 
 from matplotlib.figure import Figure
 
-from willowhitch.cli.traffic import cell
-from willowhitch.dimension import network, peaky, planner
-from willowhitch.measure.streams import Measured
+from softswitch.cli.traffic import cell
+from softswitch.dimension import network, peaked_traffic, planner
+from softswitch.measure.streams import Measured
 
 
 def over_time(found: Measured) -> Any:
@@ -41,16 +41,18 @@
 
 def blocking_band(erlangs: float, low: float, high: float, peakedness: float) -> Any:
     """Blocking against circuits, with the band that the traffic's interval leaves and plain Erlang B."""
-    top = int(peaky.circuits_for(high, 1e-3, peakedness)) + 2
+    top = int(peaked_traffic.circuits_for(high, 1e-3, peakedness)) + 2
     bottom = max(1, int(low * 0.6))
     at = list(range(bottom, top + 1, max(1, (top - bottom) // 60)))
     figure = Figure(figsize=(8, 5), layout="constrained")
     axes = figure.subplots()
-    lines = [[peaky.blocking(n, a, peakedness) for n in at] for a in (low, erlangs, high)]
+    lines = [[peaked_traffic.blocking(n, a, peakedness) for n in at] for a in (low, erlangs, high)]
     axes.fill_between(at, lines[0], lines[2], alpha=0.25, label=f"{low:g} to {high:g} erlangs")
     axes.plot(at, lines[1], label=f"{erlangs:g} erlangs, Z {peakedness:g}")
     if peakedness != 1:
-        axes.plot(at, [peaky.blocking(n, erlangs) for n in at], linestyle="--", label="plain Erlang B")
+        axes.plot(
+            at, [peaked_traffic.blocking(n, erlangs) for n in at], linestyle="--", label="plain Erlang B"
+        )
     axes.set(xlabel="circuits", ylabel="blocking", yscale="log")
     axes.grid(alpha=0.3)
     axes.legend()
--- a/willowhitch/cli/traffic.py
+++ b/softswitch/cli/traffic.py
@@ -1,4 +1,4 @@
-"""`willowhitch traffic`: traffic records."""
+"""`softswitch traffic`: traffic records."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from willowhitch.cli import bad
-from willowhitch.measure.record import OTHER, OUTCOMES, histogram
-from willowhitch.measure.recordfile import BadRecord, read
+from softswitch.cli import bad
+from softswitch.measure.record import OTHER, OUTCOMES, histogram
+from softswitch.measure.recordfile import BadRecord, read
 
 
 def application() -> typer.Typer:
--- a/willowhitch/cli/trunks.py
+++ b/softswitch/cli/trunks.py
@@ -1,4 +1,4 @@
-"""`willowhitch trunks`: how many circuits a trunk group needs, and what blocking it has."""
+"""`softswitch trunks`: how many circuits a trunk group needs, and what blocking it has."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from willowhitch.cli import bad
-from willowhitch.cli.traffic import cell
-from willowhitch.dimension import loss, network, peaky, planner, report
-from willowhitch.dimension.loss import OutOfRange
-from willowhitch.dimension.traffic import Interval, Sample
-from willowhitch.measure.recordfile import BadRecord, read
-from willowhitch.measure.streams import Measured, Stream, measured
+from softswitch.cli import bad
+from softswitch.cli.traffic import cell
+from softswitch.dimension import loss, network, peaked_traffic, planner, report
+from softswitch.dimension.loss import OutOfRange
+from softswitch.dimension.traffic import Interval, Sample
+from softswitch.measure.recordfile import BadRecord, read
+from softswitch.measure.streams import Measured, Stream, measured
 
 POOL_FROM = 24  # groups from which a plan is worked out by several processes
 
@@ -72,9 +72,9 @@
                 )
             share, total = loss.erlang_b_redials(circuits, erlangs, redials)
         elif day_variance:
-            share = peaky.day_to_day(circuits, erlangs, day_variance, peakedness)
+            share = peaked_traffic.day_to_day(circuits, erlangs, day_variance, peakedness)
         else:
-            share = peaky.blocking(circuits, erlangs, peakedness)
+            share = peaked_traffic.blocking(circuits, erlangs, peakedness)
         plain = loss.erlang_b(circuits, erlangs)
     except OutOfRange as e:
         bad(e)
@@ -104,10 +104,10 @@
 ) -> None:
     """The circuits that a stated blocking needs."""
     try:
-        exact = peaky.circuits_for(erlangs, target, peakedness)
+        exact = peaked_traffic.circuits_for(erlangs, target, peakedness)
         plain = loss.whole(loss.circuits_for(erlangs, target))
         needed = loss.whole(exact)
-        share = peaky.blocking(needed, erlangs, peakedness)
+        share = peaked_traffic.blocking(needed, erlangs, peakedness)
     except OutOfRange as e:
         bad(e)
     told = {
@@ -346,7 +346,8 @@
 @contextmanager
 def quiet() -> Iterator[None]:
     """Keeps the solver's banner, which it writes past Python, out of our own output; in a pool's processes
-    too."""
+    too.
+    """
     sys.stdout.flush()
     kept, none = os.dup(1), os.open(os.devnull, os.O_WRONLY)
     os.dup2(none, 1)
@@ -502,7 +503,7 @@
 @app.command()
 def plot(
     out: Annotated[str, typer.Argument(help="the picture: .png, .svg or .pdf")],
-    record: Annotated[list[str], typer.Option(help="traffic records: load and loss over time")] = [],  # noqa: B006
+    record: Annotated[list[str], typer.Option(help="traffic records: load and loss over time")] = [],  # noqa: B006  # Typer copies it
     plan_file: Annotated[str, typer.Option("--plan", help="a plan file: circuits and load by group")] = "",
     erlangs: Annotated[float, typer.Option(help="blocking against circuits at this traffic")] = 0.0,
     low: Annotated[float, typer.Option(help="its low end")] = 0.0,
@@ -510,7 +511,7 @@
     peakedness: Peakedness = 1.0,
 ) -> None:
     """Draws load and loss over time, blocking against circuits with its band, or a plan."""
-    from willowhitch.cli import plots
+    from softswitch.cli import plots
 
     if sum((bool(record), bool(plan_file), erlangs > 0)) != 1:
         bad("plot: name one of --record, --plan and --erlangs")
--- a/willowhitch/parts.py
+++ b/softswitch/components.py
@@ -15,10 +15,10 @@
 
 # Table of the operator file: where `make(table, host)` is, and the extra that brings its packages.
 PARTS = {
-    "record": ("willowhitch.measure.recording", "record"),
-    "calls": ("willowhitch.net.callbook", "operator"),
-    "fleet": ("willowhitch.net.peers", "fleet"),
-    "budgets": ("willowhitch.net.budgets", "fleet"),
+    "record": ("softswitch.measure.recording", "record"),
+    "calls": ("softswitch.net.call_history", "operator"),
+    "fleet": ("softswitch.net.peers", "fleet"),
+    "budgets": ("softswitch.net.budgets", "fleet"),
 }
 
 
@@ -34,7 +34,8 @@
 
     def reload(self, table: Any, settings: Any) -> str:
         """SIGHUP: the part's table as it is now (None if it is gone) and the settings that hold from now on.
-        What it can't take before the next start is told by the text that comes back."""
+        What it can't take before the next start is told by the text that comes back.
+        """
 
     def figures(self) -> dict[str, Any]:
         """What it adds to the figures at the management address."""
--- a/willowhitch/configuration.py
+++ b/softswitch/configuration.py
@@ -10,8 +10,9 @@
 
 import orjson
 
-CONTROL = Path(__file__).resolve().parent.parent / "deploy" / "control.toml"  # or WILLOWHITCH_CONTROL
-OPERATOR = "WILLOWHITCH_OPERATOR"  # names the operator file; unset, none of its features is there
+from softswitch import environment
+
+CONTROL = Path(__file__).resolve().parent.parent / "deploy" / "control.toml"  # or $SOFTSWITCH_CONTROL
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
 
 
 def control_settings() -> ControlSettings:
-    path = Path(os.environ.get("WILLOWHITCH_CONTROL") or CONTROL)
+    path = Path(environment.variable(environment.CALL_CONTROL_FILE, str(CONTROL)))
     if not path.exists() and path == CONTROL:
         return ControlSettings()
     try:
@@ -76,15 +77,18 @@
 
 
 def operator_file() -> Any:
-    """The operator file's tables, where WILLOWHITCH_OPERATOR names one. None of its packages is loaded
-    else."""
-    path = os.environ.get(OPERATOR, "")
+    """The operator file's tables, where SOFTSWITCH_OPERATOR names one. None of its packages is loaded
+    else.
+    """
+    path = environment.variable(environment.OPERATOR_FILE)
     if not path:
         return None
     try:
-        from willowhitch.operator.load import BadOperatorFile, load
+        from softswitch.operator.load import BadOperatorFile, load
     except ImportError as e:
-        raise BadConfiguration(f"{OPERATOR}: needs {e.name}: pip install 'willowhitch[operator]'") from None
+        name = environment.names(environment.OPERATOR_FILE)[0]
+        remedy = "pip install 'willowhitch[operator]'"
+        raise BadConfiguration(f"{name}: needs {e.name}: {remedy}") from None
     try:
         return load(path)
     except BadOperatorFile as e:
--- a/willowhitch/core/lives.py
+++ b/softswitch/core/call_history.py
@@ -18,7 +18,7 @@
 class Life:
     """What is kept of one call: entries of (ms, what, where)."""
 
-    __slots__ = ("first", "last", "between")
+    __slots__ = ("between", "first", "last")
 
     def __init__(self) -> None:
         self.first: list[tuple[float, str, str]] = []
--- a/willowhitch/core/figures.py
+++ b/softswitch/core/figures.py
@@ -16,7 +16,7 @@
 class Row:
     """One class of call."""
 
-    __slots__ = ("taken", "fulfilled", "throttled", "faulted", "abandoned", "relayed")
+    __slots__ = ("abandoned", "faulted", "fulfilled", "relayed", "taken", "throttled")
 
     def __init__(self) -> None:
         self.taken = 0  # set-ups that were owed an answer
--- a/willowhitch/core/lifecycle.py
+++ b/softswitch/core/lifecycle.py
@@ -108,11 +108,12 @@
     @property
     def yes(self) -> bool:
         """What the test at the callers' address is told: during a replacement the two processes are one."""
-        return self.ready or self.handed_over and not self.asked_to_drain
+        return self.ready or (self.handed_over and not self.asked_to_drain)
 
     def admits(self, now: float) -> bool:
         """Whether a set-up that comes now is served. While stopping it is, until the stop is over: the
-        platform's front still sends, and what is not answered at SIGKILL is lost."""
+        platform's front still sends, and what is not answered at SIGKILL is lost.
+        """
         if self.closed:
             return False
         if self._phase is Phase.DRAINED:
--- a/willowhitch/core/releases.py
+++ b/softswitch/core/release_delivery.py
@@ -144,7 +144,8 @@
 
     def _best(self, but: set[Hashable] | None = None) -> Hashable | None:
         """One whose caller reads, before one that does not; one where calls stood: others may be whoever; of
-        several the last one heard."""
+        several the last one heard.
+        """
         able = [
             (not way.choked, way.stood, way.heard, key)
             for key, way in self.ways.items()
--- a/willowhitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -15,12 +15,12 @@
 
 from loguru import logger
 
-from willowhitch import interface as i
-from willowhitch.core.figures import Figures
-from willowhitch.core.lifecycle import Lifecycle
-from willowhitch.core.lives import Lives
-from willowhitch.core.wheel import Wheel
-from willowhitch.policy import Controller
+from softswitch import interface as i
+from softswitch.core.call_history import Lives
+from softswitch.core.figures import Figures
+from softswitch.core.lifecycle import Lifecycle
+from softswitch.core.timer_wheel import Wheel
+from softswitch.policy import Controller
 
 MARGIN = 40.0  # the module is told so much less patience than the caller has: its answer must still travel
 GUARD = 15.0  # an answer still missing so long after the module's deadline is given by the switch itself
@@ -573,7 +573,8 @@
 
     def cut_rest(self) -> None:
         """At the very end: calls that no next process can carry on go down with the switch, and both sides
-        are told so. The others stand at their engines, and their releases come to the next process."""
+        are told so. The others stand at their engines, and their releases come to the next process.
+        """
         for call_id, call in list(self.calls.items()):
             if call.stands and not call.caller.survives:
                 self.release(call_id, CUT, call.caller)
--- a/willowhitch/dimension/loss.py
+++ b/softswitch/dimension/loss.py
@@ -34,8 +34,9 @@
 
 
 def _stirling_error(n: float) -> float:
-    """ln n! less Stirling's formula (C. Loader, Fast and accurate computation of binomial probabilities,
-    2000)."""
+    """Ln n! less Stirling's formula (C. Loader, Fast and accurate computation of binomial probabilities,
+    2000).
+    """
     if n < 16:
         return lgamma(n + 1) - (n + 0.5) * log(n) + n - 0.5 * log(2 * pi)
     m = n * n
@@ -43,7 +44,7 @@
 
 
 def _deviance(x: float, mean: float) -> float:
-    """x ln(x / mean) + mean - x, without loss of digits where the two are close (Loader, as above)."""
+    """X ln(x / mean) + mean - x, without loss of digits where the two are close (Loader, as above)."""
     if abs(x - mean) >= 0.1 * (x + mean):
         return x * log(x / mean) + mean - x
     v = (x - mean) / (x + mean)
@@ -57,8 +58,9 @@
 
 
 def log_poisson(n: float, mean: float) -> float:
-    """ln of mean^n e^-mean / Gamma(n + 1), for real n >= 0 and mean > 0; absolute error about 1e-15 times
-    the result's size (Loader's saddle-point form)."""
+    """Ln of mean^n e^-mean / Gamma(n + 1), for real n >= 0 and mean > 0; absolute error about 1e-15 times
+    the result's size (Loader's saddle-point form).
+    """
     if n == 0:
         return -mean
     if n < 1e-3:
@@ -124,7 +126,8 @@
 
 def erlang_b_slopes(circuits: float, erlangs: float) -> tuple[float, float]:
     """(dB/dA per erlang, dB/dN per circuit). The first is exact, B (N/A - 1 + B); the second by differences
-    of ln B with Richardson's step, relative error about 1e-7. Raises OutOfRange; erlangs > 0."""
+    of ln B with Richardson's step, relative error about 1e-7. Raises OutOfRange; erlangs > 0.
+    """
     need("erlangs", erlangs, 0, MOST, open_low=True)
     b = erlang_b(circuits, erlangs)
     step = 0.01 * max(1.0, sqrt(erlangs))
@@ -298,7 +301,8 @@
 
 def lost_after_redials(blocking: float, tries: int, again: float) -> float:
     """Share of calls never served when each blocked try is followed by another with chance `again`, at most
-    `tries` tries in all, each blocked alike and independently. Raises OutOfRange."""
+    `tries` tries in all, each blocked alike and independently. Raises OutOfRange.
+    """
     need("blocking", blocking, 0, 1)
     need("again", again, 0, 1)
     need("tries", tries, 1, 1000)
@@ -313,7 +317,8 @@
 
 def surge_peak(erlangs: float, factor: float, lasted: float) -> float:
     """Erlangs at the end of a surge to `factor` times the traffic that lasted so many holding times: offered
-    load follows a jump exponentially (Palm 1943: mean of an infinite group). Raises OutOfRange."""
+    load follows a jump exponentially (Palm 1943: mean of an infinite group). Raises OutOfRange.
+    """
     need("erlangs", erlangs, 0, MOST)
     need("factor", factor, 0, 1e6)
     need("lasted", lasted, 0, 1e9)
--- a/willowhitch/dimension/network.py
+++ b/softswitch/dimension/network.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from willowhitch.dimension import peaky, widths
-from willowhitch.dimension.loss import OutOfRange, need
+from softswitch.dimension import peaked_traffic, widths
+from softswitch.dimension.loss import OutOfRange, need
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,8 @@
 @dataclass(frozen=True, slots=True)
 class Group:
     """A trunk group as it may be bought: whole modules up to `most` of them. `circuits` are there already and
-    cost nothing; `reserve` of its circuits are kept for calls offered to it first."""
+    cost nothing; `reserve` of its circuits are kept for calls offered to it first.
+    """
 
     name: str
     module: int = 1
@@ -74,7 +75,8 @@
 
 def check(groups: Sequence[Group], streams: Sequence[Stream]) -> None:
     """OutOfRange with the name of what can't be: unknown or doubled names, routes of three stages,
-    figures."""
+    figures.
+    """
     by_name = {g.name: g for g in groups}
     if (
         not groups
@@ -111,13 +113,13 @@
     often; Wilkinson 1956) for four parts in five and its share of the mean for the fifth, as Katz (ITC 1967)
     mixes both; and of the overflow's variance its share of the lost traffic.
     """
-    mean, variance = peaky.combine(*((m, v) for _, m, v in parcels))
+    mean, variance = peaked_traffic.combine(*((m, v) for _, m, v in parcels))
     if mean <= 0:
         return [(name, 0.0, 0.0) for name, _, _ in parcels], 0.0, 0.0
     if circuits <= 0:
         return list(parcels), 1.0, mean
-    a, n = peaky.equivalent(mean, max(mean, variance))
-    over, over_variance = peaky.overflow(n + circuits, a)
+    a, n = peaked_traffic.equivalent(mean, max(mean, variance))
+    over, over_variance = peaked_traffic.overflow(n + circuits, a)
     lost = [min(m, over * (SPLIT * v / variance + (1 - SPLIT) * m / mean)) for _, m, v in parcels]
     total = sum(lost)
     shares = [x / total if total > 0 else 0.0 for x in lost]
@@ -139,7 +141,8 @@
         lost, _, _ = overflowing(circuits, [*first, *rest])
         return {name: m for name, m, _ in lost}
     own, other = (
-        peaky.combine(*((m, v) for _, m, v in part)) if part else (0.0, 0.0) for part in (first, rest)
+        peaked_traffic.combine(*((m, v) for _, m, v in part)) if part else (0.0, 0.0)
+        for part in (first, rest)
     )
     # The first-routed may be peaky too; the joint peakedness rules both.
     of_first, of_rest = widths.overflow_with_reserve(
@@ -172,7 +175,9 @@
     for g in sorted(groups, key=lambda g: not g.overflow):  # those that overflow come first
         n = circuits.get(g.name, 0)
         everything = parcels[g.name] + spilt[g.name]
-        mean, variance = peaky.combine(*((m, v) for _, m, v in everything)) if everything else (0.0, 0.0)
+        mean, variance = (
+            peaked_traffic.combine(*((m, v) for _, m, v in everything)) if everything else (0.0, 0.0)
+        )
         if g.overflow:
             over, share, _ = overflowing(n, everything)
             spilt[g.overflow] += [p for p in over if p[1] > 0]
--- a/willowhitch/dimension/peaky.py
+++ b/softswitch/dimension/peaked_traffic.py
@@ -16,14 +16,15 @@
 from scipy.sparse.linalg import spsolve
 from scipy.special import roots_genlaguerre
 
-from willowhitch.dimension.loss import MOST, OutOfRange, _falls_to, erlang_b, need
+from softswitch.dimension.loss import MOST, OutOfRange, _falls_to, erlang_b, need
 
 MOST_Z, LEAST_Z = 100.0, 0.01
 
 
 def overflow(circuits: float, erlangs: float) -> tuple[float, float]:
     """(mean, variance) in erlangs of what random traffic overflows from so many circuits (Riordan, in
-    Wilkinson, BSTJ 35, 1956, appendix). Circuits may be real; exact for whole ones. Raises OutOfRange."""
+    Wilkinson, BSTJ 35, 1956, appendix). Circuits may be real; exact for whole ones. Raises OutOfRange.
+    """
     mean = erlangs * erlang_b(circuits, erlangs)
     if erlangs == 0:
         return 0.0, 0.0
@@ -85,7 +86,8 @@
 
 def wilkinson(circuits: float, mean: float, variance: float) -> float:
     """Blocking of a peaky stream (Z >= 1) on so many circuits by the equivalent random method. Known to be
-    within a few per cent of exact call congestion for overflow of random traffic. Raises OutOfRange."""
+    within a few per cent of exact call congestion for overflow of random traffic. Raises OutOfRange.
+    """
     a, n = equivalent(mean, variance)
     return a * erlang_b(n + circuits, a) / mean
 
@@ -127,7 +129,8 @@
 def blocking(circuits: float, erlangs: float, peakedness: float = 1.0) -> float:
     """Blocking by the formula that fits the peakedness: Erlang B at 1, the equivalent random method over it,
     and under it the traffic congestion of Bernoulli traffic (between whole circuits, interpolated in its
-    logarithm). Raises OutOfRange."""
+    logarithm). Raises OutOfRange.
+    """
     need("peakedness", peakedness, LEAST_Z, MOST_Z)
     if erlangs == 0 or peakedness == 1:
         return erlang_b(circuits, erlangs)
--- a/willowhitch/dimension/planner.py
+++ b/softswitch/dimension/planner.py
@@ -27,9 +27,9 @@
 import numpy as np
 from scipy.optimize import brentq
 
-from willowhitch.dimension import loss, simulate
-from willowhitch.dimension.loss import OutOfRange
-from willowhitch.dimension.network import (
+from softswitch.dimension import loss, simulate
+from softswitch.dimension.loss import OutOfRange
+from softswitch.dimension.network import (
     Group,
     Parcel,
     Service,
@@ -129,7 +129,8 @@
 
     def raised(self, choice: tuple[int, ...]) -> tuple[int, ...]:
         """The largest choice found above one that misses which misses too: first the final group, by halving,
-        then each direct group in turn."""
+        then each direct group in turn.
+        """
         found, top = list(choice), self.top()
         for place in [len(choice) - 1, *range(len(choice) - 1)]:
             low, high = found[place], top[place]
@@ -285,7 +286,8 @@
 
 def brute(groups: Sequence[Group], streams: Sequence[Stream], where: str = "middle") -> tuple[float, int]:
     """(least cost, choices tried) by trying everything: what `plan` is held against on small networks.
-    Raises Infeasible like `plan`."""
+    Raises Infeasible like `plan`.
+    """
     total, tried = 0.0, 0
     for direct, final in clusters(groups, streams):
         part = Cluster(direct, final, streams, where)
@@ -308,7 +310,8 @@
     factor: float = 1.0,
 ) -> dict[str, Service]:
     """Service at both ends and the middle of the estimates, with one group out of use and traffic times a
-    factor. Raises OutOfRange."""
+    factor. Raises OutOfRange.
+    """
     if lost_group and lost_group not in {g.name for g in groups}:
         raise OutOfRange(f"group {lost_group!r} is not in the plan")
     left = {name: 0 if name == lost_group else n for name, n in circuits.items()}
@@ -325,7 +328,8 @@
     length: float = 3_000.0,
 ) -> dict[str, tuple[float, float]]:
     """(share lost, its standard error) of each stream by the event simulation, `runs` runs of so many holding
-    times. A peaky stream comes in equal phases on and off that give its peakedness (`peaky.switched`)."""
+    times. A peaky stream comes in equal phases on and off that give its peakedness (`peaky.switched`).
+    """
     finals = {g.name: g.overflow for g in groups}
     demands = []
     for s in streams:
--- a/willowhitch/dimension/report.py
+++ b/softswitch/dimension/report.py
@@ -6,9 +6,9 @@
 
 import numpy as np
 
-from willowhitch.dimension import loss, peaky
-from willowhitch.dimension.loss import OutOfRange
-from willowhitch.dimension.traffic import Estimate, Sample, estimate
+from softswitch.dimension import loss, peaked_traffic
+from softswitch.dimension.loss import OutOfRange
+from softswitch.dimension.traffic import Estimate, Sample, estimate
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,10 +23,11 @@
 
 def circuits(found: Estimate, target: float) -> Need:
     """Circuits that the target needs at the low end, the middle and the high end. Peakedness goes by its
-    middle where the counts did not pass for random calls, and is 1 where they did. Raises OutOfRange."""
+    middle where the counts did not pass for random calls, and is 1 where they did. Raises OutOfRange.
+    """
     z = 1.0 if found.method == "random" else max(1.0, found.peakedness.value)
     at = [
-        loss.whole(peaky.circuits_for(x, target, z))
+        loss.whole(peaked_traffic.circuits_for(x, target, z))
         for x in (found.erlangs.low, found.erlangs.value, found.erlangs.high)
     ]
     return Need(at[0], at[1], at[2], loss.whole(loss.circuits_for(found.erlangs.value, target)))
@@ -34,7 +35,8 @@
 
 def steady(sample: Sample, level: float = 0.95, precision: float = 0.05) -> tuple[Estimate, Estimate]:
     """(estimate to go by, estimate of the whole). Where the traffic did not stand still, the first is that of
-    the busiest stretch and not of the average, which would be true of no time at all. Raises OutOfRange."""
+    the busiest stretch and not of the average, which would be true of no time at all. Raises OutOfRange.
+    """
     whole = estimate(sample, level, precision)
     if whole.steady:
         return whole, whole
--- a/willowhitch/dimension/simulate.py
+++ b/softswitch/dimension/simulate.py
@@ -14,7 +14,7 @@
 
 import numpy as np
 
-from willowhitch.dimension.loss import OutOfRange, need
+from softswitch.dimension.loss import OutOfRange, need
 
 
 @dataclass(frozen=True, slots=True)
--- a/willowhitch/dimension/traffic.py
+++ b/softswitch/dimension/traffic.py
@@ -16,7 +16,7 @@
 from scipy.optimize import minimize_scalar
 from scipy.stats import chi2, f, t
 
-from willowhitch.dimension.loss import OutOfRange, need
+from softswitch.dimension.loss import OutOfRange, need
 
 LEAST_ENDED = 5  # calls that must have ended before a holding time is told at all
 BATCHES = (8, 40)  # the fewest and most batches of a batch-means interval
@@ -178,14 +178,16 @@
 
 def peakedness(sample: Sample, hold: float) -> float:
     """Z from counts by slot, corrected for the holding time: 1 + c / (1/hold + 1/tau) with the `burstiness`,
-    for exponential holding times (Eckberg, ITC 10, 1983). Under 1 for smooth traffic; within 0.05 to 100."""
+    for exponential holding times (Eckberg, ITC 10, 1983). Under 1 for smooth traffic; within 0.05 to 100.
+    """
     c, tau = burstiness(sample)
     return min(100.0, max(0.05, 1 + c / (1 / hold + 1 / tau)))
 
 
 def phases(sample: Sample, hold: float) -> tuple[float, float] | None:
     """(on, off) in holding times of the switched stream (Kuczura 1973) with this mean and burstiness, which
-    settle it: while on the rate is mean + c, and 1/on + 1/off = 1/tau. None for traffic that is not peaky."""
+    settle it: while on the rate is mean + c, and 1/on + 1/off = 1/tau. None for traffic that is not peaky.
+    """
     c, tau = burstiness(sample)
     rate = float(sample.first.sum()) / sample.seconds
     if c <= 0 or rate <= 0:
@@ -239,7 +241,8 @@
 
 def _batched(sample: Sample, hold: float) -> tuple[float, float] | None:
     """(variance of ln rate, degrees of freedom) by batch means: batches long against a holding time, so that
-    what is peaky within them averages out. None where the sample is too short for it."""
+    what is peaky within them averages out. None where the sample is too short for it.
+    """
     total = float(sample.first.sum())
     for long in (12, 8, 4, 2):
         for n in range(BATCHES[1], BATCHES[0] - 1, -1):
@@ -256,7 +259,8 @@
 ) -> Interval | None:
     """Offered traffic by the circular block bootstrap (Politis and Romano 1992) of slot counts, with holding
     times drawn from their chi-square law; percentiles. None for a sample under 12 blocks: percentiles of so
-    few are too narrow."""
+    few are too narrow.
+    """
     width = max(1, int(np.ceil(max(4 * hold, len(sample.first) ** (1 / 3) * sample.slot) / sample.slot)))
     n = len(sample.first) // width
     if n < 12 or sample.first.sum() < CROWD:
@@ -279,7 +283,8 @@
 
 def looks_random(sample: Sample) -> bool:
     """Whether the counts pass for random calls: the dispersion test (Fisher 1925) at three spans, two-sided
-    at 1% together."""
+    at 1% together.
+    """
     for width in (1, 4, 16):
         n = len(sample.first) // width
         if n < 8:
--- a/willowhitch/dimension/widths.py
+++ b/softswitch/dimension/widths.py
@@ -7,13 +7,14 @@
 
 import numpy as np
 
-from willowhitch.dimension.loss import OutOfRange, need
+from softswitch.dimension.loss import OutOfRange, need
 
 
 @dataclass(frozen=True, slots=True)
 class Stream:
     """Random calls of one width. `erlangs` counts calls up, not circuits; `reserve`: circuits that must stay
-    free after one of its calls is taken in, for others' sake."""
+    free after one of its calls is taken in, for others' sake.
+    """
 
     erlangs: float
     width: int = 1
@@ -55,7 +56,8 @@
 
 def blocking(circuits: int, streams: Sequence[Stream]) -> list[float]:
     """Share of each stream's calls that find too few circuits free (time congestion, which for random calls
-    is call congestion). See `occupancy` for source and error. Raises OutOfRange."""
+    is call congestion). See `occupancy` for source and error. Raises OutOfRange.
+    """
     q = occupancy(circuits, streams)
     return [float(q[max(0, circuits - s.width - s.reserve + 1) :].sum()) for s in streams]
 
--- a/willowhitch/fleet/member.py
+++ b/softswitch/fleet/member.py
@@ -21,7 +21,8 @@
 
 import msgspec
 
-from willowhitch.fleet.messages import (
+from softswitch.fleet.member_table import Table
+from softswitch.fleet.messages import (
     ENDED,
     FORMAT,
     Ack,
@@ -40,7 +41,6 @@
     State,
     Stream,
 )
-from willowhitch.fleet.table import Table
 
 HELPERS = 3  # members asked to probe for us
 DEAF = 6.0  # periods in which nobody at all is heard, after which a process counts as cut off itself
@@ -240,7 +240,8 @@
 
     def _stood_still(self, gap: float) -> None:
         """This process was stopped or starved. What it waited for meanwhile may have come and lies unread:
-        every wait gets its time again, and its own health is in doubt."""
+        every wait gets its time again, and its own health is in doubt.
+        """
         self.counts["standstills"] += 1
         self.health = min(WORST, self.health + 1)
         self.probe = None
@@ -297,7 +298,8 @@
 
     def _next_target(self) -> str | None:
         """Each of the others once a round, in an order drawn anew for each: so the time until a failure is
-        seen by someone is bounded, whatever the dice."""
+        seen by someone is bounded, whatever the dice.
+        """
         for fresh in (False, True):
             if fresh:
                 self.round = self._others((State.JOINING, State.ALIVE, State.SUSPECT))
@@ -350,15 +352,17 @@
 
     def _in_doubt(self, now: float) -> bool:
         """Whether it may be this process that is away, although the table does not say so yet: nobody was
-        heard lately, half of its last probes found nobody, or those asked for help were silent too."""
+        heard lately, half of its last probes found nobody, or those asked for help were silent too.
+        """
         silent = now - self.heard_at > 2 * self.times.period * self._stretch()
         failed = self.recent.count(False)
-        return silent or self.health >= UNWELL or failed > 0 and 2 * failed >= len(self.recent)
+        return silent or self.health >= UNWELL or (failed > 0 and 2 * failed >= len(self.recent))
 
     def _majority(self, now: float) -> None:
         """Of all members that did not leave, more than half are there, this one among them. The gone ones
         count as long as they are remembered: else a minority would shrink the whole until it is a majority of
-        it."""
+        it.
+        """
         if self.counted[0] != self.table.digest:
             there, lost = set(), set()
             for r in self.table.records.values():
@@ -387,7 +391,8 @@
 
     def _retry(self, now: float) -> None:
         """Those that are gone may be cut off, and then only this brings the two parts together again. Seeds
-        are asked too: a fleet whose processes all started anew knows nobody else."""
+        are asked too: a fleet whose processes all started anew knows nobody else.
+        """
         known = {r.address for r in self.table.records.values() if r.state not in ENDED}
         lost = [self.table.records[k].address for k in self._others((State.GONE,))]
         lost += [s for s in self.seeds if s not in known and s not in lost]
@@ -536,7 +541,8 @@
 
     def _of_me(self, now: float, record: Record) -> None:
         """What others say of this process. It alone knows better: a restart that forgot, a clock set back, an
-        accusation, an end that was told of the life before, all are overruled by a higher incarnation."""
+        accusation, an end that was told of the life before, all are overruled by a higher incarnation.
+        """
         if record.boot == self.me.boot and record.rank <= self.me.rank:
             return
         if self.leaving and record.state in ENDED and record.incarnation >= self.me.incarnation:
@@ -566,7 +572,8 @@
 
     def _conflict(self, record: Record) -> None:
         """Two processes that claim one name from two addresses: both are told, and neither takes the other
-        down."""
+        down.
+        """
         if record.name != self.me.name or record.key == self.me.key:
             return
         if record.state in (State.ALIVE, State.JOINING):
--- a/willowhitch/fleet/table.py
+++ b/softswitch/fleet/member_table.py
@@ -10,7 +10,7 @@
 from hashlib import blake2b
 from math import ceil, log2
 
-from willowhitch.fleet.messages import BITS, BUCKETS, ENDED, Record, State
+from softswitch.fleet.messages import BITS, BUCKETS, ENDED, Record, State
 
 SPREAD = 3.0  # times log2 of the fleet that a piece of news is passed on by each member
 # ms for which an ended member is remembered: tombstones of a whole partition's length
@@ -46,7 +46,8 @@
 
     def put(self, now: float, record: Record, age: float = 0.0) -> Record | None:
         """Takes a record in; of an ended one, `age` ms ago. The one that held before where this one now holds
-        instead; None if it changes nothing, or there was none: `key in records` tells which."""
+        instead; None if it changes nothing, or there was none: `key in records` tells which.
+        """
         key = record.key
         old = self.records.get(key)
         if old is not None and record.rank <= old.rank:
--- a/willowhitch/fleet/messages.py
+++ b/softswitch/fleet/messages.py
@@ -35,7 +35,8 @@
 
 class Record(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """What is said of one member. The owner alone raises the incarnation; others only add a worse state to
-    it."""
+    it.
+    """
 
     name: Text
     address: Address  # host:port; with the name, who it is
@@ -54,7 +55,8 @@
     @property
     def rank(self) -> tuple[int, int, int, str, str, str, str]:
         """A total order: of two records of one member the greater one holds, whatever the order they come
-        in."""
+        in.
+        """
         return (self.incarnation, self.state, self.boot, self.version, self.config, self.site, self.mgmt)
 
 
--- a/willowhitch/fleet/size.py
+++ b/softswitch/fleet/size.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from willowhitch.fleet.messages import ENDED, Record
+from softswitch.fleet.messages import ENDED, Record
 
 
 class Size:
--- a/willowhitch/interface.py
+++ b/softswitch/interface.py
@@ -104,7 +104,8 @@
 
 class Constraints(Protocol):
     """What this front may spend of what it shares with others, at the instant of asking. The module asks
-    before it decides, and says what it did."""
+    before it decides, and says what it did.
+    """
 
     def admit(self, klass: str, worth: float) -> float:
         """A call comes. 0: let in, and counted, whatever becomes of it. Else ms until what binds it opens."""
--- a/willowhitch/quiet.py
+++ b/softswitch/log_rate_limit.py
@@ -11,7 +11,8 @@
 
 class Quiet:
     """A filter for loguru's sinks: each place in the code may write so many lines in so many seconds. The
-    first line after that says how many were left out. It keeps one entry a place, whatever the lines hold."""
+    first line after that says how many were left out. It keeps one entry a place, whatever the lines hold.
+    """
 
     def __init__(self, time: Callable[[], float] = monotonic) -> None:
         self._time = time
--- a/willowhitch/measure/record.py
+++ b/softswitch/measure/record.py
@@ -118,7 +118,8 @@
         self, now: float, tried: int, took: int, klass: str, outcome: str, delay: float, redial: bool
     ) -> Occupancy | None:
         """A set-up has its answer, or was given up. `took` is -1 where it does not stand; where it does, its
-        seat comes back, which `over` wants."""
+        seat comes back, which `over` wants.
+        """
         if now >= self.until:
             self.turn(now)
         key = (tried, took, klass)
--- a/willowhitch/measure/recording.py
+++ b/softswitch/measure/recording.py
@@ -10,10 +10,10 @@
 
 from loguru import logger
 
-from willowhitch.core.switch import BLOCKED, PROCESSOR_FULL, Call, Switch
-from willowhitch.measure.record import TrafficRecord
-from willowhitch.measure.recordfile import BadRecord, Writer, read
-from willowhitch.parts import Host
+from softswitch.components import Host
+from softswitch.core.switch import BLOCKED, PROCESSOR_FULL, Call, Switch
+from softswitch.measure.record import TrafficRecord
+from softswitch.measure.recordfile import BadRecord, Writer, read
 
 MOST_WAITING = 8  # intervals that wait to be written; a disk slower than that loses the newest
 
--- a/willowhitch/measure/streams.py
+++ b/softswitch/measure/streams.py
@@ -1,5 +1,6 @@
 """From the entries of traffic records to what dimensioning wants: counts by slot and holding times by
-stream."""
+stream.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from willowhitch.measure.recordfile import BadRecord, Contents
+from softswitch.measure.recordfile import BadRecord, Contents
 
 BLOCKED = ("blocked", "refused_before", "refused_other", "processor_full", "failed", "given_up")
 
--- a/willowhitch/net/budgets.py
+++ b/softswitch/net/budgets.py
@@ -14,13 +14,13 @@
 import msgspec
 from loguru import logger
 
-from willowhitch.budgets.keeper import Keeper, Note, Say
-from willowhitch.budgets.messages import Message
-from willowhitch.budgets.plan import BadPlan, plan_of
-from willowhitch.budgets.purse import Purse
-from willowhitch.core.lifecycle import Phase
-from willowhitch.net.peers import Peers
-from willowhitch.parts import Host
+from softswitch.budgets.lease_client import Keeper, Note, Say
+from softswitch.budgets.messages import Message
+from softswitch.budgets.plan import BadPlan, plan_of
+from softswitch.budgets.spending import Purse
+from softswitch.components import Host
+from softswitch.core.lifecycle import Phase
+from softswitch.net.peers import Peers
 
 PART = "budgets"
 NEEDS = 200.0  # ms between two times that the needs are looked at
@@ -35,7 +35,8 @@
 class Floors:
     """How much of its floors this process may use. They belong to the fleet's address: only who has bound it
     has them. While one process replaces the other each has half. What is gained counts only after the slots
-    have rested that the other process may have used."""
+    have rested that the other process may have used.
+    """
 
     def __init__(self, now: float, longest: float) -> None:
         self.longest = longest  # ms, the longest that slots of any budget rest
--- a/willowhitch/net/control.py
+++ b/softswitch/net/call_control.py
@@ -23,8 +23,8 @@
 )
 from wsproto.utilities import RemoteProtocolError
 
-from willowhitch.configuration import ControlSettings
-from willowhitch.core.switch import NORMAL, Order, Switch, Verdict
+from softswitch.configuration import ControlSettings
+from softswitch.core.switch import NORMAL, Order, Switch, Verdict
 
 VERSION = 1
 PATH = "/v1/calls"
--- a/willowhitch/net/callbook.py
+++ b/softswitch/net/call_history.py
@@ -9,9 +9,9 @@
 import orjson
 from loguru import logger
 
-from willowhitch.core.lives import SYSTEM, Lives
-from willowhitch.core.switch import CALL
-from willowhitch.parts import Host
+from softswitch.components import Host
+from softswitch.core.call_history import SYSTEM, Lives
+from softswitch.core.switch import CALL
 
 AT_ONCE = 500  # lives encoded in one turn of the loop, at the most
 
--- a/willowhitch/net/board.py
+++ b/softswitch/net/endpoint_watch.py
@@ -10,9 +10,9 @@
 from twisted.internet.protocol import ReconnectingClientFactory
 from twisted.protocols.basic import Int32StringReceiver
 
-from willowhitch import interface as i
-from willowhitch.core.switch import Switch
-from willowhitch.net.engine import EngineLinks
+from softswitch import interface as i
+from softswitch.core.switch import Switch
+from softswitch.net.engine import EngineLinks
 
 RECORD = Struct(">I4sHBBBHIQ")  # id, address, port, state, zone, kind, cell, weight, started
 HEAD = Struct(">QB")
@@ -161,10 +161,10 @@
             )
             return self.ask_again()
         if kind not in (WHOLE, CHANGES):
-            return
+            return None
         if number <= self.rev:
             self.switch.count["repeated notices"] += 1
-            return
+            return None
         self._take(
             i.ListKind.WHOLE if kind == WHOLE else i.ListKind.CHANGES, entries_of(payload, self.to_clock)
         )
--- a/willowhitch/net/engine.py
+++ b/softswitch/net/engine.py
@@ -10,9 +10,9 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import Int16StringReceiver
 
-from willowhitch import interface as i
-from willowhitch.core.switch import NORMAL, Call, Switch
-from willowhitch.settings import report_of
+from softswitch import interface as i
+from softswitch.core.switch import NORMAL, Call, Switch
+from softswitch.settings import report_of
 
 SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED = 1, 6, 9, 12, 16, 43, 52, 53
 CLASS, LEFT, NUMBER, NOTE, REPORT, CAUSE, DESCRIPTION = 3, 5, 11, 17, 21, 31, 33
@@ -64,7 +64,7 @@
     kind = data[0]
     if kind not in meant:
         raise ValueError("type not known")
-    if kind == ANSWER and DESCRIPTION not in found or len(found.get(CAUSE, b" ")) != 1:
+    if (kind == ANSWER and DESCRIPTION not in found) or len(found.get(CAUSE, b" ")) != 1:
         raise ValueError("answer without description, or cause of no byte")
     if kind == RELEASE and CAUSE not in found:
         raise ValueError("release without cause")
@@ -73,7 +73,8 @@
 
 def begun_release(data: bytes) -> tuple[str, int] | None:
     """Call and cause of a release of which a part has come, from its length on; None if it is none, or if not
-    even the call is told yet. The cause is NORMAL where it did not come."""
+    even the call is told yet. The cause is NORMAL where it did not come.
+    """
     if len(data) < 11 or data[2] != RELEASE:
         return None
     at, cause = 11, NORMAL
@@ -110,7 +111,8 @@
 
     def spoil(self, why: str) -> None:
         """Guards against what stands behind a spoilt message: where the next one begins is not known, so
-        nothing more is read, and every set-up open here is the switch's to repeat or to fail, at once."""
+        nothing more is read, and every set-up open here is the switch's to repeat or to fail, at once.
+        """
         if not self.spoilt:
             self.spoilt = True
             self.link.switch.count["engine links spoilt"] += 1
@@ -123,7 +125,8 @@
 
     def cut_short(self) -> None:
         """No more will come of the message that was begun. If it was a release, the engine has told it, as
-        far as it knows, and does so no more: what came of it has to do."""
+        far as it knows, and does so no more: what came of it has to do.
+        """
         begun = begun_release(self.recvd) if self.recvd else None
         if begun is not None:
             self.link.begun(*begun)
@@ -146,7 +149,7 @@
 
     def stringReceived(self, data: bytes) -> None:
         if self.spoilt:
-            return
+            return None
         self.waits = None
         try:
             kind, call, said = read(data)
@@ -232,7 +235,7 @@
 
     def open(self) -> None:
         if self.connection is not None or self.opening or self.closing or self.waiting:
-            return
+            return None
         if self.switch.wheel.now < self.not_before:  # however much there is to send
             self.waiting = True
             return self.switch.wheel.at(self.not_before, self._open_now)
@@ -325,7 +328,8 @@
 
     def begun(self, call: str, cause: int) -> None:
         """A release whose end did not come. Only a call that stands here is over by it: an open set-up is
-        repeated or failed with the link."""
+        repeated or failed with the link.
+        """
         known = self.switch.calls.get(call)
         if known is not None and known.stands and known.server == self.server:
             self.switch.count["releases cut short"] += 1
@@ -418,7 +422,7 @@
         drains = not self.out and self.switch.states.get(self.server) is not i.State.READY
         beat = max(self.beat, DRAINED_BEAT) if drains else self.beat
         if now - self.last < beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
-            return
+            return None
         silent = now - self.heard_at
         if silent >= SILENT_AFTER:
             logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, silent)
--- a/willowhitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -21,9 +21,9 @@
 from twisted.protocols.basic import LineReceiver
 from zope.interface import implementer
 
-from willowhitch.core.lifecycle import Phase
-from willowhitch.core.switch import CALL, Switch
-from willowhitch.net.sip import SipFront
+from softswitch.core.lifecycle import Phase
+from softswitch.core.switch import CALL, Switch
+from softswitch.net.sip import SipFront
 
 VERSION = 1
 MOST_SOCKETS = 4  # stale files that are tried
@@ -39,7 +39,8 @@
 
 def listening(at: tuple[str, int], backlog: int, shared: bool = False) -> socket.socket:
     """A socket that listens there. `shared`: others of this user may do so too (SO_REUSEPORT), each with its
-    own queue, which goes down with it."""
+    own queue, which goes down with it.
+    """
     made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -259,7 +260,7 @@
 
     def lost(self, channel: Channel) -> None:
         if channel is not self.channel:
-            return
+            return None
         self.channel = None
         if self.on_found is not None:
             return self.found(None)
--- a/willowhitch/net/mgmt.py
+++ b/softswitch/net/management.py
@@ -15,8 +15,8 @@
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
-from willowhitch.core.lifecycle import Phase
-from willowhitch.core.switch import Switch
+from softswitch.core.lifecycle import Phase
+from softswitch.core.switch import Switch
 
 MOST = 16  # connections at once; one more sheds the longest there that has asked nothing whole
 LONGEST_HEAD, LONGEST_BODY = 8_192, 4_096  # bytes of a request
@@ -152,7 +152,7 @@
         known = CALLS.get(path)
         if known is None:
             for begin, (wants, answer) in self.more.items():
-                if path == begin or begin.endswith("/") and path.startswith(begin):
+                if path == begin or (begin.endswith("/") and path.startswith(begin)):
                     if method != wants:
                         return 405, {"error": f"{path} wants {wants}", "allow": wants}
                     return answer(path[len(begin) :])
--- a/willowhitch/net/peers.py
+++ b/softswitch/net/peers.py
@@ -18,9 +18,10 @@
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory
 from twisted.protocols.basic import Int32StringReceiver
 
-from willowhitch.core.lifecycle import Phase
-from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
-from willowhitch.fleet.messages import (
+from softswitch.components import Host
+from softswitch.core.lifecycle import Phase
+from softswitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
+from softswitch.fleet.messages import (
     BITS,
     ENDED,
     FORMAT,
@@ -34,9 +35,8 @@
     State,
     Stream,
 )
-from willowhitch.fleet.size import Size
-from willowhitch.parts import Host
-from willowhitch.storage.snapshot import BadSnapshot, Snapshot
+from softswitch.fleet.size import Size
+from softswitch.storage.snapshot import BadSnapshot, Snapshot
 
 LONGEST = 1_400  # bytes of a datagram
 LONGEST_EXCHANGE = 4 << 20  # bytes of one message of an exchange
@@ -193,7 +193,8 @@
 
     def _known(self) -> Saved | None:
         """What the process before had written. Whatever is wrong with it: one line, and the seeds are
-        there."""
+        there.
+        """
         if self.snapshot is None:
             return None
         try:
@@ -209,7 +210,8 @@
 
     def _save(self) -> None:
         """Each SAVE_EVERY ms, if anything changed; written in a thread, so that the loop waits for no
-        disk."""
+        disk.
+        """
         self.wheel.at(self.wheel.now + SAVE_EVERY, self._save)
         if self.snapshot is None or self.saving or self.quiet or self.saved == self.member.table.digest:
             return
@@ -318,7 +320,7 @@
     # time
 
     def _tick(self, due: float) -> None:
-        if self.port is None or due != self.due and self.due > self.wheel.now:
+        if self.port is None or (due != self.due and self.due > self.wheel.now):
             return
         self._do(self.member.tick(self.wheel.now))
 
@@ -351,7 +353,7 @@
         self.taken_in += 1
         if self.taken_in > MOST_EACH:
             self.count["datagrams dropped in a flood"] += 1
-            return
+            return None
         if len(data) > LONGEST:
             return self.garbage("a datagram is too long")
         try:
@@ -363,7 +365,7 @@
             takes = self.carried.get(message.part)
             if takes is not None and (message.fleet, message.format) == (self.table.name, FORMAT):
                 takes(message.body)
-            return
+            return None
         self._do(self.member.heard(now, message))
 
     def garbage(self, why: str) -> None:
--- a/willowhitch/net/sip.py
+++ b/softswitch/net/sip.py
@@ -8,10 +8,10 @@
 from loguru import logger
 from twisted.internet.protocol import Factory
 
-from willowhitch.core.lifecycle import LINGERS_FOR, NEWCOMER, Phase
-from willowhitch.core.releases import Releases, Tell
-from willowhitch.core.switch import NORMAL, Order, Switch, Verdict
-from willowhitch.net.sip_connection import LOOKS, TURN, SipConnection
+from softswitch.core.lifecycle import LINGERS_FOR, NEWCOMER, Phase
+from softswitch.core.release_delivery import Releases, Tell
+from softswitch.core.switch import NORMAL, Order, Switch, Verdict
+from softswitch.net.sip_connection import LOOKS, TURN, SipConnection
 
 MOST_OPEN, FIRST_OPEN = 1_024, 64  # set-ups open on one connection; before the first one there stood
 ACCEPTS = 8  # connections taken in at once, and 20 more at the most
@@ -116,7 +116,8 @@
 
     def _make_room(self) -> bool:
         """Ends a connection at once: one that is being closed, else an idle one, once what lies unread there
-        was read: a set-up may have come long before we get to look."""
+        was read: a set-up may have come long before we get to look.
+        """
         if self.leaving:
             connection = next(iter(self.leaving))
             del self.leaving[connection]
@@ -136,7 +137,8 @@
     def _victim(self) -> SipConnection | None:
         """Guards the descriptors, and good callers from a crowd: those who connect and say nothing go first,
         then those whose first message has stopped coming, then those who asked something and stayed, the
-        longest there. A newcomer has a moment to say what it wants; callers of calls go last."""
+        longest there. A newcomer has a moment to say what it wants; callers of calls go last.
+        """
         now = self.switch.wheel.now
         for kept, moment in ((self.new, MOMENT), (self.begun, PAUSE)):
             first = next(iter(kept), None)
@@ -237,7 +239,8 @@
 
     def shut(self, connection: SipConnection, at_once: bool = False) -> None:
         """Closes a connection. What is still owed an answer there gets one: closing must lose no call. Our
-        side closes first and theirs is read to its end: unread bytes would make a reset of the close."""
+        side closes first and theirs is read to its end: unread bytes would make a reset of the close.
+        """
         if connection.closed_at is not None:
             return
         connection.closed_at = self.switch.wheel.now
@@ -293,7 +296,8 @@
 
     def _calls(self, connection: SipConnection) -> None:
         """A caller speaks here: releases that wait for one may go this way. The platform's front, which only
-        tests, drops them."""
+        tests, drops them.
+        """
         connection.heard = self.switch.wheel.now
         if connection.closed_at is None:
             self._say(self.releases.spoke(connection.heard, connection))
--- a/willowhitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 if TYPE_CHECKING:
-    from willowhitch.net.sip import SipFront
+    from softswitch.net.sip import SipFront
 
 LONGEST = 16_384  # bytes of one message
 MOST_STRIKES = 16.0  # unusable messages, or four times as many of no class, with no call standing between
@@ -157,7 +157,7 @@
 
     def lineReceived(self, line: bytes) -> None:
         if self.closed_at is not None:
-            return
+            return None
         self.size += len(line) + 2
         if self.size > LONGEST:
             return self._bad("longer than 16 KiB", 513)
@@ -166,7 +166,7 @@
             self.first = text.strip()  # empty lines between messages are skipped, however many
             self.began = self.front.switch.wheel.now if self.first else None
             self.size = self.size if self.first else 0
-            return
+            return None
         if not text:
             return self._head_done()
         name, colon, value = text.partition(":")
@@ -230,7 +230,8 @@
     def strike(self, weight: float = 1.0) -> None:
         """Guards against a caller that sends the same nonsense again as soon as it is turned away. What no
         good caller sends counts alone: closing loses set-ups that are on their way, and refusals, crossing
-        CANCELs and BYEs are daily bread."""
+        CANCELs and BYEs are daily bread.
+        """
         self.strikes += weight
         if self.strikes >= MOST_STRIKES and self.closed_at is None:
             self.front.switch.count["connections ended for misuse"] += 1
--- a/willowhitch/operator/load.py
+++ b/softswitch/operator/load.py
@@ -9,7 +9,7 @@
 import msgspec
 import starlark
 
-from willowhitch.operator.tables import Operator
+from softswitch.operator.tables import Operator
 
 MOST_BYTES = 256 << 10
 MOST_SECONDS, MOST_DEPTH = 2.0, 64
--- a/willowhitch/policy.py
+++ b/softswitch/policy.py
@@ -1,4 +1,4 @@
-"""Which core server a set-up goes to, or that it is refused. Types: willowhitch/interface.py.
+"""Which core server a set-up goes to, or that it is refused. Types: softswitch/interface.py.
 
 A gate per core server is open while one more set-up would finish within its aim (docs/design.md).
 Times are milliseconds. handle(now, event) -> actions; nothing here reads a clock or does I/O.
@@ -9,7 +9,7 @@
 from math import exp, floor, sqrt
 from random import Random
 
-from willowhitch import interface as i
+from softswitch import interface as i
 
 SMOOTH = 1000.0  # an answer's delay is smoothed, and ages, over about this long (the design's second)
 LONGEST = 4.0  # a server heard more rarely is remembered longer, up to this many times that
@@ -255,7 +255,7 @@
         """An attempt is over, or its call stands: what becomes of the call."""
         call = self.calls.get(event.call)
         if call is None or call.at is None or event.attempt != call.sends - 1:
-            return
+            return None
         for gate in call.erred if outcome is None else ():  # the call was good: it was they that failed
             self._fault(gate)  # a server that fails at once looks quick, and would draw calls
         if outcome is None or event.closed:
@@ -351,7 +351,7 @@
             call = self.stacks[kind][-1]
             if self.held.get(call.id) is not call or now < call.ready or self._try(now, call):
                 self.stacks[kind].pop()
-            if not self.stacks[kind] or self.stacks[kind][-1] is call and call.id in self.held:
+            if not self.stacks[kind] or (self.stacks[kind][-1] is call and call.id in self.held):
                 kinds.remove(kind)
         for call in [c for c in self.held.values() if c.ready <= now and now >= c.end] if sweep else ():
             self._try(now, call, True)
@@ -365,7 +365,7 @@
         barred = call.erred and (len(call.erred) > 1 or not self._eligible(call))  # by itself, it seems
         if self.bound and call.sends and not barred:  # repeats that others have spent: it is answered at once
             barred = not self._paid(call, self._eligible(call))
-        if barred or call.sends >= call.most or call.may_have_run and not call.klass.repeatable:
+        if barred or call.sends >= call.most or (call.may_have_run and not call.klass.repeatable):
             self._give_up(call)
             return True
         gate = None if shut or now < call.ready else self._choose(now, call)
@@ -414,10 +414,8 @@
         tries = [
             g
             for g in due
-            if g is direct
-            and (not opened or call.value < self.top)
-            or g.faults >= FAULTY
-            and call.value <= self.least
+            if (g is direct and (not opened or call.value < self.top))
+            or (g.faults >= FAULTY and call.value <= self.least)
         ]  # barred: opens by a trial alone
         if tries:
             gate = direct if direct in tries else self.random.choice(tries)
@@ -437,7 +435,7 @@
         self.acts.append(i.Attempt(call.id, gate.server))
 
     def _give_up(self, call: Call, late: bool = False) -> None:
-        fails = late or call.may_have_run and not call.klass.repeatable
+        fails = late or (call.may_have_run and not call.klass.repeatable)
         act = i.Fail(call.id) if fails else i.Refuse(call.id, self.set.max_advice * self.set.may_advise)
         self.acts.append(act)
         self._forget(call.id)
--- a/willowhitch/settings.py
+++ b/softswitch/settings.py
@@ -10,7 +10,7 @@
 from math import isfinite
 from typing import Any
 
-from willowhitch import interface as i
+from softswitch import interface as i
 
 FIELDS = {
     "spare": "free",
@@ -81,7 +81,7 @@
 
 def _cells(value: Any) -> bool:
     return isinstance(value, list) and all(
-        cells is None or isinstance(cells, list) and all(map(_whole, cells)) for cells in value
+        cells is None or (isinstance(cells, list) and all(map(_whole, cells))) for cells in value
     )
 
 
--- a/willowhitch/benchlink.py
+++ b/softswitch/simulator_adapter.py
@@ -12,9 +12,9 @@
 
 import orjson
 
-from willowhitch import interface as i
-from willowhitch.policy import Controller
-from willowhitch.settings import settings_of
+from softswitch import interface as i
+from softswitch.policy import Controller
+from softswitch.settings import settings_of
 
 OUTCOMES = {
     1: i.Outcome.OK,
--- a/willowhitch/standin/board.py
+++ b/softswitch/standin/board.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
-from willowhitch.net.board import CHANGES, HEAD, NOTHING, RECORD, WHOLE
+from softswitch.net.endpoint_watch import CHANGES, HEAD, NOTHING, RECORD, WHOLE
 
 STATES = {"active": 0, "leaving": 1, "left": 2}
 
--- a/willowhitch/standin/caller.py
+++ b/softswitch/standin/caller.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import ReconnectingClientFactory
 from twisted.protocols.basic import LineReceiver
 
-from willowhitch.standin.traffic import StreamSettings
+from softswitch.standin.traffic import StreamSettings
 
 
 @dataclass(slots=True)
--- a/willowhitch/standin/engine.py
+++ b/softswitch/standin/engine.py
@@ -18,7 +18,7 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int16StringReceiver
 
-from willowhitch.net.engine import (
+from softswitch.net.engine import (
     ANSWER,
     CAUSE,
     CLASS,
@@ -234,7 +234,8 @@
 
     def _work(self, share: float, what: Callable[[], None], new: bool = False) -> None:
         """Queues a piece of work, in shares of a set-up's. With a processor that costs nothing, it is
-        done."""
+        done.
+        """
         cost = share * self.set.work * self.slow / self.warmth()
         if cost <= 0 and not self.working:
             what()
--- a/willowhitch/standin/faults/budget_model.py
+++ b/softswitch/standin/faults/budget_model.py
@@ -16,9 +16,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from willowhitch.budgets.keeper import Keeper, Say
-from willowhitch.budgets.plan import Budget, Plan
-from willowhitch.standin.faults.budget_world import address_of
+from softswitch.budgets.lease_client import Keeper, Say
+from softswitch.budgets.plan import Budget, Plan
+from softswitch.standin.faults.budget_simulation import address_of
 
 STEP = 250.0  # ms of true time that go on at once
 MOST_ON_WAY = 4  # messages; one more pushes out the oldest, as if it were lost
--- a/willowhitch/standin/faults/budget_world.py
+++ b/softswitch/standin/faults/budget_simulation.py
@@ -16,12 +16,12 @@
 
 import msgspec
 
-from willowhitch.budgets.keeper import Keeper, Note, Say
-from willowhitch.budgets.messages import Want
-from willowhitch.budgets.plan import Plan
-from willowhitch.budgets.purse import Purse
-from willowhitch.standin.faults.links import Links, On
-from willowhitch.standin.faults.schedule import Fault, selected
+from softswitch.budgets.lease_client import Keeper, Note, Say
+from softswitch.budgets.messages import Want
+from softswitch.budgets.plan import Plan
+from softswitch.budgets.spending import Purse
+from softswitch.standin.faults.links import Links, On
+from softswitch.standin.faults.schedule import Fault, selected
 
 ENCODER = msgspec.msgpack.Encoder()
 LATE, LATEST = 0.01, 6_000.0  # share of messages that are held up somewhere, and for how long at most, ms
@@ -192,7 +192,7 @@
 
     def _tick(self, node: Node, boot: int) -> None:
         if not node.up or node.boots != boot:
-            return
+            return None
         if node.stopped_until > self.now:
             return self.at(node.stopped_until, self._tick, node, boot)
         self._do(node, node.keeper.tick(node.clock()))
@@ -333,7 +333,8 @@
 
     def settled(self) -> bool:
         """One allocator, and everyone has its part from it; with no majority of voters up, all are at their
-        floors."""
+        floors.
+        """
         up = [n for n in self.nodes.values() if n.up and n.stopped_until <= self.now]
         if sum(n.keeper.votes for n in up) < self.plan.majority:
             return all(n.keeper.holder.fresh for n in up)
--- a/willowhitch/standin/faults/drill.py
+++ b/softswitch/standin/faults/drill.py
@@ -24,14 +24,15 @@
 import orjson
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from willowhitch.standin.caller import Callers
-from willowhitch.standin.engine import EngineSettings
-from willowhitch.standin.faults.audit import Audit
-from willowhitch.standin.faults.links import Links
-from willowhitch.standin.faults.relay import CHECK, Relay
-from willowhitch.standin.faults.schedule import Fault, selected
-from willowhitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
-from willowhitch.standin.traffic import StreamSettings
+from softswitch import environment
+from softswitch.standin.caller import Callers
+from softswitch.standin.engine import EngineSettings
+from softswitch.standin.faults.audit import Audit
+from softswitch.standin.faults.links import Links
+from softswitch.standin.faults.relay import CHECK, Relay
+from softswitch.standin.faults.schedule import Fault, selected
+from softswitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
+from softswitch.standin.traffic import StreamSettings
 
 LOOK = 0.1  # s between two looks at all views
 ADDED = 0.4  # s between two times that budgets are added up
@@ -168,7 +169,8 @@
 
 class Drill(Fleet):
     """Plays one drill. With `view` off the same processes, load and faults without the fleet's part; with
-    `watched` off nobody asks for the views, so that what they cost by themselves can be measured."""
+    `watched` off nobody asks for the views, so that what they cost by themselves can be measured.
+    """
 
     def __init__(
         self,
@@ -271,11 +273,11 @@
         star = Path(self.dir.name, f"n{n}.star")
         env = os.environ | {"BALANCER_CONFIG": str(Path(self.dir.name, f"n{n}.json"))}
         env.pop("TMPDIR", None)
-        env.pop("WILLOWHITCH_OPERATOR", None)
+        env = environment.without(env, environment.OPERATOR_FILE)
         if star.exists():
-            env["WILLOWHITCH_OPERATOR"] = str(star)
+            env["SOFTSWITCH_OPERATOR"] = str(star)
         made = subprocess.Popen(
-            [sys.executable, "-m", "willowhitch"],
+            [sys.executable, "-m", "softswitch"],
             cwd=Path(__file__).parents[3],
             env=env,
             stdout=subprocess.PIPE,
--- a/willowhitch/standin/faults/virtual.py
+++ b/softswitch/standin/faults/fleet_simulation.py
@@ -16,10 +16,10 @@
 
 import msgspec
 
-from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
-from willowhitch.fleet.messages import BITS, ENDED, Record, State
-from willowhitch.standin.faults.links import Links, On
-from willowhitch.standin.faults.schedule import Fault, selected
+from softswitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
+from softswitch.fleet.messages import BITS, ENDED, Record, State
+from softswitch.standin.faults.links import Links, On
+from softswitch.standin.faults.schedule import Fault, selected
 
 STARVED_FOR = (150.0, 900.0)  # ms that a starved process sleeps between two looks at what came
 ENCODER = msgspec.msgpack.Encoder()
@@ -168,7 +168,7 @@
     def _tick(self, node: Node, boot: int) -> None:
         member = node.member
         if member is None or node.boots != boot:
-            return
+            return None
         if node.stopped_until > self.now:
             return self.at(node.stopped_until, self._tick, node, boot)
         if node.starved:
@@ -215,7 +215,8 @@
 
     def _way(self, src: Node, dst: Node) -> tuple[float, float, bool] | None:
         """Delay in ms, share lost, whether it comes twice; None where nothing passes. What is spoilt is
-        dropped as garbage by who gets it."""
+        dropped as garbage by who gets it.
+        """
         way = self.links.way(src.name, dst.name)
         if way is None:
             return None
--- a/willowhitch/standin/faults/links.py
+++ b/softswitch/standin/faults/links.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from willowhitch.standin.faults.schedule import LINKS, Fault, selected
+from softswitch.standin.faults.schedule import LINKS, Fault, selected
 
 RECENTLY = 15_000.0  # ms after a fault in which those that it touched may still be accused for it
 
@@ -77,7 +77,7 @@
             if not there and not back:
                 continue
             f = on.fault
-            if f.what == "cut" or f.what == "cut one way" and there:
+            if f.what == "cut" or (f.what == "cut one way" and there):
                 return None
             if f.what == "slow":
                 delay += f.ms + self.rng.random() * f.jitter_ms
@@ -95,7 +95,8 @@
 
     def excused(self, now: float, observer: str, about: str) -> bool:
         """Whether the one may call the other gone: it ended or was stopped, a cut stands or lately stood.
-        That the observer itself was stopped is no excuse."""
+        That the observer itself was stopped is no excuse.
+        """
         if about in self.away or observer in self.away:
             return True
         if max(self.ended[about], self.severed[about], self.severed[observer]) > now - RECENTLY:
--- a/willowhitch/standin/faults/relay.py
+++ b/softswitch/standin/faults/relay.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory, Protocol
 
-from willowhitch.standin.faults.links import Links, Way
+from softswitch.standin.faults.links import Links, Way
 
 CHECK = 0.1  # s between two looks whether a connection is cut
 RESENT = 200.0  # ms that a piece of a connection is late if its packet was lost
@@ -65,7 +65,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self.peer is None:
             self.waiting.append(data)
-            return
+            return None
         relay = self.relay
         src, dst = (relay.src, relay.dst) if self.forth else (relay.dst, relay.src)
         way = relay.links.way(src, dst)
--- a/willowhitch/standin/faults/schedule.py
+++ b/softswitch/standin/faults/schedule.py
@@ -99,7 +99,8 @@
 
 def read(path: str | Path, sites: dict[str, str]) -> list[Fault]:
     """A schedule from a JSON file; BadSchedule with one plain line if it can't be played with these
-    members."""
+    members.
+    """
     try:
         data = Path(path).read_bytes()
     except OSError as e:
--- a/willowhitch/standin/fleet.py
+++ b/softswitch/standin/fleet.py
@@ -22,10 +22,11 @@
 import orjson
 from twisted.internet import reactor as installed
 
-from willowhitch.standin.board import Board, Listed
-from willowhitch.standin.caller import Callers, Tally
-from willowhitch.standin.engine import Engine, EngineSettings
-from willowhitch.standin.traffic import StreamSettings, merged
+from softswitch import environment
+from softswitch.standin.board import Board, Listed
+from softswitch.standin.caller import Callers, Tally
+from softswitch.standin.engine import Engine, EngineSettings
+from softswitch.standin.traffic import StreamSettings, merged
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 READY_WITHIN = 20.0  # seconds for all softswitches to answer their test
@@ -133,7 +134,8 @@
 
 def own_hosts(most: int) -> list[str]:
     """Loopback addresses of this run's own: fixed ports there collide neither with another run's, nor with
-    what the system gives to connections that go out, as a port that was free a moment ago may."""
+    what the system gives to connections that go out, as a port that was free a moment ago may.
+    """
     pid = os.getpid()
     block = f"127.{64 + pid % 128}.{(pid >> 7) % 256}"
     return [f"{block}.{1 + (next(MADE) % 250)}" for _ in range(most)]
@@ -230,12 +232,12 @@
         """Starts a softswitch, for the first time or again; its log goes on."""
         star = Path(self.dir.name, f"n{n}.star")
         env = os.environ | {"BALANCER_CONFIG": str(Path(self.dir.name, f"n{n}.json"))} | self.day.env
-        env.pop("WILLOWHITCH_OPERATOR", None)
+        env = environment.without(env, environment.OPERATOR_FILE)
         if star.exists():
-            env["WILLOWHITCH_OPERATOR"] = str(star)
+            env["SOFTSWITCH_OPERATOR"] = str(star)
         with open(self.logs[n], "ab") as out:
             return subprocess.Popen(
-                [sys.executable, "-m", "willowhitch"],
+                [sys.executable, "-m", "softswitch"],
                 cwd=ROOT,
                 env=env,
                 stdout=out,
@@ -295,7 +297,7 @@
 
     def _second(self) -> None:
         if self.ending:
-            return
+            return None
         for n, program in enumerate(self.programs):
             if program.poll() is not None and self.should_run(n):
                 return self._fail(f"softswitch n{n} ended by itself with {program.returncode}")
--- a/willowhitch/storage/snapshot.py
+++ b/softswitch/storage/snapshot.py
@@ -75,7 +75,8 @@
 
     def read(self, versions: tuple[int, ...] = ()) -> tuple[int, bytes] | None:
         """Version and record; None if there is no file. `versions`: older ones that the caller can read too.
-        BadSnapshot if it is not what was written, or of another version; OSError if the disk refuses."""
+        BadSnapshot if it is not what was written, or of another version; OSError if the disk refuses.
+        """
         try:
             data = self.files.read(self.path, MOST + HEAD.size + 1)
         except FileNotFoundError:
--- a/willowhitch/telemetry.py
+++ b/softswitch/telemetry.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from willowhitch.core.switch import Switch
+from softswitch.core.switch import Switch
 
 ENDPOINT = "OTEL_EXPORTER_OTLP_ENDPOINT"
 EVERY = "OTEL_METRIC_EXPORT_INTERVAL"  # ms; the packages read it too
--- a/tests/stage.py
+++ b/tests/support/harness.py
@@ -19,11 +19,12 @@
 import time
 from pathlib import Path
 
-from test_benchlink import INFO
 from wsproto import ConnectionType, WSConnection
 from wsproto.connection import ConnectionState
 from wsproto.events import CloseConnection, Ping, RejectConnection, Request, TextMessage
 
+from support.settings import INFO
+
 KINDS = {
     1: "SET_UP",
     6: "PROGRESS",
@@ -36,7 +37,7 @@
 }
 CODES = {name: code for code, name in KINDS.items()}
 STATES = {"ready": 0, "draining": 1, "gone": 2}
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 PATIENCE = 5.0  # s that an `expect` waits
 
 
@@ -222,7 +223,7 @@
 
 class Stage:
     def __init__(
-        self, engines=2, settings=None, control="", config=None, env=None, command=("-m", "willowhitch")
+        self, engines=2, settings=None, control="", config=None, env=None, command=("-m", "softswitch")
     ):
         self.doors = {f"e{n}": listener() for n in range(engines)} | {"b": listener(), "b2": listener()}
         self.command = command
@@ -259,7 +260,7 @@
         toml = Path(self.dir.name, "control.toml")
         toml.write_text(f'listen = "{written(self.web)}"\n{control}')
         self.log = open(Path(self.dir.name, "log"), "w+")
-        given = os.environ | {"BALANCER_CONFIG": str(self.config), "WILLOWHITCH_CONTROL": str(toml)}
+        given = os.environ | {"BALANCER_CONFIG": str(self.config), "SOFTSWITCH_CONTROL": str(toml)}
         self.env = given | (env or {})
         self.start()
 
--- a/tests/known_red.py
+++ b/tests/support/known_failures.py
@@ -6,7 +6,7 @@
 
 from pathlib import Path
 
-FILE, MOST = Path(__file__).parent.parent / "KNOWN-RED.txt", 3
+FILE, MOST = Path(__file__).parents[2] / "KNOWN-RED.txt", 3
 
 
 def read(text):
--- a/tests/helpers.py
+++ b/tests/support/policy_driver.py
@@ -1,7 +1,7 @@
 """A front with named servers, driven by hand."""
 
-from willowhitch import Controller
-from willowhitch import interface as i
+from softswitch import Controller
+from softswitch import interface as i
 
 CLASSES = (
     i.CallClass("plain", aim=1500.0, worth=1.0, late_share=0.25, hold=8000.0),
--- a/tests/refused.py
+++ b/tests/support/seccomp_filter.py
@@ -1,5 +1,6 @@
 """Runs the program with what the fleet's standing test refuses being refused by the kernel: fork, further
-programs, io_uring, sendfile (ENOSYS), splice (EINVAL), Unix and IPv6 sockets. `python refused.py MODULE`."""
+programs, io_uring, sendfile (ENOSYS), splice (EINVAL), Unix and IPv6 sockets. `python refused.py MODULE`.
+"""
 
 import ctypes
 import errno
--- a/tests/test_gate.py
+++ b/tests/test_admission_gate.py
@@ -1,10 +1,22 @@
 """The gate opens, shuts, ages and tries; the pick is drawn; worth decides under pressure."""
 
 import pytest
-from helpers import CLASSES, beats, call, ended, entry, front, lines, press, sends, settings, stands
-
-from willowhitch import Controller
-from willowhitch import interface as i
+from support.policy_driver import (
+    CLASSES,
+    beats,
+    call,
+    ended,
+    entry,
+    front,
+    lines,
+    press,
+    sends,
+    settings,
+    stands,
+)
+
+from softswitch import Controller
+from softswitch import interface as i
 
 
 def test_unheard_server_is_open_and_destination_comes_first():
--- a/tests/test_budget_processes.py
+++ b/tests/test_budget_processes.py
@@ -1,5 +1,6 @@
 """Budgets of real processes: what is refused when, the command, an allocator that dies, files that can't be
-kept, and a drill that adds up what was held, spent and seen at the engines."""
+kept, and a drill that adds up what was held, spent and seen at the engines.
+"""
 
 import http.client
 import json
@@ -9,10 +10,10 @@
 from contextlib import ExitStack, contextmanager
 
 import pytest
-from stage import ROOT, written
+from support.harness import ROOT, written
 from test_fleet_processes import Process, own, until
 
-from willowhitch.operator.load import BadOperatorFile, of_text
+from softswitch.operator.load import BadOperatorFile, of_text
 
 FLEET = 'fleet = {"name": "f", "address": "10.0.0.1:7946", "seeds": ["10.0.0.2:7946"]}\n'
 ALLOCATION = 'allocation = {"members": ["10.0.0.1:7946", "10.0.0.2:7946"], "voters": ["10.0.0.1:7946"]}\n'
@@ -38,7 +39,7 @@
 
 
 def budgets(*made):
-    words = [sys.executable, "-m", "willowhitch.cli", "fleet", "budgets", "--json", *(p.mgmt for p in made)]
+    words = [sys.executable, "-m", "softswitch.cli", "fleet", "budgets", "--json", *(p.mgmt for p in made)]
     ran = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
     return ran.returncode, json.loads(ran.stdout)
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,5 +1,6 @@
 """Budgets without a wire: division, windows, purse, plans, and drawn schedules with faults on virtual
-time."""
+time.
+"""
 
 import sys
 from copy import deepcopy
@@ -9,22 +10,22 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from stage import ROOT
-
-from willowhitch.budgets.divide import divided
-from willowhitch.budgets.holder import Holder
-from willowhitch.budgets.keeper import Keeper
-from willowhitch.budgets.messages import NOBODY, NOTHING, Grant, Line, Promised, See, Want
-from willowhitch.budgets.office import Candidate
-from willowhitch.budgets.plan import SHARES, BadPlan, Budget, Plan, lowest
-from willowhitch.budgets.purse import Purse
-from willowhitch.budgets.window import CELLS, Window
-from willowhitch.net.budgets import Floors
-from willowhitch.standin.faults.budget_world import BudgetWorld, address_of, even, play
-from willowhitch.standin.faults.schedule import Fault
+from support.harness import ROOT
+
+from softswitch.budgets.allocator import Candidate
+from softswitch.budgets.division import divided
+from softswitch.budgets.lease_client import Keeper
+from softswitch.budgets.lease_holder import Holder
+from softswitch.budgets.messages import NOBODY, NOTHING, Grant, Line, Promised, See, Want
+from softswitch.budgets.plan import SHARES, BadPlan, Budget, Plan, lowest
+from softswitch.budgets.sliding_window import CELLS, Window
+from softswitch.budgets.spending import Purse
+from softswitch.net.budgets import Floors
+from softswitch.standin.faults.budget_simulation import BudgetWorld, address_of, even, play
+from softswitch.standin.faults.schedule import Fault
 
 sys.path.insert(0, str(ROOT / "benchmarks"))
-import budgets as bench  # noqa: E402
+import budgets as bench
 
 ADDRESSES = tuple(address_of(n) for n in range(20))
 
--- a/tests/test_endings.py
+++ b/tests/test_call_endings.py
@@ -1,5 +1,6 @@
 """What is still owed at the instant in which something ends. Each bad order is made by events: peers are
-held, the program is stopped by SIGSTOP while things happen, or the set-ups come without pause."""
+held, the program is stopped by SIGSTOP while things happen, or the set-ups come without pause.
+"""
 
 import signal
 import socket
@@ -7,7 +8,7 @@
 import time
 
 import pytest
-from stage import INFO, ROOT, Sip, Stage, call_id, written
+from support.harness import INFO, ROOT, Sip, Stage, call_id, written
 
 SHORT = {"lanes": [{"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}]}
 SLOW = {"limits": INFO["limits"] | {"connect_timeout": 8000.0}}
@@ -241,7 +242,7 @@
             {act}
             os.kill(os.getpid(), signal.{signal})
 sys.meta_path.insert(0, Finder())
-runpy.run_module("willowhitch", run_name="__main__", alter_sys=True)
+runpy.run_module("softswitch", run_name="__main__", alter_sys=True)
 """
 
 
@@ -251,7 +252,7 @@
 
 
 @pytest.mark.parametrize(
-    "at", ["willowhitch.lean", "twisted.internet", "willowhitch.settings", "willowhitch.net.sip"]
+    "at", ["softswitch.lazy_import", "twisted.internet", "softswitch.settings", "softswitch.net.sip"]
 )
 def test_sighup_during_the_start_is_carried_out_once_it_serves(at):
     with started(at, "SIGHUP") as s:
@@ -259,7 +260,7 @@
         assert s.said().count("configuration reloaded") == 1, s.said()
 
 
-@pytest.mark.parametrize("at", ["willowhitch.lean", "willowhitch.net.sip"])
+@pytest.mark.parametrize("at", ["softswitch.lazy_import", "softswitch.net.sip"])
 def test_sigterm_during_the_start_ends_it_in_good_order_before_anybody_was_let_in(at):
     stage = started(at, "SIGTERM")
     try:
--- a/tests/test_lives.py
+++ b/tests/test_call_history.py
@@ -4,9 +4,9 @@
 import subprocess
 import sys
 
-from stage import Stage, call_id
+from support.harness import Stage, call_id
 
-from willowhitch.core.lives import FIRST, LAST, Lives
+from softswitch.core.call_history import FIRST, LAST, Lives
 
 CALL = """
     c0 send INVITE 1
@@ -37,7 +37,7 @@
 def test_a_life_is_told_on_request_and_written_to_the_file(tmp_path):
     star = tmp_path / "o.star"
     star.write_text('calls = {"keep": 9, "file": "l-{pid}.jsonl", "every_s": 0.1}\n')
-    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+    with Stage(env={"SOFTSWITCH_OPERATOR": str(star)}) as s:
         s.play(CALL)
         s.play("m0 send GET /v1/calls/{1}")
         told = json.loads(s.next("m0").partition(" - ")[2])
@@ -73,7 +73,7 @@
 def test_a_disk_that_is_full_is_told_once_and_calls_go_on(tmp_path):
     star = tmp_path / "o.star"
     star.write_text('calls = {"file": "/dev/full", "every_s": 0.1}\n')
-    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+    with Stage(env={"SOFTSWITCH_OPERATOR": str(star)}) as s:
         s.play(CALL + "c0 wait 400" + CALL.replace(" 1", " 2").replace("{1}", "{2}") + "c0 wait 400")
         assert s.said().count("calls: lives not written") == 1
 
@@ -91,8 +91,8 @@
         "sites",
     )
     code = (
-        "import sys, willowhitch.__main__; "
-        f"off = tuple('willowhitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
+        "import sys, softswitch.__main__; "
+        f"off = tuple('softswitch.' + name for name in {off}) + ('msgspec', 'starlark'); "
         "print([m for m in sys.modules if m.startswith(off)])"
     )
     assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.strip() == "[]"
--- a/tests/test_constraints.py
+++ b/tests/test_constraints.py
@@ -1,8 +1,8 @@
 """What is shared with other fronts binds the module: refused at once, told when to come, repeats paid for."""
 
-from helpers import call, ended, entry, front, lines, sends, settings, stands
+from support.policy_driver import call, ended, entry, front, lines, sends, settings, stands
 
-from willowhitch import interface as i
+from softswitch import interface as i
 
 
 class Bound:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,4 @@
-"""The call-control API: its hard cases, and ten thousand calls beside SIP. Language: tests/stage.py."""
+"""The call-control API: its hard cases, and ten thousand calls beside SIP. See tests/support/harness.py."""
 
 import json
 import socket
@@ -7,10 +7,10 @@
 from base64 import b64decode
 from collections import Counter
 
-from stage import Stage, call_id
+from support.harness import Stage, call_id
 
-from willowhitch.core.switch import Verdict
-from willowhitch.net import control, sip
+from softswitch.core.switch import Verdict
+from softswitch.net import call_control, sip
 
 
 class HardCases(unittest.TestCase):
@@ -187,7 +187,7 @@
             sock = s.party("w0").sock
             big = (
                 s.party("w0").ws.send(
-                    control.TextMessage(data=json.dumps({"v": 1, "do": "watch", "id": call_id(1)}))
+                    call_control.TextMessage(data=json.dumps({"v": 1, "do": "watch", "id": call_id(1)}))
                 )
                 * 50
             )
@@ -217,8 +217,8 @@
                 """)
 
     def test_each_outcome_of_the_core_has_one_code(self):
-        assert set(control.CODES) == set(sip.CODES) == set(Verdict)
-        assert len(set(control.CODES.values())) == len(Verdict)
+        assert set(call_control.CODES) == set(sip.CODES) == set(Verdict)
+        assert len(set(call_control.CODES.values())) == len(Verdict)
 
     def test_bad_settings_are_one_plain_line(self):
         for bad in ("most_sockets = 0", "strange = 1", "keep_s = [", 'most_open = "many"'):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,12 +1,12 @@
 """The switch and its wheel, with no wire: a clock by hand, a caller and engines that only write down."""
 
 import pytest
-from helpers import settings
+from support.policy_driver import settings
 
-from willowhitch import interface as i
-from willowhitch.core import switch
-from willowhitch.core.switch import MARGIN, MOST_CALLS, Order, Switch, Verdict
-from willowhitch.core.wheel import Wheel
+from softswitch import interface as i
+from softswitch.core import switch
+from softswitch.core.switch import MARGIN, MOST_CALLS, Order, Switch, Verdict
+from softswitch.core.timer_wheel import Wheel
 
 A, B = "s-0000000a", "s-0000000b"
 
--- a/tests/test_dimension.py
+++ b/tests/test_dimension.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 from mpmath import gammainc, mp, mpf, quad
 
-from willowhitch.dimension import loss, peaky, widths
-from willowhitch.dimension.loss import OutOfRange
+from softswitch.dimension import loss, peaked_traffic, widths
+from softswitch.dimension.loss import OutOfRange
 
 
 def exact_log_b(circuits, erlangs):
-    """ln B to 60 digits: A^N e^-A over the upper incomplete gamma function of N + 1."""
+    """Ln B to 60 digits: A^N e^-A over the upper incomplete gamma function of N + 1."""
     with mp.workdps(60):
         n, a = mpf(circuits), mpf(erlangs)
         return float(mp.log(a) * n - a - mp.log(gammainc(n + 1, a)))
@@ -102,7 +102,7 @@
 def test_formulas_agree_where_they_meet(n, a):
     b = loss.erlang_b_recursion(n, a)
     assert loss.erlang_b(n, a) == pytest.approx(b, rel=1e-10)
-    assert peaky.bpp(n, a, 1.0) == pytest.approx((b, b, b), rel=1e-8)
+    assert peaked_traffic.bpp(n, a, 1.0) == pytest.approx((b, b, b), rel=1e-8)
     assert widths.blocking(n, [widths.Stream(a)]) == pytest.approx([b], rel=1e-9)
     assert loss.erlang_a(n, a, 0) == (pytest.approx(b), pytest.approx(b))
     assert loss.erlang_b_redials(n, a, 0)[0] == pytest.approx(b)
@@ -112,9 +112,11 @@
     assert dn <= 0 <= da
     # a group in two parts loses what one group of both loses: overflow's mean is consistent
     first = max(1, n // 3)
-    mean, variance = peaky.overflow(first, a)
+    mean, variance = peaked_traffic.overflow(first, a)
     if mean > 1e-6 and variance / mean < 90:
-        assert peaky.wilkinson(n - first, mean, variance) * mean == pytest.approx(a * b, rel=1e-5, abs=1e-12)
+        assert peaked_traffic.wilkinson(n - first, mean, variance) * mean == pytest.approx(
+            a * b, rel=1e-5, abs=1e-12
+        )
 
 
 def test_engset_is_the_finite_chain():
@@ -128,7 +130,7 @@
         assert loss.engset(circuits, sources, each) == (pytest.approx(time_share), pytest.approx(call))
         if circuits < sources:  # and Bernoulli traffic of the same mean and peakedness is the same chain
             up = sources * each / (1 + each)
-            assert peaky.bpp(circuits, up, 1 / (1 + each))[:2] == (
+            assert peaked_traffic.bpp(circuits, up, 1 / (1 + each))[:2] == (
                 pytest.approx(time_share),
                 pytest.approx(call),
             )
@@ -189,14 +191,14 @@
 
 def test_equivalent_random_method_meets_its_moments():
     for mean, z in ((1.0, 2.0), (10.0, 1.5), (10.0, 5.0), (500.0, 3.0), (0.05, 1.2), (2000.0, 20.0)):
-        a, n = peaky.equivalent(mean, mean * z)
-        got = peaky.overflow(n, a)
+        a, n = peaked_traffic.equivalent(mean, mean * z)
+        got = peaked_traffic.overflow(n, a)
         assert got[0] == pytest.approx(mean, rel=1e-8) and got[1] == pytest.approx(mean * z, rel=1e-6)
     # Hayward against it where means are ten times the peakedness: within a quarter at 0.5 to 20% blocking
     for mean, z in ((20.0, 2.0), (50.0, 3.0), (200.0, 5.0), (100.0, 1.5)):
         for target in (0.005, 0.01, 0.05, 0.2):
-            n = peaky.circuits_for(mean, target, z)
-            assert peaky.hayward(n, mean, z) == pytest.approx(target, rel=0.25), (mean, z, target)
+            n = peaked_traffic.circuits_for(mean, target, z)
+            assert peaked_traffic.hayward(n, mean, z) == pytest.approx(target, rel=0.25), (mean, z, target)
 
 
 def test_day_to_day_against_adaptive_quadrature():
@@ -210,8 +212,8 @@
                 return x * loss.erlang_b(n, float(x)) * dense
 
             want = quad(lost, [max(1e-9, mean - 12 * spread), mean, mean + 12 * spread]) / mean
-        assert peaky.day_to_day(n, mean, variance) == pytest.approx(float(want), rel=1e-4)
-        assert peaky.day_to_day(n, mean, variance) > loss.erlang_b(n, mean) * 0.999
+        assert peaked_traffic.day_to_day(n, mean, variance) == pytest.approx(float(want), rel=1e-4)
+        assert peaked_traffic.day_to_day(n, mean, variance) > loss.erlang_b(n, mean) * 0.999
 
 
 def test_redials_and_surges():
@@ -221,9 +223,9 @@
     assert loss.lost_after_redials(0.5, 3, 0.0) == pytest.approx(0.5)
     assert loss.lost_after_redials(0.5, 2, 0.5) == pytest.approx(0.5 * 0.5 + 0.5 * 0.5 * 0.5)
     assert loss.surge_peak(10, 2, 1e9) == 20 and loss.surge_peak(10, 2, 1) == pytest.approx(20 - 10 * exp(-1))
-    rate, z = peaky.switched(10, 2, 5)
+    rate, z = peaked_traffic.switched(10, 2, 5)
     assert rate == pytest.approx(35) and z > 5
-    assert peaky.switched(10, 1e-6, 1e-6)[1] == pytest.approx(1, abs=1e-4)
+    assert peaked_traffic.switched(10, 1e-6, 1e-6)[1] == pytest.approx(1, abs=1e-4)
 
 
 @pytest.mark.parametrize(
@@ -234,11 +236,11 @@
         (lambda: loss.circuits_for(3, 0), "target"),
         (lambda: loss.circuits_for(3, 1), "target"),
         (lambda: loss.erlangs_for(0, 0.1), "circuits"),
-        (lambda: peaky.hayward(3, 3, 0), "peakedness"),
-        (lambda: peaky.equivalent(1, 0.5), "peakedness"),
+        (lambda: peaked_traffic.hayward(3, 3, 0), "peakedness"),
+        (lambda: peaked_traffic.equivalent(1, 0.5), "peakedness"),
         (lambda: widths.blocking(5, []), "stream"),
         (lambda: loss.erlang_b_redials(3, 3, 1.0), "again"),
-        (lambda: peaky.bpp(3, 0, 1), "erlangs"),
+        (lambda: peaked_traffic.bpp(3, 0, 1), "erlangs"),
         (lambda: loss.erlang_b(float("inf"), 2), "circuits"),
         (lambda: loss.engset(3, 0, 1), "sources"),
     ],
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,7 +8,7 @@
 
 def test_every_log_line_is_on_the_page():
     page, found = (ROOT / "docs" / "oncall.md").read_text(), []
-    for source in sorted((ROOT / "willowhitch").rglob("*.py")):
+    for source in sorted((ROOT / "softswitch").rglob("*.py")):
         for line in re.findall(r"logger\.(?:info|warning|error)\(\s*f?\"([^\"]*)", source.read_text()):
             # what stands before and after the first figure must both be there
             parts = [part.strip() for part in re.split(r"\{[^}]*\}", line)[:2]]
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -4,11 +4,11 @@
 from random import Random
 
 import pytest
-from helpers import settings
+from support.policy_driver import settings
 from test_core import A, Bench
 
-from willowhitch.core.figures import MOST_VANISHED, Figures
-from willowhitch.core.lifecycle import ADMITS_FOR, LAST_CALL, LATE_AFTER, LINGERS_FOR, Lifecycle, Phase
+from softswitch.core.figures import MOST_VANISHED, Figures
+from softswitch.core.lifecycle import ADMITS_FOR, LAST_CALL, LATE_AFTER, LINGERS_FOR, Lifecycle, Phase
 
 
 def cross(b, draw, n, known):
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -1,5 +1,6 @@
 """The fleet view of real processes: three softswitches and the command, a replacement, a drill with
-relays."""
+relays.
+"""
 
 import json
 import os
@@ -11,9 +12,9 @@
 from contextlib import ExitStack, contextmanager
 
 import pytest
-from stage import ROOT, Stage, written
+from support.harness import ROOT, Stage, written
 
-from willowhitch.standin.fleet import own_hosts
+from softswitch.standin.fleet import own_hosts
 
 PATIENCE = 20.0  # s for a condition to come true
 
@@ -52,7 +53,7 @@
         self.stage = Stage(
             engines=1,
             config={"name": f"n{n}"},
-            env={"WILLOWHITCH_OPERATOR": str(star), "TMPDIR": str(folder)},
+            env={"SOFTSWITCH_OPERATOR": str(star), "TMPDIR": str(folder)},
         )
 
     @property
@@ -74,7 +75,7 @@
 
 
 def view(*made):
-    words = [sys.executable, "-m", "willowhitch.cli", "fleet", "view", "--json", *(p.mgmt for p in made)]
+    words = [sys.executable, "-m", "softswitch.cli", "fleet", "view", "--json", *(p.mgmt for p in made)]
     ran = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
     return ran.returncode, json.loads(ran.stdout)
 
@@ -191,7 +192,7 @@
         [
             sys.executable,
             "-m",
-            "willowhitch.cli",
+            "softswitch.cli",
             "fleet",
             "drill",
             "--softswitches",
@@ -230,7 +231,7 @@
 def test_bad_input_to_the_commands():
     def run(*words):
         ran = subprocess.run(
-            [sys.executable, "-m", "willowhitch.cli", "fleet", *words],
+            [sys.executable, "-m", "softswitch.cli", "fleet", *words],
             cwd=ROOT,
             capture_output=True,
             text=True,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,5 +1,6 @@
 """The fleet view: its rules by hand, drawn schedules on virtual time, planted faults, the snapshot, its
-table."""
+table.
+"""
 
 import os
 import random
@@ -10,13 +11,13 @@
 import msgspec
 import pytest
 
-from willowhitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
-from willowhitch.fleet.messages import Ack, Compare, Head, Message, News, Ping, Record, Refused, State
-from willowhitch.fleet.size import Size
-from willowhitch.fleet.table import KEPT_ENDED, MOST, Table
-from willowhitch.standin.faults.schedule import BadSchedule, Fault, drawn, of_json, selected
-from willowhitch.standin.faults.virtual import World, play
-from willowhitch.storage.snapshot import BadSnapshot, Disk, Snapshot
+from softswitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
+from softswitch.fleet.member_table import KEPT_ENDED, MOST, Table
+from softswitch.fleet.messages import Ack, Compare, Head, Message, News, Ping, Record, Refused, State
+from softswitch.fleet.size import Size
+from softswitch.standin.faults.fleet_simulation import World, play
+from softswitch.standin.faults.schedule import BadSchedule, Fault, drawn, of_json, selected
+from softswitch.storage.snapshot import BadSnapshot, Disk, Snapshot
 
 
 def record(name, state=State.ALIVE, incarnation=1, boot=7, **more):
@@ -459,7 +460,7 @@
     path.write_text("\n" + line + "\n")
     root = Path(__file__).parent.parent
     ran = subprocess.run(
-        [sys.executable, "-m", "willowhitch.cli", "config", "check", str(path)],
+        [sys.executable, "-m", "softswitch.cli", "config", "check", str(path)],
         cwd=root,
         capture_output=True,
         text=True,
--- a/tests/test_known_red.py
+++ b/tests/test_known_failures.py
@@ -5,20 +5,22 @@
 import sys
 from pathlib import Path
 
-import known_red
 import pytest
+from support import known_failures
 
 TESTS = {"test_it.py": "def test_good():\n    pass\n\n\ndef test_bad():\n    assert False\n"}
 
 
 def run(tmp_path, listed, *args):
     """A tree with one good test and one that fails, run as the whole of it is."""
-    (tmp_path / "tests").mkdir()
-    for name in ("conftest.py", "known_red.py"):
-        shutil.copy(Path(__file__).with_name(name), tmp_path / "tests")
+    (tmp_path / "tests" / "support").mkdir(parents=True)
+    for name in ("conftest.py", "support/__init__.py", "support/known_failures.py"):
+        shutil.copy(Path(__file__).with_name("conftest.py").parent / name, tmp_path / "tests" / name)
     for name, text in TESTS.items():
         (tmp_path / "tests" / name).write_text(text)
-    (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
+    (tmp_path / "pyproject.toml").write_text(
+        '[tool.pytest.ini_options]\ntestpaths = ["tests"]\npythonpath = ["tests"]\n'
+    )
     if listed is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
     done = subprocess.run(
@@ -57,11 +59,11 @@
 
 
 def test_the_list_of_this_tree_is_in_order():
-    known_red.read(known_red.FILE.read_text() if known_red.FILE.exists() else "")
+    known_failures.read(known_failures.FILE.read_text() if known_failures.FILE.exists() else "")
 
 
 def test_there_is_one_test_command():
-    root = known_red.FILE.parent
+    root = known_failures.FILE.parent
     assert "make --no-print-directory test" in (root / ".ci" / "run").read_text()
     assert "    make test" in (root / "README.md").read_text()
     for page in (".ci/run", "README.md"):
--- a/tests/test_quiet.py
+++ b/tests/test_log_rate_limit.py
@@ -1,6 +1,6 @@
 """The bound on log lines."""
 
-from willowhitch.quiet import MOST, PER, Quiet
+from softswitch.log_rate_limit import MOST, PER, Quiet
 
 
 def test_each_place_writes_so_many_lines_and_then_tells_how_many_were_left_out():
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -1,11 +1,11 @@
-"""The softswitch on real sockets: SIP callers, quote engines, the notice board. Language: tests/stage.py."""
+"""The softswitch on real sockets: SIP callers, quote engines, the notice board. See support/harness.py."""
 
 import os
 import socket
 import time
 import unittest
 
-from stage import Stage
+from support.harness import Stage
 
 
 class Scenario(unittest.TestCase):
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -8,8 +8,8 @@
 import time
 
 import pytest
-from stage import Stage
-from test_benchlink import INFO
+from support.harness import Stage
+from support.settings import INFO
 
 STAYS = {"limits": INFO["limits"] | {"may_cancel": False}}  # a call that others overtake is not sent anew
 
@@ -101,9 +101,9 @@
 
 
 def test_an_unknown_way_to_hand_over_is_one_plain_line():
-    stage = Stage(env={"WILLOWHITCH_HANDOVER": "reuse"})
+    stage = Stage(env={"SOFTSWITCH_HANDOVER": "reuse"})
     assert stage.program.wait(10) == 2
-    assert stage.said().count("\n") == 1 and "WILLOWHITCH_HANDOVER" in stage.said(), stage.said()
+    assert stage.said().count("\n") == 1 and "SOFTSWITCH_HANDOVER" in stage.said(), stage.said()
     stage.__exit__()
 
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,10 +9,20 @@
 import numpy as np
 import pytest
 
-from willowhitch import cli
-from willowhitch.dimension import loss, mutual, network, peaky, planner, report, simulate, traffic, widths
-from willowhitch.dimension.loss import OutOfRange
-from willowhitch.dimension.network import Group, Stream
+from softswitch import cli
+from softswitch.dimension import (
+    loss,
+    mutual,
+    network,
+    peaked_traffic,
+    planner,
+    report,
+    simulate,
+    traffic,
+    widths,
+)
+from softswitch.dimension.loss import OutOfRange
+from softswitch.dimension.network import Group, Stream
 
 
 def sample(erlangs, seconds, seed, slot=0.1, circuits=10_000, **more):
@@ -64,14 +74,14 @@
         4,
         warm=20,
     )
-    assert over.carried["2"] == pytest.approx(peaky.overflow(6, 8)[0], rel=0.04)
+    assert over.carried["2"] == pytest.approx(peaked_traffic.overflow(6, 8)[0], rel=0.04)
     peaks = simulate.play(
         [simulate.Group("g", 16)], [simulate.Demand("x", 8, ("g",), on=2, off=2)], 40_000, 5
     )
-    x, z = peaks.demands["x"], peaky.switched(8, 2, 2)[1]
-    assert x.lost / x.calls == pytest.approx(peaky.switched_blocking(16, 8, 2, 2)[0], rel=0.05)
+    x, z = peaks.demands["x"], peaked_traffic.switched(8, 2, 2)[1]
+    assert x.lost / x.calls == pytest.approx(peaked_traffic.switched_blocking(16, 8, 2, 2)[0], rel=0.05)
     assert x.lost / x.calls == pytest.approx(
-        peaky.wilkinson(16, 8, 8 * z), rel=0.65
+        peaked_traffic.wilkinson(16, 8, 8 * z), rel=0.65
     )  # two moments are rougher
     assert x.lost / x.calls > 5 * loss.erlang_b(16, 8)  # plain Erlang B would understate it so far
 
@@ -101,7 +111,7 @@
 
 
 def test_peakedness_is_seen_and_a_surge_is_not_averaged_away():
-    z = peaky.switched(10, 2.0, 4.0)[1]
+    z = peaked_traffic.switched(10, 2.0, 4.0)[1]
     found = traffic.estimate(sample(10.0, 3_000.0, 5, on=2.0, off=4.0))
     assert found.method == "batches" and found.steady
     assert found.peakedness.low < z < found.peakedness.high and 0.6 * z < found.peakedness.value < 1.6 * z
@@ -318,7 +328,7 @@
         '"streams": [{"name": "s", "group": "d", "erlangs": 5}]}'
     )
     ran = subprocess.run(
-        [sys.executable, "-m", "willowhitch.cli", "trunks", "plan", str(file), "--json"],
+        [sys.executable, "-m", "softswitch.cli", "trunks", "plan", str(file), "--json"],
         capture_output=True,
         text=True,
         timeout=60,
--- a/tests/test_standing.py
+++ b/tests/test_platform_rules.py
@@ -5,13 +5,13 @@
 import tempfile
 from pathlib import Path
 
-from stage import ROOT, Stage
+from support.harness import ROOT, Stage
 
 
 def test_starts_serves_reloads_and_stops_with_all_of_it_refused():
     with tempfile.TemporaryDirectory() as tmp:
         Path(tmp, "willowhitch-left-over").touch()
-        command = (str(ROOT / "tests" / "refused.py"), "willowhitch")
+        command = (str(ROOT / "tests" / "support" / "seccomp_filter.py"), "softswitch")
         with Stage(engines=1, env={"TMPDIR": tmp}, command=command) as s:
             s.play("""
                 c0 send INVITE 1
@@ -38,7 +38,7 @@
     import tomllib
 
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert re.search(r"(^|= )exec \.venv/bin/python -m willowhitch$", deploy["run"])
+    assert re.search(r"(^|= )exec \.venv/bin/python -m softswitch$", deploy["run"])
     assert not re.search(r"[;&|]", deploy["run"].removeprefix("trap '' HUP; "))  # a builtin: starts nothing
     assert tomllib.loads((ROOT / "deploy" / "control.toml").read_text())["listen"] == ""
     for path in deploy["policy"] + deploy["node"]:
--- a/tests/test_policy_held.py
+++ b/tests/test_policy_queue.py
@@ -1,8 +1,8 @@
 """Held calls lie in stacks by kind: a thousand of them must not cost a look each at every event."""
 
-from helpers import call, front, sends, stands
+from support.policy_driver import call, front, sends, stands
 
-from willowhitch import interface as i
+from softswitch import interface as i
 
 
 def held_front(n):
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -12,9 +12,9 @@
 from threading import Thread
 
 from opentelemetry.proto.collector.metrics.v1.metrics_service_pb2 import ExportMetricsServiceRequest
-from stage import ROOT, Stage
+from support.harness import ROOT, Stage
 
-from willowhitch import cli
+from softswitch import cli
 
 
 class Collector(HTTPServer):
@@ -124,7 +124,7 @@
         )
         self.log = open(Path(self.dir.name, "log"), "w+")
         self.agent = subprocess.Popen(
-            [sys.executable, "-m", "willowhitch.cli", "agent", str(self.file)], cwd=ROOT, stderr=self.log
+            [sys.executable, "-m", "softswitch.cli", "agent", str(self.file)], cwd=ROOT, stderr=self.log
         )
 
     def tearDown(self):
@@ -203,7 +203,7 @@
             bad = Path(self.dir.name, "bad.toml")
             bad.write_text(text)
             ran = subprocess.run(
-                [sys.executable, "-m", "willowhitch.cli", "agent", str(bad)],
+                [sys.executable, "-m", "softswitch.cli", "agent", str(bad)],
                 cwd=ROOT,
                 capture_output=True,
                 text=True,
--- a/tests/test_turns.py
+++ b/tests/test_read_scheduling.py
@@ -1,11 +1,12 @@
 """Guards engines, operators and other callers from a turn of the loop that takes seconds: a flood of set-ups
-had a management call wait for 4.1 s."""
+had a management call wait for 4.1 s.
+"""
 
 from test_core import Bench
 from twisted.internet.testing import StringTransport
 
-from willowhitch.net.sip import SipFront
-from willowhitch.net.sip_connection import OLDEST, READ, TURN
+from softswitch.net.sip import SipFront
+from softswitch.net.sip_connection import OLDEST, READ, TURN
 
 INVITE = (
     "INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -13,14 +13,14 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from stage import Stage
+from support.harness import Stage
 
-from willowhitch import cli
-from willowhitch.core.wheel import Wheel
-from willowhitch.measure.record import MOST_ROUTES, OTHER, TrafficRecord
-from willowhitch.measure.recordfile import FRAME, BadRecord, Writer, encoded, read
-from willowhitch.measure.recording import MOST_WAITING, Recording
-from willowhitch.operator.load import BadOperatorFile, of_text
+from softswitch import cli
+from softswitch.core.timer_wheel import Wheel
+from softswitch.measure.record import MOST_ROUTES, OTHER, TrafficRecord
+from softswitch.measure.recordfile import FRAME, BadRecord, Writer, encoded, read
+from softswitch.measure.recording import MOST_WAITING, Recording
+from softswitch.operator.load import BadOperatorFile, of_text
 
 
 def record(interval=1000.0, slot=100.0):
@@ -187,7 +187,7 @@
     star.write_text(
         'record = {"file": "sub/t.whtr", "interval_s": 1, "slot_s": 0.25}\nlogs = {"form": "json"}\n'
     )
-    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+    with Stage(env={"SOFTSWITCH_OPERATOR": str(star)}) as s:
         s.play(CALL.format(n=1, e=0, more="") + "e0 send RELEASE 1 31=16\nc0 expect ^BYE")
         s.play(CALL.format(n=2, e=1, more="X-Facts=dest:1;width:1 X-Retry=1"))
         s.play(
@@ -222,12 +222,12 @@
     star = tmp_path / "o.star"
     star.write_text('record = {"file": "t.whtr", "interval_s": 1}\n')
     (tmp_path / "t.whtr").mkdir()
-    stage = Stage(env={"WILLOWHITCH_OPERATOR": str(star)})
+    stage = Stage(env={"SOFTSWITCH_OPERATOR": str(star)})
     assert stage.program.wait(10) == 2 and "t.whtr: can't be read" in stage.said()
     stage.__exit__()
     (tmp_path / "t.whtr").rmdir()
     (tmp_path / "t.whtr").symlink_to(tmp_path / "gone" / "x")  # nothing is there yet, and nothing can be
-    with Stage(env={"WILLOWHITCH_OPERATOR": str(star)}) as s:
+    with Stage(env={"SOFTSWITCH_OPERATOR": str(star)}) as s:
         for n in range(1, 4):
             s.play(CALL.format(n=n, e=0, more="") + "c0 wait 1100")
         assert s.said().count("traffic record: not written") == 1, s.said()
@@ -264,9 +264,9 @@
 
 def test_nothing_heavy_is_loaded_unless_asked_for():
     code = (
-        "import sys, willowhitch.__main__, willowhitch.benchlink\n"
+        "import sys, softswitch.__main__, softswitch.simulator_adapter\n"
         "print(*[m for m in ('starlark', 'msgspec', 'hdrh', 'xxhash', 'numpy', 'scipy', 'typer', 'rich',"
-        " 'highspy', 'matplotlib', 'willowhitch.operator', 'willowhitch.measure') if m in sys.modules])"
+        " 'highspy', 'matplotlib', 'softswitch.operator', 'softswitch.measure') if m in sys.modules])"
     )
     ran = subprocess.run(
         [sys.executable, "-c", code],
@@ -285,7 +285,7 @@
         [
             sys.executable,
             "-m",
-            "willowhitch.cli",
+            "softswitch.cli",
             "demo",
             "--seconds",
             "3",
@@ -312,7 +312,7 @@
 
 
 def test_encoding_leaves_empty_histograms_out():
-    from willowhitch.measure.record import histogram
+    from softswitch.measure.record import histogram
 
     h = histogram()
     assert encoded(h) == ""
--- a/tests/test_releases.py
+++ b/tests/test_release_delivery.py
@@ -3,9 +3,9 @@
 import random
 
 import pytest
-from stage import Stage, call_id
+from support.harness import Stage, call_id
 
-from willowhitch.core.releases import KEPT_FOR, REPEAT_AFTER, Releases
+from softswitch.core.release_delivery import KEPT_FOR, REPEAT_AFTER, Releases
 
 STAYS = {"lanes": [{"name": "x", "aim": 1500.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 9000.0}]}
 TWO_STAND = """
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,10 +7,10 @@
 from dataclasses import replace
 
 import pytest
-from helpers import call, ended, entry, front, lines, sends, settings, stands
+from support.policy_driver import call, ended, entry, front, lines, sends, settings, stands
 
-from willowhitch import Controller
-from willowhitch import interface as i
+from softswitch import Controller
+from softswitch import interface as i
 
 
 def test_call_without_any_server_gets_one_answer_in_time():
--- a/tests/test_cold_engine.py
+++ b/tests/test_slow_start_processes.py
@@ -2,8 +2,8 @@
 
 from twisted.internet.task import Clock
 
-from willowhitch.net.engine import CLASS, SET_UP
-from willowhitch.standin.engine import Engine, EngineSettings
+from softswitch.net.engine import CLASS, SET_UP
+from softswitch.standin.engine import Engine, EngineSettings
 
 
 class Port:
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -1,5 +1,6 @@
 """Settings that are far from one another: under each of them the program starts, serves, repeats, refuses,
-drains and stops as these say. Nothing here is any customer's; what is left out is left out on purpose."""
+drains and stops as these say. Nothing here is any customer's; what is left out is left out on purpose.
+"""
 
 import json
 import subprocess
@@ -7,7 +8,7 @@
 import time
 
 import pytest
-from stage import ROOT, Stage, call_id
+from support.harness import ROOT, Stage, call_id
 
 KEYED = "idempotency_key"  # may not be refused once an attempt may have run
 
@@ -230,7 +231,7 @@
     file = tmp_path / "config.json"
     file.write_text(json.dumps(made))
     done = subprocess.run(
-        [sys.executable, "-m", "willowhitch"],
+        [sys.executable, "-m", "softswitch"],
         cwd=ROOT,
         capture_output=True,
         text=True,
