--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -47,7 +47,7 @@
     from softswitch.core.timer_wheel import Wheel
     from softswitch.net import engine as e
     from softswitch.net.sip import SipFront
-    from softswitch.settings import checked
+    from softswitch.settings import check_settings
 
     class Wire(StringTransport):
         dataBuffer, offset, _tempDataLen = b"", 0, 0
@@ -66,7 +66,7 @@
     def framed(data):
         return len(data).to_bytes(2, "big") + data
 
-    now, reactor, settings = [1000.0], Reactor(), checked(INFO)
+    now, reactor, settings = [1000.0], Reactor(), check_settings(INFO)
     wheel = Wheel(settings.tick, lambda: now[0])
     links = e.EngineLinks(reactor, settings)
     switch = Switch(settings, 1, wheel, links)
@@ -77,7 +77,10 @@
     names = [f"s-{n:08x}" for n in range(ENGINES)]
     for n, name in enumerate(names):
         links.known(name, ("127.0.0.1", 10_000 + n))
-    switch.news(i.ListKind.WHOLE, tuple(i.Entry(name, n, i.State.READY) for n, name in enumerate(names)))
+    switch.news(
+        i.UpdateKind.COMPLETE,
+        tuple(i.Endpoint(name, n, i.EndpointState.READY) for n, name in enumerate(names)),
+    )
     caller = front.buildProtocol(None)
     caller.makeConnection(Wire())
     state, answered, stood = e.message(e.STATE, "00" * 8, (e.REPORT, b"x0:900;x1:1000")), 0, []
--- a/softswitch/__main__.py
+++ b/softswitch/__main__.py
@@ -45,7 +45,7 @@
 from softswitch.net.handover import Handover, listening
 from softswitch.net.management import MgmtFront
 from softswitch.net.sip import SipFront
-from softswitch.settings import BadSettings, checked
+from softswitch.settings import SettingsError, check_settings
 
 VERSION = "0.1.0"
 CALLS_PER_MB = 200  # calls known at once, for each MB that the configuration allows
@@ -87,7 +87,7 @@
     """The parts of one softswitch and the ticks that drive its wheel."""
 
     def __init__(self, config: dict[str, Any], tables: Any = None) -> None:
-        self.settings, self.running = checked(config["settings"]), config
+        self.settings, self.running = check_settings(config["settings"]), config
         self.listen = address(config["listen"])
         offset = monotonic_ms() - time.time() * 1000.0
 
@@ -276,10 +276,10 @@
             for key in self.running:
                 if key not in config:
                     raise BadConfiguration(f"{key} is missing")
-            settings = checked(config["settings"], self.running["settings"])
+            settings = check_settings(config["settings"], self.running["settings"])
             board, known = address(config["board"]), self.board.read(config.get("known") or {})
             tables = operator_file() if self.parts else None
-        except (BadConfiguration, BadSettings) as e:
+        except (BadConfiguration, SettingsError) as e:
             figures.cfg_invalid += 1
             logger.error("configuration not reloaded, the old one stays: {}", e)
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
--- a/softswitch/budgets/spending.py
+++ b/softswitch/budgets/spending.py
@@ -106,7 +106,7 @@
                 p.offered.add(now, worth)
         return wait
 
-    def may(self, klass: str, engine: str, repeat: bool) -> bool:
+    def may_attempt(self, klass: str, engine: str, repeat: bool) -> bool:
         """Whether an attempt may go there now. Asked often; counts nothing."""
         if not self.each:
             return True
@@ -118,7 +118,7 @@
             if p.binds(what, klass, engine)
         )
 
-    def sent(self, klass: str, engine: str, repeat: bool) -> None:
+    def attempt_sent(self, klass: str, engine: str, repeat: bool) -> None:
         """An attempt goes there."""
         if self.each:
             now = self.clock()
@@ -127,7 +127,7 @@
                     p.spent += 1
                     p.window.use(now)
 
-    def wanted(self, klass: str, repeat: bool, worth: float) -> None:
+    def attempt_wanted(self, klass: str, repeat: bool, worth: float) -> None:
         """An attempt is wanted, at whichever engine; once for each."""
         now = self.clock()
         for p in self.each:
@@ -135,14 +135,14 @@
                 p.wanted += 1
                 p.offered.add(now, worth)
 
-    def share(self, what: str, engine: str) -> float | None:
-        """The share of what that engine can take of this that is held now; None: no budget binds it."""
+    def share(self, what: str, engine: str, default: float) -> float:
+        """The share of what that engine can take of this that is held now; `default`: no budget binds it."""
         found = None
         for p in self.pockets.values():
             if p.budget.what == what and p.budget.engine in ("", engine):
                 held = self.held(self.clock(), p.budget.name) / SHARES
                 found = held if found is None else min(found, held)
-        return found
+        return default if found is None else found
 
     # what is needed
 
--- a/softswitch/components.py
+++ b/softswitch/components.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
+from softswitch.settings import canonical_text
+
 # Table of the operator file: where `make(table, host)` is, and the extra that brings its packages.
 PARTS = {
     "record": ("softswitch.measure.recording", "record"),
@@ -67,7 +69,7 @@
         return self.digest_of(self.settings)
 
     def digest_of(self, settings: Any) -> str:
-        return blake2b(repr(settings).encode(), digest_size=6).hexdigest()
+        return blake2b(canonical_text(settings).encode(), digest_size=6).hexdigest()
 
 
 def make(tables: Any, host: Host) -> dict[str, Part]:
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -20,7 +20,8 @@
 from softswitch.core.figures import Figures
 from softswitch.core.lifecycle import Lifecycle
 from softswitch.core.timer_wheel import Wheel
-from softswitch.policy import Controller
+from softswitch.policy.controller import Controller
+from softswitch.policy.state import EJECTION_FAULTS
 
 MARGIN = 40.0  # the module is told so much less patience than the caller has: its answer must still travel
 GUARD = 15.0  # an answer still missing so long after the module's deadline is given by the switch itself
@@ -172,7 +173,7 @@
         self.controller = Controller(self.set, seed)
         self.open = 0  # calls that are owed an answer
         self.held, self.most_calls, self.most_held = 0, MOST_CALLS, MOST_HELD  # held: bytes of theirs
-        self.states: dict[str, i.State] = {}
+        self.states: dict[str, i.EndpointState] = {}
         self.started: dict[str, float] = {}
         self.count: Counter[str] = Counter()
         self.lifecycle, self.figures = Lifecycle(), Figures(self.classes)
@@ -190,7 +191,9 @@
 
     def _settle(self, settings: i.Settings) -> None:
         self.set = replace(
-            settings, part=self.part, release=settings.release + RELEASE_SLACK if settings.release else 0.0
+            settings,
+            slow_start_share=self.part,
+            retry_delay=settings.retry_delay + RELEASE_SLACK if settings.retry_delay else 0.0,
         )
         self.classes = {c.name: c for c in settings.classes}
 
@@ -200,22 +203,22 @@
         self.figures.settle(self.classes)
         for call in self.calls.values():
             call.most = min(call.most, self.set.max_attempts)
-        self._feed(i.NewSettings(self.set))
+        self._feed(i.SettingsChanged(self.set))
 
     def new_part(self, part: float) -> None:
         """This process has that part of the softswitch's share of cold engines."""
         self.part = part
-        self.set = replace(self.set, part=part)
-        self._feed(i.NewSettings(self.set))
+        self.set = replace(self.set, slow_start_share=part)
+        self._feed(i.SettingsChanged(self.set))
 
     def new_fleet_size(self, size: int) -> None:
         """So many softswitches share what is whole, from now on and until the next settings."""
         self.set = replace(self.set, fleet_size=size)
-        self._feed(i.NewSettings(self.set))
+        self._feed(i.SettingsChanged(self.set))
 
-    def new_constraints(self, constraints: i.Constraints | None) -> None:
+    def new_constraints(self, constraints: i.Constraints) -> None:
         """These bind the module from now on."""
-        self._feed(i.NewConstraints(constraints))
+        self._feed(i.ConstraintsChanged(constraints))
 
     def start(self) -> None:
         self._carry_out(self.controller.start(self.wheel.now))
@@ -235,7 +238,9 @@
         if call is not None and not call.decided:
             call.decided, order = True, call.order
             grace = max(0.0, call.deadline - MARGIN - self.wheel.now)
-            self._feed(i.SetUp(call_id, order.klass, order.dest, grace, order.redial, False, order.width))
+            self._feed(
+                i.SetupRequested(call_id, order.klass, order.dest, grace, order.redial, False, order.width)
+            )
 
     def take(self, order: Order, caller: Caller, waited: float = 0.0) -> Verdict | None:
         """Takes a call in, on which nothing is decided before `decide`."""
@@ -253,7 +258,7 @@
         patience = max(0.0, order.patience - max(waited, self.wheel.lag))
         grace = max(0.0, patience - MARGIN)
         self.calls[order.call] = Call(
-            order, caller, now, now + patience, self.set.max_attempts, klass is None or klass.repeatable
+            order, caller, now, now + patience, self.set.max_attempts, klass is None or klass.idempotent
         )
         self.figures.of(order.klass).taken += 1
         self.open += 1
@@ -288,7 +293,7 @@
         self.count["given up"] += 1
         self._settled(call, "given_up")
         self._forget(call_id)
-        self._feed(i.CallerGone(call_id))
+        self._feed(i.CallerLeft(call_id))
         self._call_off(call, i.Outcome.CANCELLED)
         return True
 
@@ -305,7 +310,7 @@
             self.count["heir releases"] += 1
             self._ended(call_id)
             for server, state in self.states.items():  # which of them has it, the process before us knew
-                if state is not i.State.GONE:
+                if state is not i.EndpointState.REMOVED:
                     self.engines.release(server, call_id, cause)
             return True
         if call is None or call.caller is not by:
@@ -352,7 +357,7 @@
         self._measure("set-up", now - call.came)
         self._settled(call, "stands")
         call.caller.stands(call_id, description)
-        self._feed(i.Stands(call_id, call.attempt, server, now - call.sent))
+        self._feed(i.AttemptAnswered(call_id, call.attempt, server, now - call.sent))
 
     def cleared(self, server: str, call_id: str, cause: int, note: str = "", report: tuple = ()) -> None:
         """The engine turned an attempt away, or released a call that stood."""
@@ -384,14 +389,14 @@
             self.count["ended before the answer"] += 1
             self.count["attempt reset"] += 1
             self._turned_away(call, Verdict.FAILED, 0.0)
-            self._feed(i.CallerGone(call_id))
+            self._feed(i.CallerLeft(call_id))
             self._over(call, i.Outcome.RESET, report)
             return
         if cause == FULL:
             call.marks |= PROCESSOR_FULL if note == "cpu_full" else BLOCKED
-            outcome = i.Outcome.FULL
+            outcome = i.Outcome.REJECTED
         elif cause == MOOT:
-            outcome = i.Outcome.MOOT
+            outcome = i.Outcome.NOT_SENT
         else:
             outcome = i.Outcome.ERROR if cause in FAULTS else i.Outcome.RESET
         self._attempt_ended(call, outcome, note, report)
@@ -411,7 +416,7 @@
                 self.cleared(server, call_id, CUT)
 
     def sampled(self, server: str, passed: bool, report: tuple[float, ...]) -> None:
-        self._feed(i.Sampled(server, i.Outcome.OK if passed else i.Outcome.ERROR, report))
+        self._feed(i.LoadReported(server, i.Outcome.OK if passed else i.Outcome.ERROR, report))
 
     def drop(self, server: str) -> None:
         """The engine is gone and no call is left there. Guards against a list that grows with ids seen."""
@@ -424,24 +429,24 @@
 
     # from the notice board
 
-    def news(self, kind: i.ListKind, entries: tuple[i.Entry, ...]) -> None:
+    def news(self, kind: i.UpdateKind, entries: tuple[i.Endpoint, ...]) -> None:
         self.count["notices"] += 1
-        if kind is not i.ListKind.CHANGES:
+        if kind is not i.UpdateKind.CHANGES:
             named = {e.server for e in entries}
             for server in self.states:
                 if server not in named:
-                    self.states[server] = i.State.GONE
+                    self.states[server] = i.EndpointState.REMOVED
         for e in entries:
-            if self.started.get(e.server, e.started) != e.started:
-                self.died(e.server, e.started)  # a new process: the calls of the old one are cut
-            if e.state is not i.State.GONE or e.server in self.states:
-                self.states[e.server], self.started[e.server] = e.state, e.started
+            if self.started.get(e.server, e.started_at) != e.started_at:
+                self.died(e.server, e.started_at)  # a new process: the calls of the old one are cut
+            if e.state is not i.EndpointState.REMOVED or e.server in self.states:
+                self.states[e.server], self.started[e.server] = e.state, e.started_at
                 self.cells[e.server] = e.cell
-        self._feed(i.ListNews(kind, entries))
-        for server in [s for s, state in self.states.items() if state is not i.State.READY]:
+        self._feed(i.EndpointsChanged(kind, entries))
+        for server in [s for s, state in self.states.items() if state is not i.EndpointState.READY]:
             self.engines.drains(server)
         for e in entries:
-            if e.state is i.State.GONE:
+            if e.state is i.EndpointState.REMOVED:
                 self.died(e.server)
 
     # actions of the module
@@ -468,23 +473,23 @@
     def _carry_out(self, actions: Iterable[i.Action]) -> None:
         for a in actions:
             match a:
-                case i.Attempt():
+                case i.SendAttempt():
                     self._attempt(a)
-                case i.Refuse():
-                    self._turn_away(a.call, Verdict.REFUSED, a.stay_away)
+                case i.Reject():
+                    self._turn_away(a.call, Verdict.REFUSED, a.retry_after)
                 case i.Fail():
                     self._turn_away(a.call, Verdict.FAILED, 0.0)
-                case i.Cancel():
+                case i.CancelAttempt():
                     call = self.calls.get(a.call)
                     if call and call.server and not call.stands and call.attempt == a.attempt:
                         self.engines.give_up(call.server, a.call)
                         self._attempt_ended(call, i.Outcome.CANCELLED)
-                case i.WakeAt():
-                    self.wheel.at(a.at, self._feed, i.Wake(a.token))
-                case i.Log():
+                case i.StartTimer():
+                    self.wheel.at(a.at, self._feed, i.TimerFired(a.token))
+                case i.WriteLog():
                     logger.info("module: {}", a.text)
 
-    def _attempt(self, a: i.Attempt) -> None:
+    def _attempt(self, a: i.SendAttempt) -> None:
         call, now = self.calls.get(a.call), self.wheel.now
         if call is None or call.stands or call.server is not None:
             self.count["guard: not owed or already out"] += 1
@@ -492,10 +497,14 @@
         call.attempt += 1
         call.server, call.sent = a.server, now
         call.first = call.first or a.server
-        if self.states.get(a.server) is not i.State.READY or now < call.ready or call.attempt >= call.most:
+        if (
+            self.states.get(a.server) is not i.EndpointState.READY
+            or now < call.ready
+            or call.attempt >= call.most
+        ):
             # Guards the rules on drains, release and attempts, should the module ever miss one.
             self.count["guard: moot"] += 1
-            self._attempt_ended(call, i.Outcome.MOOT)
+            self._attempt_ended(call, i.Outcome.NOT_SENT)
             return
         self.count["attempts"] += 1
         if self.lives:
@@ -518,9 +527,9 @@
             self.lives.note(call.order.call, "attempt ended", f"{server} {outcome.value}")
         call.server = None
         if outcome in (i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED):
-            call.ready = now + self.set.release
+            call.ready = now + self.set.retry_delay
         self._feed(
-            i.Ended(
+            i.AttemptEnded(
                 call.order.call,
                 call.attempt,
                 server,
@@ -561,15 +570,17 @@
         if call and not call.stands:
             self.count["guard: overdue"] += 1
             self._turn_away(call_id, Verdict.FAILED, 0.0)
-            self._feed(i.CallerGone(call_id))
+            self._feed(i.CallerLeft(call_id))
 
     def refuse_rest(self) -> None:
         """At the end of a planned stop: what is still owed an answer gets one."""
         for call_id, call in list(self.calls.items()):
             if not call.stands:
                 safe = call.repeatable or call.attempt < 0
-                self._turn_away(call_id, Verdict.REFUSED if safe else Verdict.FAILED, self.set.max_advice)
-                self._feed(i.CallerGone(call_id))
+                self._turn_away(
+                    call_id, Verdict.REFUSED if safe else Verdict.FAILED, self.set.max_retry_after
+                )
+                self._feed(i.CallerLeft(call_id))
 
     def cut_rest(self) -> None:
         """At the very end: calls that no next process can carry on go down with the switch, and both sides
@@ -617,7 +628,9 @@
             if self.watcher:
                 self.watcher.over(call)
         self._feed(
-            i.Ended(call.order.call, call.attempt, call.server, outcome, now - call.sent, True, report=report)
+            i.AttemptEnded(
+                call.order.call, call.attempt, call.server, outcome, now - call.sent, True, report=report
+            )
         )
 
     def relayed(self, call_id: str) -> None:
@@ -628,17 +641,23 @@
 
     def told(self) -> dict[str, Any]:
         """The figures for operators. Which engines are avoided is the module's to say."""
-        listed = [server for server, state in self.states.items() if state is not i.State.GONE]
-        avoided = self.controller.avoided(self.wheel.now, listed)
+        listed = [server for server, state in self.states.items() if state is not i.EndpointState.REMOVED]
+        avoided = self._avoided(listed)
         return self.figures.told(len(self.calls), len(listed), avoided)
 
+    def _avoided(self, listed: list[str]) -> int:
+        """How many of these engines the module does not use: draining, ejected, or closed as they asked."""
+        now, gates = self.wheel.now, [self.controller.gates.get(server) for server in listed]
+        used = [g for g in gates if g and g.state is i.EndpointState.READY and g.faults < EJECTION_FAULTS]
+        return len(listed) - sum(now >= gate.closed_until for gate in used)
+
     def fail(self, call_id: str, by: Caller) -> None:
         """The front can't keep the call, whose caller still waits: it is answered, and all of it is over."""
         call = self.calls.get(call_id)
         if call is not None and call.caller is by and not call.stands:
             never_sent = call.attempt < 0
             self._turn_away(call_id, Verdict.REFUSED if never_sent else Verdict.FAILED, 0.0)
-            self._feed(i.CallerGone(call_id))
+            self._feed(i.CallerLeft(call_id))
 
     def _settled(self, call: Call, outcome: str) -> None:
         """The one place where a call ceases to be owed an answer."""
--- a/softswitch/measure/recording.py
+++ b/softswitch/measure/recording.py
@@ -103,7 +103,7 @@
         logger.info("traffic record: an entry each {:g} s to {}", every, self.writer.path)
 
     def reload(self, table: Any, settings: Any) -> str:
-        self.aims = {c.name: c.aim for c in settings.classes}
+        self.aims = {c.name: c.latency_objective for c in settings.classes}
         return "" if table == self.table else "record"
 
     def figures(self) -> dict[str, Any]:
@@ -131,7 +131,7 @@
         "classes": [c.name for c in host.settings.classes],
         "since": time.time() * 1000.0,
     }
-    aims = {c.name: c.aim for c in host.settings.classes}
+    aims = {c.name: c.latency_objective for c in host.settings.classes}
     made = Recording(
         host.switch,
         Writer(path, head, table.most_mb << 20),
--- a/softswitch/net/budgets.py
+++ b/softswitch/net/budgets.py
@@ -64,8 +64,8 @@
                     self.kept[p.budget.name].append(self.clock())
         return wait
 
-    def sent(self, klass: str, engine: str, repeat: bool) -> None:
-        super().sent(klass, engine, repeat)
+    def attempt_sent(self, klass: str, engine: str, repeat: bool) -> None:
+        super().attempt_sent(klass, engine, repeat)
         for p in self.each:
             if p.binds("repeats" if repeat else "set-ups", klass, engine):
                 self.kept[p.budget.name].append(self.clock())
--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -17,12 +17,16 @@
 RECORD = Struct(">I4sHBBBHIQ")  # id, address, port, state, zone, kind, cell, weight, started
 HEAD = Struct(">QB")
 NOTHING, WHOLE, CHANGES = 0, 1, 2
-STATES = (i.State.READY, i.State.DRAINING, i.State.GONE)
-WORDS = {"active": i.State.READY, "leaving": i.State.DRAINING, "left": i.State.GONE}
+STATES = (i.EndpointState.READY, i.EndpointState.DRAINING, i.EndpointState.REMOVED)
+WORDS = {
+    "active": i.EndpointState.READY,
+    "leaving": i.EndpointState.DRAINING,
+    "left": i.EndpointState.REMOVED,
+}
 SILENT_AFTER = 2_200.0  # ms; the board says at least 'nothing new' once a second
 SWEEP = 250.0  # ms between two looks at the silence
 
-Named = tuple[i.Entry, tuple[str, int]]
+Named = tuple[i.Endpoint, tuple[str, int]]
 Known = tuple[int, list[tuple[int, bool, list[Named]]]]  # the last number; number, whether whole, and lines
 
 
@@ -31,7 +35,7 @@
         raise ValueError(f"{len(payload)} bytes are no whole records")
     return [
         (
-            i.Entry(f"s-{ident:08x}", cell, STATES[state], clock(born), weight / 1000),
+            i.Endpoint(f"s-{ident:08x}", cell, STATES[state], clock(born), weight / 1000),
             (".".join(map(str, address)), port),
         )
         for ident, address, port, state, _, _, cell, weight, born in RECORD.iter_unpack(payload)
@@ -42,7 +46,7 @@
     found = []
     for h in hosts:
         address, _, port = h["dial"].rpartition(":")
-        entry = i.Entry(
+        entry = i.Endpoint(
             h["host"],
             h.get("block", -1),
             WORDS[h["health"]],
@@ -114,7 +118,7 @@
         last = 0 if self.rev else last
         for rev, whole, named in events:
             if rev > self.rev or not self.rev:  # else taken in before this configuration was read
-                self._take(i.ListKind.WHOLE if whole or not self.rev else i.ListKind.CHANGES, named)
+                self._take(i.UpdateKind.COMPLETE if whole or not self.rev else i.UpdateKind.CHANGES, named)
                 self.rev = max(self.rev, rev)
         self.rev = max(self.rev, last)
 
@@ -166,7 +170,8 @@
             self.switch.count["repeated notices"] += 1
             return None
         self._take(
-            i.ListKind.WHOLE if kind == WHOLE else i.ListKind.CHANGES, entries_of(payload, self.to_clock)
+            i.UpdateKind.COMPLETE if kind == WHOLE else i.UpdateKind.CHANGES,
+            entries_of(payload, self.to_clock),
         )
         self.rev = number
         return None
@@ -177,10 +182,10 @@
         if left is not None:
             left.transport.abortConnection()
 
-    def _take(self, kind: i.ListKind, named: list[Named]) -> None:
+    def _take(self, kind: i.UpdateKind, named: list[Named]) -> None:
         # The links first: the news may send held calls to a new engine at once.
         for entry, address in named:
-            if entry.state is not i.State.GONE:
+            if entry.state is not i.EndpointState.REMOVED:
                 self.engines.known(entry.server, address)
         self.switch.news(kind, tuple(entry for entry, _ in named))
 
--- a/softswitch/net/engine.py
+++ b/softswitch/net/engine.py
@@ -12,7 +12,7 @@
 
 from softswitch import interface as i
 from softswitch.core.switch import NORMAL, Call, Switch
-from softswitch.settings import report_of
+from softswitch.settings import parse_report
 
 SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED = 1, 6, 9, 12, 16, 43, 52, 53
 CLASS, LEFT, NUMBER, NOTE, REPORT, CAUSE, DESCRIPTION = 3, 5, 11, 17, 21, 31, 33
@@ -421,7 +421,7 @@
             self.connection.cut_short()
             return self.connection.spoil("message cut short")
         self._lapse(now)
-        drains = not self.out and self.switch.states.get(self.server) is not i.State.READY
+        drains = not self.out and self.switch.states.get(self.server) is not i.EndpointState.READY
         beat = max(self.beat, DRAINED_BEAT) if drains else self.beat
         if now - self.last < beat + TEST_SLACK or not (self.out or self.switch.busy_at(self.server)):
             return None
@@ -464,10 +464,10 @@
         self.reactor.connectTCP(*link.address, ear or link, timeout=self.set.connect_timeout / 1000)
 
     def report(self, text: bytes) -> tuple[float, ...]:
-        return report_of(self.set, text.decode("latin-1"))
+        return parse_report(self.set, text.decode("latin-1"))
 
     def wanted(self, server: str) -> bool:
-        return self.switch.states.get(server) is i.State.READY or self.switch.busy_at(server)
+        return self.switch.states.get(server) is i.EndpointState.READY or self.switch.busy_at(server)
 
     def known(self, server: str, address: tuple[str, int]) -> None:
         """An engine of the list; called before the switch has the news."""
@@ -518,7 +518,7 @@
         self.switch.wheel.at(now + SWEEP, self._sweep)
         for server, link in list(self.links.items()):
             link.sweep(now)
-            if self.switch.states.get(server) is i.State.GONE and not self.switch.busy_at(server):
+            if self.switch.states.get(server) is i.EndpointState.REMOVED and not self.switch.busy_at(server):
                 link.close()
                 del self.links[server]
                 self.switch.drop(server)
--- a/softswitch/net/sip.py
+++ b/softswitch/net/sip.py
@@ -323,7 +323,7 @@
         if len(connection.calls) >= (MOST_OPEN if connection.stood else FIRST_OPEN):
             self.switch.count["too many on a connection"] += 1
             self.switch.no_room(order)
-            connection.answer(503, headers, vias, b"", self.switch.set.max_advice)
+            connection.answer(503, headers, vias, b"", self.switch.set.max_retry_after)
             return
         self.asked_by[order.call] = (connection, headers, vias, order.number)
         connection.calls.add(order.call)
--- /dev/null
+++ b/softswitch/policy/controller.py
@@ -0,0 +1,205 @@
+"""Queues calls, sends, retries and cancels attempts, and gives up: `handle(now, event) -> actions`."""
+
+from softswitch import interface as i
+from softswitch.policy import endpoints
+from softswitch.policy.state import LONG_AGO, Call, Gate, State
+
+SWEEP_INTERVAL = 25.0  # ms; queued calls are looked at every two of these, others every four
+SWEEP_TOKEN = 0  # of the sweep's timer; calls' timers count from 1
+STALL = 100.0  # ms; a timer later than this shows that this process itself stood still
+ANSWER_RESERVE = 0.15  # share of the objective kept for the answer of an attempt that is moved after silence
+MAX_FAILED_GATES = 1  # a call that more endpoints answer with an error is itself at fault, it seems
+
+
+class Controller(State):
+    """One softswitch's decisions."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.max_timeout: dict[str, float] = {}  # longest of a first try seen, by class
+        self.queued: dict[str, Call] = {}  # calls with no attempt in flight, in order of arrival
+        self.stacks: dict[
+            tuple[str, float, int], list[Call]
+        ] = {}  # those that may go, by kind, the newest last
+        self.delayed: list[Call] = []  # those that wait for retry_delay
+        self.queued_weight = -1.0  # the highest of those that found no open gate
+        self.served_at = self.swept_at = self.last_event_at = LONG_AGO
+        self.timers: dict[int, str] = {}  # token: call
+        self.next_token = SWEEP_TOKEN + 1
+        self.sweep_due: float | None = None
+        self._handlers: dict[type, i.EventHandler] = {
+            i.SetupRequested: self._setup_requested,
+            i.AttemptAnswered: self._attempt_over,
+            i.AttemptEnded: self._attempt_over,
+            i.CallerLeft: lambda now, event: self._forget(event.call),
+            i.TimerFired: self._timer_fired,
+            i.EndpointsChanged: lambda now, event: endpoints.endpoints_changed(self, now, event),
+            i.LoadReported: lambda now, event: endpoints.load_reported(self, now, event),
+            i.SettingsChanged: lambda now, event: self.apply(event.settings),
+            i.ConstraintsChanged: lambda now, event: setattr(self, "constraints", event.constraints),
+            i.PeerMessageReceived: lambda now, event: None,
+        }
+
+    def start(self, now: float) -> list[i.Action]:
+        """The actions before the first event."""
+        return [] if self.settings.list_pushed else [i.SubscribeEndpoints()]
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        """Takes in an event; returns what is to be done."""
+        self.actions = []
+        if now > self.last_event_at:
+            self._look_for_stall(now)
+        self._handlers[type(event)](now, event)
+        if not isinstance(event, i.SetupRequested) and self.queued and now > self.served_at:
+            self._serve_queue(now)
+        if self.calls and self.sweep_due is None:
+            self.sweep_due = now + (2 if self.queued else 4) * SWEEP_INTERVAL
+            self.actions.append(i.StartTimer(self.sweep_due, SWEEP_TOKEN))
+        return self.actions
+
+    def _look_for_stall(self, now: float) -> None:
+        """An overdue timer shows a stall of this process: what waited meanwhile is no endpoint's delay."""
+        overdue = self.sweep_due is not None and now - self.sweep_due > STALL
+        stalled = self.stalled_for = now - self.last_event_at if overdue else 0.0
+        self.last_event_at = now
+        if stalled:
+            self.sweep_due = now
+            self.actions.append(i.WriteLog(f"this process stood still for {stalled:.0f} ms"))
+            for gate in self.gates.values():
+                gate.in_flight = {key: min(now, sent + stalled) for key, sent in gate.in_flight.items()}
+
+    def _setup_requested(self, now: float, event: i.SetupRequested) -> None:
+        call_class = self.classes.get(event.call_class)
+        if event.call in self.calls:
+            return
+        wait = self.constraints.admit(call_class.name, call_class.priority_weight) if call_class else 0.0
+        if call_class is None or wait:  # to come again as the quota opens
+            self.actions.append(i.Reject(event.call, min(wait, self.settings.retry_after)))
+            return
+        call = self.calls[event.call] = Call(now, event, call_class, self.settings.max_attempts)
+        if not event.redial:
+            longest = max(event.timeout, self.max_timeout.get(event.call_class, 0.0))
+            self.max_timeout[event.call_class] = longest
+            call.received_at -= min(self.stalled_for, longest - event.timeout)  # it came during the stall
+        self.timers[self.next_token] = event.call
+        self.actions.append(i.StartTimer(call.deadline, self.next_token))
+        self.next_token += 1
+        self.queued[call.id] = call
+        self.constraints.attempt_wanted(call_class.name, False, call_class.priority_weight)
+        if call.weight > self.queued_weight:  # else those queued before it go first, within a sweep
+            self._try(now, call)
+        self._stack(now, call)
+
+    def _attempt_over(self, now: float, event: i.AttemptOver) -> None:
+        """The attempt was answered, or ended: what becomes of its call."""
+        endpoints.attempt_over(self, now, event)
+        call, outcome = self.calls.get(event.call), event.outcome
+        if call is None or call.gate is None or event.attempt != call.attempts - 1:
+            return
+        for gate in call.failed_gates if outcome is None else ():
+            endpoints.fault(self, gate)  # the call was good: it was they that failed
+        if outcome is None or event.call_over:
+            self._forget(event.call)
+            return
+        if outcome is i.Outcome.ERROR and not event.callee_busy:
+            call.failed_gates.append(call.gate)
+        call.gate, call.cancelling = None, False
+        if outcome in i.DELAYS_RETRY:
+            call.ready_at = now + self.settings.retry_delay
+        call.unsafe |= outcome not in i.NEVER_RAN and not call.call_class.idempotent
+        self.queued[call.id] = call
+        self.constraints.attempt_wanted(call.call_class.name, True, call.weight)
+        self._try(now, call)
+        self._stack(now, call)
+
+    def _timer_fired(self, now: float, event: i.TimerFired) -> None:
+        expired = self.calls.get(self.timers.pop(event.token, ""))
+        if expired is not None and now >= expired.deadline:
+            self._give_up(expired, late=True)
+        if event.token == SWEEP_TOKEN:
+            self.sweep_due = None
+            for call in self.calls.values() if self.settings.may_cancel else ():
+                if call.gate is not None and not call.cancelling and self._stuck(now, call, call.gate):
+                    call.cancelling = True
+                    self.actions.append(i.CancelAttempt(call.id, call.attempts - 1))
+
+    def _stuck(self, now: float, call: Call, gate: Gate) -> bool:
+        """Whether its attempt is lost, or silent until there is just time to go elsewhere."""
+        sent_at = gate.in_flight.get((call.id, call.attempts - 1), now)
+        objective = call.call_class.latency_objective * (1 - ANSWER_RESERVE)
+        remaining = call.received_at + objective - self.settings.retry_delay - now
+        overtaken = sent_at < gate.newest_answered - 2 * SWEEP_INTERVAL
+        lost = overtaken and now - sent_at > 2 * gate.estimate.delay
+        silent = gate.answered_at < sent_at and now - sent_at >= 2 * SWEEP_INTERVAL
+        movable = call.call_class.idempotent and call.attempts < call.max_attempts and remaining >= 0
+        if not movable or not (lost or (silent and remaining < 5 * SWEEP_INTERVAL)):
+            return False
+        limit, gates = endpoints.wait_limit(self, call), endpoints.eligible(self, call)
+        return any(g.is_open(now, limit) for g in gates if lost or g is not gate)
+
+    def _serve_queue(self, now: float) -> None:
+        """Sends what may go, highest weight first; gives up what can no longer meet its objective."""
+        self.queued_weight, self.served_at = -1.0, now
+        waiting, self.delayed = self.delayed, []
+        sweep = now >= self.swept_at + min(SWEEP_INTERVAL, len(self.queued) / 20)
+        if sweep:  # of a thousand queued calls, all only once an interval; of few at every tick
+            self.swept_at, self.stacks = now, {}
+            waiting = sorted(reversed(self.queued.values()), key=lambda call: call.received_at)
+        for call in waiting:
+            self._stack(now, call)
+        kinds = [kind for kind, stack in self.stacks.items() if stack]
+        while kinds:  # the newest call of the kind of highest weight; a kind that finds no open gate is done
+            kind = max(kinds, key=lambda k: (k[1], self.stacks[k][-1].received_at))
+            stack, call = self.stacks[kind], self.stacks[kind][-1]
+            if self.queued.get(call.id) is not call or now < call.ready_at or self._try(now, call):
+                stack.pop()
+            if not stack or (stack[-1] is call and call.id in self.queued):
+                kinds.remove(kind)
+        for call in [c for c in self.queued.values() if c.ready_at <= now >= c.give_up_at] if sweep else ():
+            self._try(now, call, may_send=False)
+
+    def _stack(self, now: float, call: Call) -> None:
+        if call.id in self.queued:
+            stack = self.stacks.setdefault(call.kind, []) if now >= call.ready_at else self.delayed
+            stack.append(call)
+
+    def _try(self, now: float, call: Call, may_send: bool = True) -> bool:
+        """Sends the call, or gives it up if it has no attempt or time left; false: no gate was open to it."""
+        if self._exhausted(call):
+            self._give_up(call)
+            return True
+        ready = now >= call.ready_at
+        gate = endpoints.choose(self, now, call) if may_send and ready else None
+        latest = call.received_at + call.call_class.latency_objective - endpoints.wait_limit(self, call)
+        call.give_up_at = min(call.deadline - 2 * SWEEP_INTERVAL, latest)
+        if gate is not None:
+            self._send(now, call, gate)
+        elif ready and now >= call.give_up_at:
+            self._give_up(call)  # queued while every gate is closed: waiting here costs them no repeats
+        elif ready:
+            self.queued_weight = max(self.queued_weight, call.weight)
+        return gate is not None
+
+    def _exhausted(self, call: Call) -> bool:
+        """Whether a retry could do harm, or no endpoint is left for it within the shared quotas."""
+        if call.attempts >= call.max_attempts or call.unsafe or len(call.failed_gates) > MAX_FAILED_GATES:
+            return True
+        limited = call.failed_gates or self.constraints is not i.UNLIMITED
+        return bool(call.attempts and limited) and not endpoints.within_quota(self, call)
+
+    def _send(self, now: float, call: Call, gate: Gate) -> None:
+        gate.pacer.used += 1
+        gate.in_flight[(call.id, call.attempts)] = now
+        self.constraints.attempt_sent(call.call_class.name, gate.server, call.attempts > 0)
+        call.gate, call.attempts = gate, call.attempts + 1
+        del self.queued[call.id]
+        self.actions.append(i.SendAttempt(call.id, gate.server))
+
+    def _give_up(self, call: Call, late: bool = False) -> None:
+        fails = late or call.unsafe
+        self.actions.append(i.Fail(call.id) if fails else i.Reject(call.id, self.settings.retry_after))
+        self._forget(call.id)
+
+    def _forget(self, call_id: str) -> None:
+        self.calls.pop(call_id, None)
+        self.queued.pop(call_id, None)
--- a/softswitch/settings.py
+++ b/softswitch/settings.py
@@ -1,18 +1,22 @@
-"""The one reading of the settings JSON into `interface.Settings`, for the adapter and the softswitch alike.
+"""Reads the settings JSON into `interface.Settings`, for the simulator's adapter and the softswitch alike.
 
-The simulator hands the object to an instance in its first message; a softswitch has it in its configuration,
-and checks it strictly before anything of it is taken. Unknown keys are skipped.
+The simulator hands the object to an instance in its first message; a softswitch has it in its configuration
+and checks it strictly before anything of it is taken. Unknown keys are skipped. The keys are those of the
+operators' pages; `interface.Settings` gives them the names that are used everywhere else.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, fields
 from math import isfinite
 from typing import Any
 
 from softswitch import interface as i
 
-FIELDS = {
+Json = Any  # a value as `orjson.loads` gives it; checked before it is used
+
+REPORT_FIELDS = {
     "spare": "free",
     "total": "size",
     "waiting": "queue",
@@ -21,176 +25,231 @@
     "x0": "free",
     "x1": "size",
 }
+UNKNOWN = -1.0  # a value of a load report that was not given
+
+
+class SettingsError(ValueError):
+    """Settings that can't be taken; the text names the key and says what is wanted."""
 
 
-def settings_of(info: dict[str, Any]) -> i.Settings:
-    fam, limits, rules = info.get("family_info") or {}, info.get("limits") or {}, info.get("rules") or {}
+def parse_settings(info: dict[str, Json]) -> i.Settings:
+    """The settings of an object that is in order; `check_settings` looks first."""
+    family = info.get("family_info") or {}
+    limits = info.get("limits") or {}
+    rules = info.get("rules") or {}
     stats = info.get("stats") or {}
-    pools = (fam.get("skilled_pools") or []) if fam.get("network_form") == "groups" else []
-    holding = fam.get("holding") or []
-    classes = tuple(
-        i.CallClass(
-            name=lane["name"],
-            aim=lane["aim"],
-            worth=lane.get("credit", 1.0),
-            hold=holding[n] if n < len(holding) else 0.0,
-            late_share=lane.get("late_value", 0.0),
-            deadline=lane.get("hard_limit", 0.0),
-            repeatable=lane.get("idempotency", "read_like") == "read_like",
-            cells=tuple(pools[n]) if n < len(pools) and pools[n] is not None else None,
-        )
-        for n, lane in enumerate(info["lanes"])
-    )
+    advises = bool(limits.get("retry_after"))
     return i.Settings(
-        classes=classes,
+        classes=_parse_classes(info["lanes"], family),
         fleet_size=info.get("fleet_size", 1),
-        own_cell=fam.get("own_number", -1),
-        report_fields=tuple(FIELDS.get(f, f) for f in stats.get("fields") or ()),
+        own_cell=family.get("own_number", -1),
+        report_fields=tuple(REPORT_FIELDS.get(f, f) for f in stats.get("fields") or ()),
         may_cancel=bool(limits.get("may_cancel")),
-        may_tell=bool(limits.get("peers")),
+        may_message_peers=bool(limits.get("peers")),
         may_probe=bool(limits.get("probes")),
-        may_advise=bool(limits.get("retry_after")),
-        max_advice=limits.get("max_retry_after", 0.0) if limits.get("retry_after") else 0.0,
+        may_send_retry_after=advises,
+        max_retry_after=limits.get("max_retry_after", 0.0) if advises else 0.0,
         max_attempts=limits.get("send_cap", 1),
         list_pushed=info.get("registry_mode", "automatic") == "automatic",
-        release=fam.get("clear_wait", 0.0),
-        repeat_after=fam.get("repeat", 0.0),
-        cold=rules.get("cold", 0.0),
-        cold_from=rules.get("cold_from", 1.0),
+        retry_delay=family.get("clear_wait", 0.0),
+        retransmit_after=family.get("repeat", 0.0),
+        warm_up=rules.get("cold", 0.0),
+        initial_capacity=rules.get("cold_from", 1.0),
         overload_factor=rules.get("overload_factor", 1.0),
-        overload_for=rules.get("overload_for", 1000.0),
+        overload_window=rules.get("overload_for", 1000.0),
         tick=info.get("tick", 1.0),
         connect_timeout=limits.get("connect_timeout", 500.0),
     )
 
 
-class BadSettings(ValueError):
-    """Settings that can't be taken; the text names the key and says what is wanted."""
+def _parse_classes(lanes: list[dict[str, Json]], family: dict[str, Json]) -> tuple[i.CallClass, ...]:
+    """One class for each lane; what the family tells of a class stands at its place in a list."""
+    grouped = family.get("network_form") == "groups"
+    cells = (family.get("skilled_pools") or []) if grouped else []
+    holding_times = family.get("holding") or []
+    return tuple(
+        i.CallClass(
+            name=lane["name"],
+            latency_objective=lane["aim"],
+            priority_weight=lane.get("credit", 1.0),
+            holding_time=holding_times[n] if n < len(holding_times) else 0.0,
+            late_weight_share=lane.get("late_value", 0.0),
+            deadline=lane.get("hard_limit", 0.0),
+            idempotent=lane.get("idempotency", "read_like") == "read_like",
+            cells=tuple(cells[n]) if n < len(cells) and cells[n] is not None else None,
+        )
+        for n, lane in enumerate(lanes)
+    )
+
 
+@dataclass(frozen=True, slots=True)
+class Key:
+    """What a key of the settings has to be."""
 
-Check = Callable[[Any], bool]
+    is_valid: Callable[[Json], bool]
+    wanted: str  # for the error
+    required: bool = False
 
 
-def _number(value: Any) -> bool:
+def _is_number(value: Json) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value)
 
 
-def _whole(value: Any) -> bool:
-    return _number(value) and value == int(value)
+def _is_integer(value: Json) -> bool:
+    return _is_number(value) and value == int(value)
 
 
-def _cells(value: Any) -> bool:
+def _is_cells(value: Json) -> bool:
     return isinstance(value, list) and all(
-        cells is None or (isinstance(cells, list) and all(map(_whole, cells))) for cells in value
+        cells is None or (isinstance(cells, list) and all(map(_is_integer, cells))) for cells in value
     )
 
 
-POSITIVE: tuple[Check, str] = (lambda v: _number(v) and v > 0, "a positive number")
-DURATION: tuple[Check, str] = (lambda v: _number(v) and v >= 0, "a number of ms, 0 or more")
-SHARE: tuple[Check, str] = (lambda v: _number(v) and 0 <= v <= 1, "a number from 0 to 1")
-COUNT: tuple[Check, str] = (lambda v: _whole(v) and v >= 1, "a whole number, 1 or more")
-FLAG: tuple[Check, str] = (lambda v: isinstance(v, bool), "true or false")
-TEXT: tuple[Check, str] = (lambda v: isinstance(v, str) and v != "", "a text")
-# What is read of each part, and what it has to be. A key with `True` must be there.
-LANE = {
-    "name": (*TEXT, True),
-    "aim": (*POSITIVE, True),
-    "hard_limit": (*POSITIVE, False),
-    "credit": (*DURATION[:1], "a worth, 0 or more", False),
-    "late_value": (*SHARE, False),
-    "idempotency": (*TEXT, False),
+def _is_list_of(is_valid: Callable[[Json], bool]) -> Callable[[Json], bool]:
+    return lambda value: isinstance(value, list) and all(map(is_valid, value))
+
+
+POSITIVE = Key(lambda v: _is_number(v) and v > 0, "a positive number")
+DURATION = Key(lambda v: _is_number(v) and v >= 0, "a number of ms, 0 or more")
+WEIGHT = Key(DURATION.is_valid, "a worth, 0 or more")
+SHARE = Key(lambda v: _is_number(v) and 0 <= v <= 1, "a number from 0 to 1")
+POSITIVE_SHARE = Key(lambda v: _is_number(v) and 0 < v <= 1, "a number over 0, 1 at most")
+COUNT = Key(lambda v: _is_integer(v) and v >= 1, "a whole number, 1 or more")
+INTEGER = Key(_is_integer, "a whole number")
+FLAG = Key(lambda v: isinstance(v, bool), "true or false")
+TEXT = Key(lambda v: isinstance(v, str) and v != "", "a text")
+DURATIONS = Key(_is_list_of(DURATION.is_valid), "a list of ms")
+CELLS = Key(_is_cells, "a list with the cells of each class, or null")
+TEXTS = Key(_is_list_of(lambda v: isinstance(v, str)), "a list of texts")
+
+LANE_KEYS = {
+    "name": Key(TEXT.is_valid, TEXT.wanted, required=True),
+    "aim": Key(POSITIVE.is_valid, POSITIVE.wanted, required=True),
+    "hard_limit": POSITIVE,
+    "credit": WEIGHT,
+    "late_value": SHARE,
+    "idempotency": TEXT,
 }
-PARTS = {
-    "": {"fleet_size": (*COUNT, False), "registry_mode": (*TEXT, False), "tick": (*POSITIVE, False)},
+# The keys of each object within the settings; "": of the settings themselves.
+OBJECT_KEYS = {
+    "": {"fleet_size": COUNT, "registry_mode": TEXT, "tick": POSITIVE},
     "limits": {
-        "may_cancel": (*FLAG, False),
-        "peers": (*FLAG, False),
-        "retry_after": (*FLAG, False),
-        "probes": (*FLAG, False),
-        "max_retry_after": (*DURATION, False),
-        "send_cap": (*COUNT, False),
-        "connect_timeout": (*POSITIVE, False),
+        "may_cancel": FLAG,
+        "peers": FLAG,
+        "retry_after": FLAG,
+        "probes": FLAG,
+        "max_retry_after": DURATION,
+        "send_cap": COUNT,
+        "connect_timeout": POSITIVE,
     },
     "rules": {
-        "cold": (*DURATION, False),
-        "cold_from": (lambda v: _number(v) and 0 < v <= 1, "a number over 0, 1 at most", False),
-        "overload_factor": (*POSITIVE, False),
-        "overload_for": (*POSITIVE, False),
+        "cold": DURATION,
+        "cold_from": POSITIVE_SHARE,
+        "overload_factor": POSITIVE,
+        "overload_for": POSITIVE,
     },
     "family_info": {
-        "own_number": (_whole, "a whole number", False),
-        "clear_wait": (*DURATION, False),
-        "repeat": (*DURATION, False),
-        "network_form": (*TEXT, False),
-        "holding": (
-            lambda v: isinstance(v, list) and all(_number(h) and h >= 0 for h in v),
-            "a list of ms",
-            False,
-        ),
-        "skilled_pools": (_cells, "a list with the cells of each class, or null", False),
-    },
-    "stats": {
-        "fields": (
-            lambda v: isinstance(v, list) and all(isinstance(f, str) for f in v),
-            "a list of texts",
-            False,
-        )
+        "own_number": INTEGER,
+        "clear_wait": DURATION,
+        "repeat": DURATION,
+        "network_form": TEXT,
+        "holding": DURATIONS,
+        "skilled_pools": CELLS,
     },
+    "stats": {"fields": TEXTS},
 }
 
 
-def _look(part: Any, keys: dict[str, Any], at: str) -> None:
-    if not isinstance(part, dict):
-        raise BadSettings(f"{at}: an object is wanted")
-    for key, (good, wanted, needed) in keys.items():
-        if key not in part and not needed:
-            continue
-        if key not in part:
-            raise BadSettings(f"{at}.{key} is missing: {wanted} is wanted")
-        if not good(part[key]):
-            raise BadSettings(f"{at}.{key}: {part[key]!r:.40} is not {wanted}")
+def _check_object(value: Json, keys: dict[str, Key], path: str) -> None:
+    if not isinstance(value, dict):
+        raise SettingsError(f"{path}: an object is wanted")
+    for name, key in keys.items():
+        if name not in value:
+            if key.required:
+                raise SettingsError(f"{path}.{name} is missing: {key.wanted} is wanted")
+        elif not key.is_valid(value[name]):
+            raise SettingsError(f"{path}.{name}: {value[name]!r:.40} is not {key.wanted}")
 
 
-def _missing(new: Any, old: Any, at: str) -> None:
+def _check_complete(new: Json, old: Json, path: str) -> None:
     """Every key that `old` has must be in `new`, down to the keys of each class."""
     if isinstance(old, dict):
         for key, value in old.items():
             if not isinstance(new, dict) or key not in new:
-                raise BadSettings(f"{at}.{key} is missing")
-            _missing(new[key], value, f"{at}.{key}")
+                raise SettingsError(f"{path}.{key} is missing")
+            _check_complete(new[key], value, f"{path}.{key}")
     elif isinstance(old, list) and old and isinstance(old[0], dict) and isinstance(new, list):
-        for n, entry in enumerate(new):
-            _missing(entry, old[0], f"{at}[{n}]")
+        for n, item in enumerate(new):
+            _check_complete(item, old[0], f"{path}[{n}]")
+
+
+def _check_lanes(lanes: Json) -> None:
+    if not isinstance(lanes, list) or not lanes:
+        raise SettingsError("settings.lanes: a list with one class at least is wanted")
+    names: set[str] = set()
+    for n, lane in enumerate(lanes):
+        _check_object(lane, LANE_KEYS, f"settings.lanes[{n}]")
+        if lane["name"] in names:
+            raise SettingsError(f"settings.lanes[{n}].name: {lane['name']!r:.40} is there twice")
+        names.add(lane["name"])
 
 
-def checked(info: Any, running: Any = None) -> i.Settings:
-    """The settings, every figure of them looked at first; BadSettings names the first key that is wrong.
+def check_settings(info: Json, running: Json = None) -> i.Settings:
+    """The settings, every figure of them looked at first; SettingsError names the first key that is wrong.
 
-    `running`: the settings in force, as they were read. A file that lacks a key that they have is not whole.
+    `running`: the settings in force, as they were read. A file that lacks a key of theirs is not complete.
     """
-    _look(info, {}, "settings")
+    _check_object(info, {}, "settings")
     if running is not None:
-        _missing(info, running, "settings")
-    lanes = info.get("lanes")
-    if not isinstance(lanes, list) or not lanes:
-        raise BadSettings("settings.lanes: a list with one class at least is wanted")
-    for n, lane in enumerate(lanes):
-        _look(lane, LANE, f"settings.lanes[{n}]")
-        if lane["name"] in (other["name"] for other in lanes[:n]):
-            raise BadSettings(f"settings.lanes[{n}].name: {lane['name']!r:.40} is there twice")
-    for name, keys in PARTS.items():
-        part = info if not name else {} if info.get(name) is None else info[name]
-        _look(part, keys, f"settings.{name}" if name else "settings")
-    return settings_of(info)
-
-
-def report_of(settings: i.Settings, text: str) -> tuple[float, ...]:
-    """A load report as a quote engine writes it (`x0:12;x1:40`), in the settings' order; -1: not said."""
-    told = {}
+        _check_complete(info, running, "settings")
+    _check_lanes(info.get("lanes"))
+    for name, keys in OBJECT_KEYS.items():
+        if not name:
+            _check_object(info, keys, "settings")
+        elif info.get(name) is not None:
+            _check_object(info[name], keys, f"settings.{name}")
+    return parse_settings(info)
+
+
+def parse_report(settings: i.Settings, text: str) -> tuple[float, ...]:
+    """A load report as a quote engine writes it (`x0:12;x1:40`), in the order of report_fields."""
+    values = {}
     for part in text.split(";"):
         name, _, value = part.partition(":")
         try:
-            told[FIELDS.get(name, name)] = float(value)
+            values[REPORT_FIELDS.get(name, name)] = float(value)
         except ValueError:
             continue
-    return tuple(told.get(name, -1.0) for name in settings.report_fields)
+    return tuple(values.get(name, UNKNOWN) for name in settings.report_fields)
+
+
+# Field names as the digest of the settings has had them from its first format on, so that softswitches of two
+# versions which have the same settings tell the same digest.
+DIGEST_NAMES = {
+    "latency_objective": "aim",
+    "priority_weight": "worth",
+    "holding_time": "hold",
+    "late_weight_share": "late_share",
+    "idempotent": "repeatable",
+    "may_message_peers": "may_tell",
+    "may_send_retry_after": "may_advise",
+    "max_retry_after": "max_advice",
+    "retry_delay": "release",
+    "retransmit_after": "repeat_after",
+    "warm_up": "cold",
+    "initial_capacity": "cold_from",
+    "overload_window": "overload_for",
+    "slow_start_share": "part",
+}
+
+
+def canonical_text(value: object) -> str:
+    """The settings as one text, the same in every version for the same settings."""
+    if isinstance(value, tuple):
+        items = ", ".join(map(canonical_text, value))
+        return f"({items},)" if len(value) == 1 else f"({items})"
+    if isinstance(value, i.Settings | i.CallClass):
+        named = ((f.name, canonical_text(getattr(value, f.name))) for f in fields(value))
+        texts = (f"{DIGEST_NAMES.get(name, name)}={text}" for name, text in named)
+        return f"{type(value).__name__}({', '.join(texts)})"
+    return repr(value)
--- a/softswitch/simulator_adapter.py
+++ b/softswitch/simulator_adapter.py
@@ -1,6 +1,7 @@
-"""Puts the decision module on the bench's wire: names to types and back, nothing decided here.
+"""Puts the decision module on the simulator's wire: names to types and back, nothing decided here.
 
-One JSON value a line on standard input and output; one reply to each batch. Unknown keys are skipped.
+One JSON value a line on standard input and output; one reply to each batch. Unknown keys are skipped. The
+names of fields and values are those of the simulator's wire.
 """
 
 from __future__ import annotations
@@ -13,107 +14,134 @@
 import orjson
 
 from softswitch import interface as i
-from softswitch.policy import Controller
-from softswitch.settings import settings_of
+from softswitch.policy.controller import Controller
+from softswitch.settings import parse_settings
+
+Message = dict[str, Any]  # one JSON object of the wire
+Decision = Callable[[], list[i.Action]]  # an event that was read, and is now to be decided on
 
 OUTCOMES = {
     1: i.Outcome.OK,
     2: i.Outcome.ERROR,
-    3: i.Outcome.FULL,
+    3: i.Outcome.REJECTED,
     4: i.Outcome.TIMEOUT,
     5: i.Outcome.CONNECT_FAILED,
     6: i.Outcome.RESET,
     7: i.Outcome.CANCELLED,
-    8: i.Outcome.MOOT,
+    8: i.Outcome.NOT_SENT,
+}
+STATES = {
+    "Ready": i.EndpointState.READY,
+    "Terminating": i.EndpointState.DRAINING,
+    "Gone": i.EndpointState.REMOVED,
 }
-STATES = {"Ready": i.State.READY, "Terminating": i.State.DRAINING, "Gone": i.State.GONE}
-KINDS = {
-    "patch": i.ListKind.CHANGES,
-    "whole": i.ListKind.WHOLE,
-    "stale_copy": i.ListKind.STALE,
-    "broken": i.ListKind.FAILED,
+UPDATE_KINDS = {
+    "patch": i.UpdateKind.CHANGES,
+    "whole": i.UpdateKind.COMPLETE,
+    "stale_copy": i.UpdateKind.STALE,
+    "broken": i.UpdateKind.FAILED,
 }
+# An answer's `reason`: one of these in the low four bits, and a wait in ms in the rest.
+REASON_BASE = 16
+PROCESSOR_FULL = 3
 NUMBER_BUSY = 4
-PROCESSOR_FULL = 3  # in the low four bits of an answer's `reason`; the rest is a wait in ms
+END_OF_BATCH = '{"verb":"done"}'
 
 
 class WireError(Exception):
     """A line of the wire that cannot be right."""
 
 
-def _report(m: dict[str, Any]) -> tuple[float, ...]:
-    return tuple(float(x) for x in m.get("telemetry") or ())
+def _report(message: Message) -> tuple[float, ...]:
+    return tuple(float(value) for value in message.get("telemetry") or ())
+
+
+def _setup_requested(message: Message) -> i.SetupRequested:
+    return i.SetupRequested(
+        message["handle"],
+        message["category"],
+        message.get("terminates_at", -1),
+        message["grace"],
+        bool(message.get("repeat")),
+        bool(message.get("passing")),
+        message.get("slots_needed", 1),
+    )
 
 
-def _set_up(m: dict[str, Any]) -> i.SetUp:
-    return i.SetUp(
-        m["handle"],
-        m["category"],
-        m.get("terminates_at", -1),
-        m["grace"],
-        bool(m.get("repeat")),
-        bool(m.get("passing")),
-        m.get("slots_needed", 1),
+def _attempt_answered(message: Message) -> i.AttemptAnswered:
+    return i.AttemptAnswered(
+        message["handle"], message.get("n", 0), message["server"], message.get("spent", 0.0)
     )
 
 
-def _ended(m: dict[str, Any]) -> i.Ended:
-    note = m.get("reason", 0)
-    return i.Ended(
-        m["handle"],
-        m.get("n", 0),
-        m["server"],
-        OUTCOMES[m["rc"]],
-        m.get("spent", 0.0),
-        bool(m.get("ended")),
-        note % 16 == PROCESSOR_FULL,
-        note % 16 == NUMBER_BUSY,
-        float(note // 16) if note % 16 == PROCESSOR_FULL else 0.0,
-        _report(m),
+def _attempt_ended(message: Message) -> i.AttemptEnded:
+    wait, reason = divmod(message.get("reason", 0), REASON_BASE)
+    processor_full = reason == PROCESSOR_FULL
+    return i.AttemptEnded(
+        message["handle"],
+        message.get("n", 0),
+        message["server"],
+        OUTCOMES[message["rc"]],
+        message.get("spent", 0.0),
+        call_over=bool(message.get("ended")),
+        processor_full=processor_full,
+        callee_busy=reason == NUMBER_BUSY,
+        retry_after=float(wait) if processor_full else 0.0,
+        report=_report(message),
     )
 
 
-EVENTS = {
-    "request": _set_up,
-    "flowing": lambda m: i.Stands(m["handle"], m.get("n", 0), m["server"], m.get("spent", 0.0)),
-    "answer": _ended,
-    "client_gone": lambda m: i.CallerGone(m["handle"]),
-    "wake": lambda m: i.Wake(m["cookie"]),
-    "sampled": lambda m: i.Sampled(m["server"], OUTCOMES[m["rc"]], _report(m)),
-    "heard": lambda m: i.Heard(m["src"], bytes.fromhex(m.get("data", ""))),
+EVENTS: dict[str, Callable[[Message], i.Event]] = {
+    "request": _setup_requested,
+    "flowing": _attempt_answered,
+    "answer": _attempt_ended,
+    "client_gone": lambda m: i.CallerLeft(m["handle"]),
+    "wake": lambda m: i.TimerFired(m["cookie"]),
+    "sampled": lambda m: i.LoadReported(m["server"], OUTCOMES[m["rc"]], _report(m)),
+    "heard": lambda m: i.PeerMessageReceived(m["src"], bytes.fromhex(m.get("data", ""))),
 }
-ACTIONS = {
-    i.Attempt: lambda a: {"verb": "dispatch", "handle": a.call, "server": a.server, "allow_for": a.timeout},
-    i.Refuse: lambda a: {"verb": "not_now", "handle": a.call, "come_back": a.stay_away},
+ACTIONS: dict[type, Callable[[Any], Message]] = {
+    i.SendAttempt: lambda a: {
+        "verb": "dispatch",
+        "handle": a.call,
+        "server": a.server,
+        "allow_for": a.timeout,
+    },
+    i.Reject: lambda a: {"verb": "not_now", "handle": a.call, "come_back": a.retry_after},
     i.Fail: lambda a: {"verb": "drop_request", "handle": a.call},
-    i.Cancel: lambda a: {"verb": "drop_attempt", "handle": a.call, "n": a.attempt},
-    i.WakeAt: lambda a: {"verb": "defer", "instant": a.at, "cookie": a.token},
-    i.Tell: lambda a: {
+    i.CancelAttempt: lambda a: {"verb": "drop_attempt", "handle": a.call, "n": a.attempt},
+    i.StartTimer: lambda a: {"verb": "defer", "instant": a.at, "cookie": a.token},
+    i.SendPeerMessage: lambda a: {
         "verb": "write_peer",
         "target": "*" if a.peer is None else a.peer,
         "data": a.data.hex(),
     },
-    i.Log: lambda a: {"verb": "say_log", "msg": a.text},
-    i.Follow: lambda a: {"verb": "follow", "active": True},
+    i.WriteLog: lambda a: {"verb": "say_log", "msg": a.text},
+    i.SubscribeEndpoints: lambda a: {"verb": "follow", "active": True},
 }
 
 
-class Link:
-    """Hosts the instances of one process; they share nothing but the numbered sheets of the wire."""
+def _parse_endpoint(record: Message) -> i.Endpoint:
+    return i.Endpoint(
+        record["server"],
+        record.get("cell", -1),
+        STATES[record["mode"]],
+        record.get("start_time", 0.0),
+        record.get("scale", 1.0),
+    )
+
+
+class Adapter:
+    """Hosts the instances of one process; they share nothing but the numbered endpoint lists of the wire."""
 
     def __init__(self) -> None:
-        self.fronts: dict[int, Controller] = {}
-        self.sheets: dict[int, tuple[i.Entry, ...]] = {}
+        self.controllers: dict[int, Controller] = {}  # by the number of the instance
+        self.endpoint_lists: dict[int, tuple[i.Endpoint, ...]] = {}
         self.clock: float | None = None
 
-    def line(self, text: str) -> list[str]:
-        """Takes one line of the wire, gives the lines to write."""
-        try:
-            message = orjson.loads(text)
-        except ValueError as e:
-            raise WireError(f"not valid JSON: {e}") from None
-        if not isinstance(message, dict) or not isinstance(message.get("verb"), str):
-            raise WireError("not an object with a verb")
+    def handle_line(self, text: str) -> list[str]:
+        """Takes one line of the wire and returns the lines to write."""
+        message = self._parse(text)
         verb = message["verb"]
         try:
             if verb == "clock":
@@ -122,61 +150,68 @@
             if self.clock is None:
                 raise WireError(f"{verb} before the first clock")
             if verb == "over_to_you":
-                return ['{"verb":"done"}']
-            ask = self._event(verb, message)
+                return [END_OF_BATCH]
+            decide = self._read(verb, message, self.clock)
         except KeyError as e:
             raise WireError(f"{verb}: field missing or value unknown: {e.args[0]!r}") from None
         except (TypeError, ValueError, AttributeError) as e:
             raise WireError(f"{verb}: {e}") from None
         # The module runs outside the guard above: a fault of its own is not the line's.
-        return [orjson.dumps({"front": message["front"]} | ACTIONS[type(a)](a)).decode() for a in ask()]
+        instance = {"front": message.get("front")}
+        return [orjson.dumps(instance | ACTIONS[type(action)](action)).decode() for action in decide()]
 
-    def _event(self, verb: str, m: dict[str, Any]) -> Callable[[], list[i.Action]]:
-        """Reads the line in full; what is given back then lets the front decide."""
+    @staticmethod
+    def _parse(text: str) -> Message:
+        try:
+            message = orjson.loads(text)
+        except ValueError as e:
+            raise WireError(f"not valid JSON: {e}") from None
+        if not isinstance(message, dict) or not isinstance(message.get("verb"), str):
+            raise WireError("not an object with a verb")
+        return message
+
+    def _read(self, verb: str, message: Message, now: float) -> Decision:
+        """Reads the message in full; what is returned then lets the instance decide."""
         if verb == "sheet":
-            self.sheets[m["table"]] = tuple(
-                i.Entry(
-                    e["server"],
-                    e.get("cell", -1),
-                    STATES[e["mode"]],
-                    e.get("start_time", 0.0),
-                    e.get("scale", 1.0),
-                )
-                for e in m["records"]
-            )
+            self.endpoint_lists[message["table"]] = tuple(map(_parse_endpoint, message["records"]))
             return list
-        front, now = m["front"], self.clock
+        instance = message["front"]
         if verb == "start":
-            self.fronts[front] = Controller(settings_of(m["info"]), m["seed"])
-            return partial(self.fronts[front].start, now)
+            controller = Controller(parse_settings(message["info"]), message["seed"])
+            self.controllers[instance] = controller
+            return partial(controller.start, now)
         if verb == "down":
-            self.fronts.pop(front, None)
+            self.controllers.pop(instance, None)
             return list
+        event = self._event(verb, message)
+        if instance not in self.controllers:
+            raise WireError(f"{verb} for front {instance}, which has not started")
+        return partial(self.controllers[instance].handle, now, event)
+
+    def _event(self, verb: str, message: Message) -> i.Event:
         if verb == "membership":
-            kind = KINDS[m["scope"]]
-            event = i.ListNews(kind, () if kind is i.ListKind.FAILED else self.sheets[m["table"]])
-        elif verb in EVENTS:
-            event = EVENTS[verb](m)
-        else:
-            raise WireError(f"unknown verb {verb!r}")
-        if front not in self.fronts:
-            raise WireError(f"{verb} for front {front}, which has not started")
-        return partial(self.fronts[front].handle, now, event)
+            kind = UPDATE_KINDS[message["scope"]]
+            failed = kind is i.UpdateKind.FAILED
+            return i.EndpointsChanged(kind, () if failed else self.endpoint_lists[message["table"]])
+        if verb in EVENTS:
+            return EVENTS[verb](message)
+        raise WireError(f"unknown verb {verb!r}")
 
 
 def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> int:
-    link = Link()
+    """Reads the wire until its end; exit code 2 at a line that can't be right."""
+    adapter = Adapter()
     for number, text in enumerate(source, 1):
         if not text.strip():
             continue
         try:
-            said = link.line(text)
+            replies = adapter.handle_line(text)
         except WireError as e:
             print(f"willowhitch: line {number}: {e}", file=sys.stderr)
             return 2
-        if said:
-            sink.write("\n".join(said) + "\n")
-            if said[-1] == '{"verb":"done"}':
+        if replies:
+            sink.write("\n".join(replies) + "\n")
+            if replies[-1] == END_OF_BATCH:
                 sink.flush()
     return 0
 
--- a/tests/support/policy_driver.py
+++ b/tests/support/policy_driver.py
@@ -4,22 +4,26 @@
 from softswitch import interface as i
 
 CLASSES = (
-    i.CallClass("plain", aim=1500.0, worth=1.0, late_share=0.25, hold=8000.0),
-    i.CallClass("dear", aim=1500.0, worth=4.0, late_share=0.25, hold=8000.0),
+    i.CallClass(
+        "plain", latency_objective=1500.0, priority_weight=1.0, late_weight_share=0.25, holding_time=8000.0
+    ),
+    i.CallClass(
+        "dear", latency_objective=1500.0, priority_weight=4.0, late_weight_share=0.25, holding_time=8000.0
+    ),
 )
 BASE = dict(
     classes=CLASSES,
     fleet_size=4,
     may_cancel=True,
-    may_advise=True,
-    max_advice=2000.0,
+    may_send_retry_after=True,
+    max_retry_after=2000.0,
     max_attempts=4,
-    release=300.0,
-    repeat_after=400.0,
-    cold=15000.0,
-    cold_from=0.3,
+    retry_delay=300.0,
+    retransmit_after=400.0,
+    warm_up=15000.0,
+    initial_capacity=0.3,
     overload_factor=2.5,
-    overload_for=1000.0,
+    overload_window=1000.0,
     tick=5.0,
     report_fields=("free", "size"),
 )
@@ -29,14 +33,16 @@
     return i.Settings(**(BASE | changes))
 
 
-def entry(name, cell, state=i.State.READY, started=0.0, weight=500.0):
-    return i.Entry(name, cell, state, started, weight)
+def entry(name, cell, state=i.EndpointState.READY, started_at=0.0, weight=500.0):
+    return i.Endpoint(name, cell, state, started_at, weight)
 
 
 def front(servers=("a", "b"), seed=1, **changes):
     c = Controller(settings(**changes), seed)
     c.start(0.0)
-    c.handle(0.0, i.ListNews(i.ListKind.WHOLE, tuple(entry(s, n) for n, s in enumerate(servers))))
+    c.handle(
+        0.0, i.EndpointsChanged(i.UpdateKind.COMPLETE, tuple(entry(s, n) for n, s in enumerate(servers)))
+    )
     for s in servers:
         lines(c, 0.0, s)
     return c
@@ -44,23 +50,23 @@
 
 def lines(c, now, server, free=100.0, size=500.0):
     """The list of free lines that comes unasked to every front."""
-    return c.handle(now, i.Sampled(server, i.Outcome.OK, (free, size)))
+    return c.handle(now, i.LoadReported(server, i.Outcome.OK, (free, size)))
 
 
 def sends(actions):
-    return [a for a in actions if isinstance(a, i.Attempt)]
+    return [a for a in actions if isinstance(a, i.SendAttempt)]
 
 
-def call(c, now, name, klass="plain", dest=0, grace=3000.0, **more):
-    return c.handle(now, i.SetUp(name, klass, dest, grace, **more))
+def call(c, now, name, klass="plain", dest=0, timeout=3000.0, **more):
+    return c.handle(now, i.SetupRequested(name, klass, dest, timeout, **more))
 
 
-def stands(c, now, name, server, n=0, took=40.0):
-    return c.handle(now, i.Stands(name, n, server, took))
+def stands(c, now, name, server, n=0, elapsed=40.0):
+    return c.handle(now, i.AttemptAnswered(name, n, server, elapsed))
 
 
 def ended(c, now, name, server, outcome, n=0, **more):
-    return c.handle(now, i.Ended(name, n, server, outcome, 40.0, **more))
+    return c.handle(now, i.AttemptEnded(name, n, server, outcome, 40.0, **more))
 
 
 def press(c, now, server, rounds=12, delay=1200.0):
@@ -72,6 +78,6 @@
 def beats(c, until):
     """Wakes the front whenever it asked to be woken, up to a time."""
     said = []
-    while c.beat_due is not None and c.beat_due < until:
-        said += c.handle(c.beat_due, i.Wake(0))
+    while c.sweep_due is not None and c.sweep_due < until:
+        said += c.handle(c.sweep_due, i.TimerFired(0))
     return said
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -110,20 +110,20 @@
     p = Pocketed(
         Budget("again", "repeats", 60, 0, 1000.0), Budget("e", "set-ups", 9, 0, 1000.0, "", "s-1"), held=1
     )
-    assert p.purse.may("x", "s-1", False)
-    assert p.purse.may("x", "s-2", True)
-    p.purse.sent("x", "s-1", False)
-    assert not p.purse.may("x", "s-1", False)
-    assert p.purse.may("x", "s-2", False)
-    p.purse.sent("x", "s-2", True)
-    assert not p.purse.may("x", "s-3", True)
-    assert p.purse.may("x", "s-3", False)
+    assert p.purse.may_attempt("x", "s-1", False)
+    assert p.purse.may_attempt("x", "s-2", True)
+    p.purse.attempt_sent("x", "s-1", False)
+    assert not p.purse.may_attempt("x", "s-1", False)
+    assert p.purse.may_attempt("x", "s-2", False)
+    p.purse.attempt_sent("x", "s-2", True)
+    assert not p.purse.may_attempt("x", "s-3", True)
+    assert p.purse.may_attempt("x", "s-3", False)
 
 
 def test_a_share_is_asked_for_by_how_much_there_is_to_do():
     p = Pocketed(Budget("cold", "cold", SHARES, 10, 1000.0), held=250)
-    assert p.purse.share("cold", "s-1") == 0.25
-    assert p.purse.share("probes", "s-1") is None
+    assert p.purse.share("cold", "s-1", 9.0) == 0.25
+    assert p.purse.share("probes", "s-1", 9.0) == 9.0
     assert p.purse.needs()["cold"][0] == 0
     for _ in range(50):
         p.purse.admit("x", 1.0)
--- a/tests/test_constraints.py
+++ b/tests/test_constraints.py
@@ -16,34 +16,34 @@
         self.said.append(("admit", klass))
         return self.wait
 
-    def wanted(self, klass, repeat, worth):
+    def attempt_wanted(self, klass, repeat, worth):
         self.said.append(("wanted", repeat))
 
-    def may(self, klass, server, repeat):
+    def may_attempt(self, klass, server, repeat):
         return self.repeats or not repeat
 
-    def sent(self, klass, server, repeat):
+    def attempt_sent(self, klass, server, repeat):
         self.said.append(("sent", server, repeat))
 
-    def share(self, what, server):
-        return self.shares.get(what)
+    def share(self, what, server, default):
+        return self.shares.get(what, default)
 
 
 def bound_front(bound, servers=("a", "b"), **changes):
     c = front(servers, **changes)
-    c.handle(1.0, i.NewConstraints(bound))
+    c.handle(1.0, i.ConstraintsChanged(bound))
     return c
 
 
 def test_a_call_beyond_the_budget_is_refused_at_once_and_told_when_it_opens():
     c = bound_front(Bound(wait=430.0))
-    assert [a for a in call(c, 10.0, "x") if isinstance(a, i.Refuse)] == [i.Refuse("x", 430.0)]
+    assert [a for a in call(c, 10.0, "x") if isinstance(a, i.Reject)] == [i.Reject("x", 430.0)]
     assert not c.calls
-    assert not c.held
+    assert not c.queued
     c = bound_front(Bound(wait=9_000.0))
-    assert i.Refuse("x", 2_000.0) in call(c, 10.0, "x")  # no longer than the settings allow to say
-    c = bound_front(Bound(wait=430.0), may_advise=False)
-    assert i.Refuse("x", 0.0) in call(c, 10.0, "x")
+    assert i.Reject("x", 2_000.0) in call(c, 10.0, "x")  # no longer than the settings allow to say
+    c = bound_front(Bound(wait=430.0), may_send_retry_after=False)
+    assert i.Reject("x", 0.0) in call(c, 10.0, "x")
 
 
 def test_a_call_that_is_let_in_is_counted_once_and_each_attempt_is_told():
@@ -58,30 +58,30 @@
     bound = Bound(repeats=False)
     c = bound_front(bound)
     (sent,) = sends(call(c, 10.0, "x"))
-    said = ended(c, 20.0, "x", sent.server, i.Outcome.FULL)
+    said = ended(c, 20.0, "x", sent.server, i.Outcome.REJECTED)
     assert not sends(said)
-    assert any(isinstance(a, i.Refuse) for a in said)
+    assert any(isinstance(a, i.Reject) for a in said)
     assert ("wanted", True) in bound.said
     free = front()
     (sent,) = sends(call(free, 10.0, "x"))
-    assert sends(ended(free, 20.0, "x", sent.server, i.Outcome.FULL))
+    assert sends(ended(free, 20.0, "x", sent.server, i.Outcome.REJECTED))
 
 
 def cold_sends(share):
     """Set-ups that go to a cold server within its overload window, of many that are asked for."""
     c = front(("a",), may_cancel=False)
-    c.handle(1.0, i.NewConstraints(Bound(shares={"cold": share})))
-    c.handle(2.0, i.ListNews(i.ListKind.CHANGES, (entry("a", 0, started=2.0),)))
+    c.handle(1.0, i.ConstraintsChanged(Bound(shares={"cold": share})))
+    c.handle(2.0, i.EndpointsChanged(i.UpdateKind.CHANGES, (entry("a", 0, started_at=2.0),)))
     lines(c, 3.0, "a", free=480.0)
     sent = 0
     for n in range(1_000):
         now = 10.0 + 8 * n
-        went = sends(call(c, now, f"c{n}", grace=1_400.0))
-        if c.beat_due is not None and now >= c.beat_due:
-            went += sends(c.handle(now, i.Wake(0)))
+        went = sends(call(c, now, f"c{n}", timeout=1_400.0))
+        if c.sweep_due is not None and now >= c.sweep_due:
+            went += sends(c.handle(now, i.TimerFired(0)))
         for a in went:
             sent += 1
-            stands(c, now + 1.0, a.call, a.server, took=1.0)
+            stands(c, now + 1.0, a.call, a.server, elapsed=1.0)
     return sent
 
 
@@ -93,10 +93,10 @@
 
 def test_without_constraints_nothing_is_asked():
     c = front()
-    assert c.bound is None
-    assert c.set == settings()
+    assert c.constraints is i.UNLIMITED
+    assert c.settings == settings()
     bound = Bound()
-    c.handle(1.0, i.NewConstraints(bound))
-    c.handle(2.0, i.NewConstraints(None))
+    c.handle(1.0, i.ConstraintsChanged(bound))
+    c.handle(2.0, i.ConstraintsChanged())
     call(c, 10.0, "x")
     assert bound.said == []
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -21,7 +21,10 @@
         self.wheel = Wheel(5.0, lambda: self.now)
         self.switch = Switch(settings(**changes), 1, self.wheel, self)
         self.switch.start()
-        self.switch.news(i.ListKind.WHOLE, tuple(i.Entry(s, n, i.State.READY) for n, s in enumerate(servers)))
+        self.switch.news(
+            i.UpdateKind.COMPLETE,
+            tuple(i.Endpoint(s, n, i.EndpointState.READY) for n, s in enumerate(servers)),
+        )
 
     def drains(self, server):
         """Nothing waits to be written here."""
@@ -136,15 +139,15 @@
     assert len(b.heard("set_up")) == 1
     b.run(60.0)
     assert len(b.heard("set_up")) == 2
-    b.switch._carry_out([i.Attempt(ONE, A)])  # should the module ever ask for it
+    b.switch._carry_out([i.SendAttempt(ONE, A)])  # should the module ever ask for it
     assert len(b.heard("set_up")) == 2
     assert b.switch.count["guard: not owed or already out"] == 1
 
 
 def test_guards_against_a_send_to_a_leaving_engine():
     b = Bench()
-    b.switch.news(i.ListKind.CHANGES, (i.Entry(A, 0, i.State.DRAINING),))
-    b.switch.controller.gates[A].state = i.State.READY  # as if the module had missed it
+    b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(A, 0, i.EndpointState.DRAINING),))
+    b.switch.controller.gates[A].state = i.EndpointState.READY  # as if the module had missed it
     b.call(dest=0)
     assert not any(words[1] == A for words in b.heard("set_up"))
     assert b.switch.count["guard: moot"]
@@ -176,7 +179,7 @@
         b.switch.answered((A, B)[dest], f"{n:016x}", b"d")
     b.switch.died(A)
     assert [words[1] for words in b.heard("released")] == [ONE, f"{2:016x}"]
-    b.switch.news(i.ListKind.CHANGES, (i.Entry(B, 1, i.State.READY, started=b.now + 1.0),))
+    b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(B, 1, i.EndpointState.READY, started_at=b.now + 1.0),))
     assert len(b.heard("released")) == 3
 
 
@@ -184,10 +187,10 @@
     b = Bench()
     for n in range(50):
         server = f"s-{n + 100:08x}"
-        for state in (i.State.READY, i.State.GONE):
-            b.switch.news(i.ListKind.CHANGES, (i.Entry(server, 5, state),))
+        for state in (i.EndpointState.READY, i.EndpointState.REMOVED):
+            b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(server, 5, state),))
         b.switch.drop(server)  # as the links do once no call is left there
-        b.switch.news(i.ListKind.CHANGES, (i.Entry(server, 5, i.State.GONE),))
+        b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(server, 5, i.EndpointState.REMOVED),))
         b.call(n)
         b.switch.answered(A, f"{n:016x}", b"d")
         assert b.switch.calls[f"{n:016x}"].order.description == b""  # told, and held no longer
@@ -196,8 +199,8 @@
     assert set(b.switch.states) == set(b.switch.started) == {A, B}
     assert not b.switch.calls
     assert not b.switch.controller.calls
-    assert not b.switch.controller.tokens
-    assert not b.switch.controller.held
+    assert not b.switch.controller.timers
+    assert not b.switch.controller.queued
     assert len(b.switch.controller.gates) <= 10
 
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -41,7 +41,7 @@
 def test_sums_balance_after_a_drawn_mix_of_crossings(seed):
     b, draw = Bench(), Random(seed)
     b.switch.most_calls = 40
-    known = b.switch.controller.set
+    known = b.switch.controller.settings
     for n in range(2_000, 2_010):  # some stand, whatever is drawn later
         b.call(n)
         b.switch.answered(b.switch.calls[f"{n:016x}"].server, f"{n:016x}", b"d")
@@ -74,8 +74,8 @@
 def test_a_stricter_class_holds_for_new_calls_and_the_guard_of_a_call_is_its_own():
     b = Bench()
     b.call(1)
-    now = b.switch.controller.set
-    b.switch.new_settings(replace(now, classes=tuple(replace(c, repeatable=False) for c in now.classes)))
+    now = b.switch.controller.settings
+    b.switch.new_settings(replace(now, classes=tuple(replace(c, idempotent=False) for c in now.classes)))
     b.call(2)
     assert b.switch.calls[f"{1:016x}"].repeatable
     assert not b.switch.calls[f"{2:016x}"].repeatable
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,12 +1,19 @@
 """The module is read aloud after an outage: its size is limited."""
 
+import tomllib
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "softswitch" / "policy.py"
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / "softswitch" / "policy"
 
 
 def test_module_size():
-    lines = MODULE.read_text().splitlines()
+    lines = [line for path in PACKAGE.rglob("*.py") for line in path.read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 500
     assert max(map(len, lines)) <= 110
-    assert "softswitch/interface.py" in lines[0]
+    assert "softswitch/interface.py" in (PACKAGE / "__init__.py").read_text().splitlines()[0]
+
+
+def test_the_deploy_file_names_every_file_of_the_policy():
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert sorted(deploy["policy"]) == sorted(str(path.relative_to(ROOT)) for path in PACKAGE.rglob("*.py"))
