--- a/benchmarks/call_cost.py
+++ b/benchmarks/call_cost.py
@@ -40,13 +40,13 @@
 
 
 def one(calls):
+    from softswitch.net.sip import SipFront
     from twisted.internet.testing import StringTransport
 
     from softswitch import interface as i
     from softswitch.core.switch import Switch
-    from softswitch.core.timer_wheel import Wheel
+    from softswitch.core.timer_wheel import TimerWheel
     from softswitch.net import engine as e
-    from softswitch.net.sip import SipFront
     from softswitch.settings import check_settings
 
     class Wire(StringTransport):
@@ -67,7 +67,7 @@
         return len(data).to_bytes(2, "big") + data
 
     now, reactor, settings = [1000.0], Reactor(), check_settings(INFO)
-    wheel = Wheel(settings.tick, lambda: now[0])
+    wheel = TimerWheel(settings.tick, lambda: now[0])
     links = e.EngineLinks(reactor, settings)
     switch = Switch(settings, 1, wheel, links)
     links.attach(switch)
@@ -87,7 +87,7 @@
     began = time.process_time()
     for first in range(1, calls, A_TICK):
         now[0] += settings.tick
-        wheel.read()
+        wheel.read_clock()
         if first % 1_000 < A_TICK:
             for protocol in reactor.made:
                 protocol.dataReceived(framed(state))
@@ -110,7 +110,7 @@
             n, protocol, call = stood.pop(0)
             protocol.dataReceived(framed(e.message(e.RELEASE, call, (e.CAUSE, b"\x10"))))
             caller.dataReceived(HEARD.format(n).encode())
-        wheel.turn()
+        wheel.run_due()
     used = time.process_time() - began
     assert answered > 0.95 * calls, answered
     print(used / calls)
--- a/softswitch/core/figures.py
+++ b/softswitch/core/figures.py
@@ -1,72 +1,85 @@
 """What the operators are told in numbers: a row a class, each call counted once, where it happens.
 
-The sums balance: taken = fulfilled + throttled + faulted + abandoned + those still owed an answer. A call
-that stands is fulfilled, and an open request until it ends. Counts, since the start.
+The sums balance: taken = fulfilled + throttled + faulted + abandoned + those still owed an answer. An
+established call is fulfilled, and an open request until it ends. Counts since the start; the names are those
+of the page.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
-MOST_VANISHED = 64  # rows kept of classes that the settings have no more
-SHOWN = ("fulfilled", "throttled", "faulted")
+from softswitch.core.call import CallResult
 
+MAX_VANISHED_CLASSES = 64  # rows kept of classes that the settings no longer have
+
+# In which column of the figures a call is counted, by how it ceased to be owed an answer.
+COLUMNS = {
+    CallResult.ESTABLISHED: "fulfilled",
+    CallResult.ABANDONED: "abandoned",
+    CallResult.REJECTED: "throttled",
+    CallResult.FAILED: "faulted",
+}
 
-class Row:
-    """One class of call."""
 
-    __slots__ = ("abandoned", "faulted", "fulfilled", "relayed", "taken", "throttled")
+@dataclass(slots=True)
+class ClassFigures:
+    """One class of call."""
 
-    def __init__(self) -> None:
-        self.taken = 0  # set-ups that were owed an answer
-        self.fulfilled = 0  # they stood
-        self.throttled = 0  # refused: trying again is harmless
-        self.faulted = 0  # failed
-        self.abandoned = 0  # given up by their callers before an answer
-        self.relayed = 0  # attempts written whole to quote engines
+    taken: int = 0  # call setups that were owed an answer
+    fulfilled: int = 0  # established
+    throttled: int = 0  # rejected: trying again is harmless
+    faulted: int = 0  # failed
+    abandoned: int = 0  # given up by their callers before an answer
+    relayed: int = 0  # attempts written completely to quote engines
 
-    def as_dict(self) -> dict[str, int]:
-        return {name: getattr(self, name) for name in SHOWN}
+    def report(self) -> dict[str, int]:
+        """The published columns."""
+        return {"fulfilled": self.fulfilled, "throttled": self.throttled, "faulted": self.faulted}
 
 
 class Figures:
-    """Its names come from the settings alone: what callers write never makes a row."""
+    """Its rows come from the settings alone: what callers write never makes one."""
 
     def __init__(self, classes: Iterable[str]) -> None:
-        self.rows: dict[str, Row] = {}
-        self.unknown = Row()  # calls of classes that no settings had
+        self.rows: dict[str, ClassFigures] = {}
+        self.unknown = ClassFigures()  # calls of classes that no settings had
         self.current: dict[str, None] = {}  # in the order of the settings
-        self.dropped = 0  # attempts of classes whose rows are gone
-        self.cfg_accepted = self.cfg_invalid = 0  # files read at SIGHUP
-        self.settle(classes)
+        self.relayed_of_dropped_rows = 0
+        self.cfg_accepted = 0  # configurations taken at SIGHUP
+        self.cfg_invalid = 0
+        self.set_classes(classes)
 
-    def settle(self, classes: Iterable[str]) -> None:
+    def set_classes(self, classes: Iterable[str]) -> None:
         """The settings' classes now. Those that vanish keep their rows, of many the newest."""
         self.current = dict.fromkeys(classes)
         for name in self.current:
-            self.rows[name] = self.rows.pop(name) if name in self.rows else Row()
+            self.rows[name] = self.rows.pop(name) if name in self.rows else ClassFigures()
         vanished = [name for name in self.rows if name not in self.current]
-        for name in vanished[:-MOST_VANISHED]:
-            self.dropped += self.rows.pop(name).relayed
+        for name in vanished[:-MAX_VANISHED_CLASSES]:
+            self.relayed_of_dropped_rows += self.rows.pop(name).relayed
 
-    def of(self, klass: str) -> Row:
-        return self.rows.get(klass) or self.unknown
+    def for_class(self, call_class: str) -> ClassFigures:
+        """The row of a class."""
+        return self.rows.get(call_class) or self.unknown
 
-    def ended(self, klass: str, outcome: str) -> None:
-        """A call is owed no answer any more; `outcome` is the name of a column."""
-        row = self.of(klass)
-        setattr(row, outcome, getattr(row, outcome) + 1)
+    def count_result(self, call_class: str, result: CallResult) -> None:
+        """A call is owed no answer any more."""
+        row = self.for_class(call_class)
+        column = COLUMNS[result]
+        setattr(row, column, getattr(row, column) + 1)
 
-    def told(self, open_requests: int, listed: int, avoided: int) -> dict[str, Any]:
+    def report(self, open_requests: int, listed: int, unavailable: int) -> dict[str, Any]:
         """As the management address gives them."""
-        relayed = self.dropped + sum(row.relayed for row in (self.unknown, *self.rows.values()))
+        rows = (self.unknown, *self.rows.values())
         return {
-            "operations": {name: row.as_dict() for name, row in self.rows.items()},
-            "relayed": relayed,
+            "operations": {name: row.report() for name, row in self.rows.items()},
+            "relayed": self.relayed_of_dropped_rows + sum(row.relayed for row in rows),
             "open_requests": open_requests,
             "registry_entries": listed,
-            "out_of_rotation": avoided,
+            "out_of_rotation": unavailable,
             "cfg_accepted": self.cfg_accepted,
             "cfg_invalid": self.cfg_invalid,
         }
--- /dev/null
+++ b/softswitch/core/policy_executor.py
@@ -0,0 +1,276 @@
+"""Feeds events to the decision module and carries out its actions on the calls.
+
+Every time is in ms on the wheel's clock. The guards here hold the rules should the module ever miss one.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from loguru import logger
+
+from softswitch import interface as i
+from softswitch.core.call import (
+    RESULTS,
+    Call,
+    CallObserver,
+    CallResult,
+    CallState,
+    Engines,
+    FailureReason,
+)
+from softswitch.core.call_history import CallHistory
+from softswitch.core.call_table import CallTable
+from softswitch.core.counters import Count, Counters, CountFamily, Duration
+from softswitch.core.endpoint_directory import EndpointDirectory
+from softswitch.core.figures import Figures
+from softswitch.core.predecessor import PredecessorCalls
+from softswitch.core.timer_wheel import TimerWheel
+from softswitch.policy.controller import Controller
+from softswitch.policy.state import EJECTION_FAULTS
+
+RETRY_DELAY_SLACK = 60.0  # ms added to retry_delay: limits on sockets are 50 ms longer, and ticks are coarse
+PROCESSOR_FULL_NOTE = "cpu_full"  # notes of an engine's release
+NUMBER_BUSY_NOTE = "number_busy"
+
+Report = tuple[float, ...]  # a load report, in the order of the settings' report_fields
+
+
+class PolicyExecutor:
+    """Owner of the calls, the known endpoints, the counters and the decision module."""
+
+    def __init__(self, settings: i.Settings, seed: int, wheel: TimerWheel, engines: Engines) -> None:
+        self.wheel = wheel
+        self.engines = engines
+        self.calls = CallTable()
+        self.endpoints = EndpointDirectory()
+        self.predecessor = PredecessorCalls(wheel.now)
+        self.counters = Counters()
+        self.slow_start_share = 1.0  # see `interface.Settings`
+        self.settings = self._adapted(settings)
+        self.figures = Figures(self._class_names())
+        self.controller = Controller(self.settings, seed)
+        self.history: CallHistory | None = None  # where what happens to calls is kept
+        self.observer: CallObserver | None = None  # notified of each call, where a traffic record is kept
+        self.on_duration: Callable[[Duration, float], None] | None = None  # for telemetry
+        self._events: deque[i.Event] = deque()
+        self._handling = False
+        self._executors: dict[type, Callable[[Any], None]] = {
+            i.SendAttempt: self._send_attempt,
+            i.Reject: lambda action: self._fail(action.call, FailureReason.REJECTED, action.retry_after),
+            i.Fail: lambda action: self._fail(action.call, FailureReason.FAILED, 0.0),
+            i.CancelAttempt: self._cancel_attempt,
+            i.StartTimer: lambda action: self.wheel.call_at(
+                action.at, self._feed, i.TimerFired(action.token)
+            ),
+            i.WriteLog: lambda action: logger.info("module: {}", action.text),
+        }
+
+    def start(self) -> None:
+        """Carries out what the module wants before its first event."""
+        self._carry_out(self.controller.start(self.wheel.now))
+
+    # settings and constraints
+
+    def _adapted(self, settings: i.Settings) -> i.Settings:
+        delay = settings.retry_delay + RETRY_DELAY_SLACK if settings.retry_delay else 0.0
+        return replace(settings, slow_start_share=self.slow_start_share, retry_delay=delay)
+
+    def _class_names(self) -> list[str]:
+        return [c.name for c in self.settings.classes]
+
+    def apply_settings(self, settings: i.Settings) -> None:
+        """They hold from now on. A call in progress keeps its class, and the fewer attempts of old and
+        new.
+        """
+        self.settings = self._adapted(settings)
+        self.figures.set_classes(self._class_names())
+        for call in self.calls.values():
+            call.max_attempts = min(call.max_attempts, self.settings.max_attempts)
+        self._feed(i.SettingsChanged(self.settings))
+
+    def apply_slow_start_share(self, share: float) -> None:
+        """This process has that share of what the softswitch may send to warming engines."""
+        self.slow_start_share = share
+        self.settings = replace(self.settings, slow_start_share=share)
+        self._feed(i.SettingsChanged(self.settings))
+
+    def apply_fleet_size(self, size: int) -> None:
+        """So many softswitches divide what is shared, from now on and until the next settings."""
+        self.settings = replace(self.settings, fleet_size=size)
+        self._feed(i.SettingsChanged(self.settings))
+
+    def apply_constraints(self, constraints: i.Constraints) -> None:
+        """These limit the module from now on."""
+        self._feed(i.ConstraintsChanged(constraints))
+
+    # the decision module
+
+    def _feed(self, event: i.Event) -> None:
+        """Events reach the module one by one in order of arrival, also those that its own actions cause."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.controller.handle(self.wheel.now, event)
+        except Exception as e:  # the switch's own deadlines answer what the module forgets
+            self.counters[Count.POLICY_ERRORS] += 1
+            logger.error("decision module: {!r} at {}", e, type(event).__name__)
+            return
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: Iterable[i.Action]) -> None:
+        for action in actions:
+            execute = self._executors.get(type(action))
+            if execute is not None:
+                execute(action)
+
+    # attempts
+
+    def _send_attempt(self, action: i.SendAttempt) -> None:
+        call, now = self.calls.get(action.call), self.wheel.now
+        if call is None or call.state is not CallState.ROUTING:
+            self.counters[Count.GUARD_UNEXPECTED_ATTEMPT] += 1
+            return
+        call.transition(CallState.ATTEMPTING)
+        call.attempt += 1
+        call.server = action.server
+        call.sent_at = now
+        call.first_server = call.first_server or action.server
+        if not self._may_send(call, action.server):
+            self.counters[Count.GUARD_FORBIDDEN_ATTEMPT] += 1
+            self._attempt_ended(call, i.Outcome.NOT_SENT)
+            return
+        self.counters[Count.ATTEMPTS] += 1
+        if self.history:
+            self.history.note(action.call, "attempt", f"{call.attempt} {action.server} {action.timeout:.0f}")
+        if action.timeout > 0:
+            self.wheel.call_at(now + action.timeout, self._attempt_timed_out, action.call, call.attempt)
+        self.engines.send_setup(action.server, call)
+
+    def _may_send(self, call: Call, server: str) -> bool:
+        """Guards the rules on drains, on the delay of retries and on the number of attempts."""
+        in_time = self.wheel.now >= call.retry_at
+        return in_time and call.attempt < call.max_attempts and self.endpoints.is_ready(server)
+
+    def _cancel_attempt(self, action: i.CancelAttempt) -> None:
+        self._give_up_attempt(action.call, action.attempt, i.Outcome.CANCELLED)
+
+    def _attempt_timed_out(self, call_id: str, attempt: int) -> None:
+        self._give_up_attempt(call_id, attempt, i.Outcome.TIMEOUT)
+
+    def _give_up_attempt(self, call_id: str, attempt: int, outcome: i.Outcome) -> None:
+        call = self.calls.get(call_id)
+        if call is not None and call.server is not None and call.awaits(attempt):
+            self.engines.cancel_setup(call.server, call_id)
+            self._attempt_ended(call, outcome)
+
+    def _attempt_ended(self, call: Call, outcome: i.Outcome, note: str = "", report: Report = ()) -> None:
+        """An attempt is over and the call is still owed its answer."""
+        now, server = self.wheel.now, call.server or ""
+        self.counters[CountFamily.ATTEMPTS + outcome.value] += 1
+        if self.history:
+            self.history.note(call.id, "attempt ended", f"{server} {outcome.value}")
+        call.transition(CallState.ROUTING)
+        call.server = None
+        if outcome in i.DELAYS_RETRY:
+            call.retry_at = now + self.settings.retry_delay
+        event = i.AttemptEnded(
+            call.id,
+            call.attempt,
+            server,
+            outcome,
+            now - call.sent_at,
+            processor_full=note == PROCESSOR_FULL_NOTE,
+            callee_busy=note == NUMBER_BUSY_NOTE,
+            report=report,
+        )
+        self._feed(event)
+
+    # the end of calls
+
+    def _fail(self, call_id: str, reason: FailureReason, retry_after: float) -> None:
+        """The call is answered as not established; an attempt in flight is given up."""
+        call = self.calls.get(call_id)
+        if call is not None and not call.established:
+            self._answer_failed(call, reason, retry_after)
+            self._give_up_rest(call, i.Outcome.TIMEOUT)
+
+    def _fail_without_module(self, call: Call, reason: FailureReason, retry_after: float = 0.0) -> None:
+        """As `_fail`, for a call that the module may still have."""
+        self._fail(call.id, reason, retry_after)
+        self._feed(i.CallerLeft(call.id))
+
+    def _answer_failed(self, call: Call, reason: FailureReason, retry_after: float) -> None:
+        """The one final answer of a call that is not established."""
+        self.counters[reason.value] += 1
+        if self.history:
+            self.history.note(call.id, "turned away", reason.value)
+        self._settle(call, RESULTS[reason])
+        self._remove(call)
+        call.caller.call_failed(call.id, reason, retry_after)
+
+    def _give_up_rest(self, call: Call, outcome: i.Outcome) -> None:
+        """The call has its answer, or needs none: an attempt still in flight is given up."""
+        if call.server is not None:
+            self.engines.cancel_setup(call.server, call.id)
+            self._end(call, outcome)
+
+    def _end(self, call: Call, outcome: i.Outcome, report: Report = ()) -> None:
+        """The last attempt of a call that is removed, or the call that it established, has ended."""
+        now = self.wheel.now
+        if call.established_at is not None:
+            self._measure(Duration.CALL, now - call.established_at)
+            if self.observer:
+                self.observer.call_ended(call)
+        server = call.server or ""
+        elapsed = now - call.sent_at
+        self._feed(
+            i.AttemptEnded(call.id, call.attempt, server, outcome, elapsed, call_over=True, report=report)
+        )
+
+    def _settle(self, call: Call, result: CallResult) -> None:
+        """The one place where a call ceases to be owed an answer."""
+        self.figures.count_result(call.request.call_class, result)
+        if self.observer:
+            self.observer.call_settled(call, result)
+
+    def _remove(self, call: Call) -> None:
+        self.calls.remove(call)
+        self.predecessor.call_ended(self.wheel.now, call.id)
+
+    def _answer_overdue(self, call_id: str) -> None:
+        """Guards the answer in time, whatever the module does."""
+        call = self.calls.get(call_id)
+        if call is not None and not call.established:
+            self.counters[Count.GUARD_OVERDUE] += 1
+            self._fail_without_module(call, FailureReason.FAILED)
+
+    def _measure(self, duration: Duration, ms: float) -> None:
+        if self.on_duration:
+            self.on_duration(duration, ms)
+
+    # figures
+
+    def report_figures(self) -> dict[str, Any]:
+        """The figures for operators."""
+        listed = self.endpoints.listed()
+        return self.figures.report(len(self.calls), len(listed), self._unavailable(listed))
+
+    def _unavailable(self, servers: list[str]) -> int:
+        """How many of these engines get no calls: draining, ejected, or closed as they asked."""
+        gates = [self.controller.gates.get(server) for server in servers]
+        ready = [g for g in gates if g is not None and g.state is i.EndpointState.READY]
+        used = [g for g in ready if g.faults < EJECTION_FAULTS and self.wheel.now >= g.closed_until]
+        return len(servers) - len(used)
--- a/softswitch/lazy_import.py
+++ b/softswitch/lazy_import.py
@@ -1,4 +1,7 @@
-"""Keeps what is imported but never used out of the start: many softswitches may start on one machine."""
+"""Import trimming: keeps what is imported but never used out of the start.
+
+Many softswitches may start on one machine, and each has little memory.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +12,7 @@
 UNUSED = ("http.cookiejar",)
 
 
-def lazily(*names: str) -> None:
+def load_lazily(*names: str) -> None:
     """From now on these modules are loaded at the first use of what is in them, not as they are imported."""
     for name in names:
         if name in sys.modules:
@@ -18,11 +21,12 @@
         if spec is None or spec.loader is None:
             continue
         spec.loader = LazyLoader(spec.loader)
-        module = sys.modules[name] = module_from_spec(spec)
+        module = module_from_spec(spec)
+        sys.modules[name] = module
         spec.loader.exec_module(module)
         parent, _, child = name.rpartition(".")
         if parent:
             setattr(sys.modules[parent], child, module)
 
 
-lazily(*UNUSED)
+load_lazily(*UNUSED)
--- a/softswitch/log_rate_limit.py
+++ b/softswitch/log_rate_limit.py
@@ -1,33 +1,53 @@
-"""Bounds the log: whoever sends us nonsense at full speed must not fill it, nor cost us the writing."""
+"""Limits the rate of log lines: whoever sends us nonsense at full speed must not fill the log, nor cost us
+the writing.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from time import monotonic
-from typing import Any
+from typing import TYPE_CHECKING
 
-MOST, PER = 10, 10.0  # lines of one kind, and the seconds they count for
+if TYPE_CHECKING:
+    from loguru import Record
 
+MAX_LINES = 10  # of one place in the code ...
+INTERVAL = 10.0  # ... in so many seconds
 
-class Quiet:
-    """A filter for loguru's sinks: each place in the code may write so many lines in so many seconds. The
-    first line after that says how many were left out. It keeps one entry a place, whatever the lines hold.
+
+@dataclass(slots=True)
+class _Place:
+    """One place in the code that logs."""
+
+    interval_began: float
+    lines: int = 0
+    left_out: int = 0
+
+
+class LogRateLimit:
+    """A filter for loguru's sinks: each place in the code may write so many lines in an interval.
+
+    The first line after that says how many were left out. It keeps one entry a place, whatever the lines
+    hold.
     """
 
-    def __init__(self, time: Callable[[], float] = monotonic) -> None:
-        self._time = time
-        self._places: dict[tuple[str, int], list[float]] = {}  # span's start, lines in it, lines left out
-
-    def __call__(self, record: dict[str, Any]) -> bool:
-        now = self._time()
-        place = self._places.setdefault((record["name"], record["line"]), [now, 0, 0])
-        if now - place[0] >= PER:
-            place[:2] = now, 0
-        place[1] += 1
-        if place[1] > MOST:
-            place[2] += 1
+    def __init__(self, clock: Callable[[], float] = monotonic) -> None:
+        self._clock = clock
+        self._places: dict[tuple[str, int], _Place] = {}
+
+    def __call__(self, record: Record) -> bool:
+        now = self._clock()
+        key = (record["name"] or "", record["line"])
+        place = self._places.setdefault(key, _Place(now))
+        if now - place.interval_began >= INTERVAL:
+            place.interval_began = now
+            place.lines = 0
+        place.lines += 1
+        if place.lines > MAX_LINES:
+            place.left_out += 1
             return False
-        if place[2]:
-            record["message"] += f" ({place[2]:.0f} more like it were left out)"
-            place[2] = 0
+        if place.left_out:
+            record["message"] += f" ({place.left_out} more like it were left out)"
+            place.left_out = 0
         return True
--- a/softswitch/measure/recording.py
+++ b/softswitch/measure/recording.py
@@ -11,15 +11,26 @@
 from loguru import logger
 
 from softswitch.components import Host
-from softswitch.core.switch import BLOCKED, PROCESSOR_FULL, Call, Switch
+from softswitch.core.call import Call, CallResult, Obstacle
+from softswitch.core.counters import Count
+from softswitch.core.switch import Switch
 from softswitch.measure.record import TrafficRecord
 from softswitch.measure.recordfile import BadRecord, Writer, read
 
 MOST_WAITING = 8  # intervals that wait to be written; a disk slower than that loses the newest
 
 
+def rejection_outcome(call: Call) -> str:
+    """The outcome of a rejected call, as the record names it."""
+    if Obstacle.NO_CIRCUIT in call.obstacles:
+        return "blocked"
+    if Obstacle.PROCESSOR_FULL in call.obstacles:
+        return "processor_full"
+    return "refused_before" if call.never_sent else "refused_other"
+
+
 class Recording:
-    """Fulfils `core.switch.Watcher`. Intervals are encoded and written by `in_thread`, one at a time."""
+    """Fulfils `core.call.CallObserver`. Intervals are encoded and written by `in_thread`, one at a time."""
 
     def __init__(
         self,
@@ -41,45 +52,46 @@
     def _tick(self) -> None:
         now = self.switch.wheel.now
         self.record.turn(now)
-        self.switch.wheel.at(max(now + 1.0, self.record.until), self._tick)
-
-    # from the switch
-
-    def came(self, call: Call) -> None:
-        order = call.order
-        self.record.came(call.came, order.dest, order.klass, order.redial)
-
-    def settled(self, call: Call, outcome: str) -> None:
-        now = self.switch.wheel.now
-        cells, order = self.switch.cells, call.order
-        took, delay = -1, now - call.came
-        if outcome == "stands":
-            outcome = "carried" if delay <= self.aims.get(order.klass, delay) else "late"
-            took = cells.get(call.server or "", -1)
-        elif outcome == "refused":
-            if call.marks & BLOCKED:
-                outcome = "blocked"
-            elif call.marks & PROCESSOR_FULL:
-                outcome = "processor_full"
-            else:
-                outcome = "refused_before" if call.attempt < 0 else "refused_other"
-        call.seat = self.record.settled(
-            now, cells.get(call.first, order.dest), took, order.klass, outcome, delay, order.redial
+        self.switch.wheel.call_at(max(now + 1.0, self.record.until), self._tick)
+
+    # as a `core.call.CallObserver`
+
+    def call_received(self, call: Call) -> None:
+        """A call was taken in."""
+        request = call.request
+        self.record.came(call.received_at, request.destination_cell, request.call_class, request.redial)
+
+    def call_settled(self, call: Call, result: CallResult) -> None:
+        """A call is owed no answer any more."""
+        now, request, cells = self.switch.wheel.now, call.request, self.switch.endpoints.cells
+        delay = now - call.received_at
+        outcome, carried_by = result.value, -1
+        if result is CallResult.ESTABLISHED:
+            outcome = "carried" if delay <= self.aims.get(request.call_class, delay) else "late"
+            carried_by = cells.get(call.server or "", -1)
+        elif result is CallResult.REJECTED:
+            outcome = rejection_outcome(call)
+        first_route = cells.get(call.first_server, request.destination_cell)
+        call.record_slot = self.record.settled(
+            now, first_route, carried_by, request.call_class, outcome, delay, request.redial
         )
 
-    def over(self, call: Call) -> None:
+    def call_ended(self, call: Call) -> None:
+        """An established call has ended."""
         now = self.switch.wheel.now
-        if call.seat is not None:  # None: it stood before the record began
-            self.record.over(now, call.seat, now - call.stood)
+        if (
+            call.record_slot is not None and call.established_at is not None
+        ):  # else it began before the record
+            self.record.over(now, call.record_slot, now - call.established_at)
 
     # to the file
 
     def _save(self, entry: dict[str, Any]) -> None:
         """In the loop: it must not wait for a disk, however long a write takes."""
         if len(self.waiting) >= MOST_WAITING:
-            self.switch.count["record intervals lost"] += 1
+            self.switch.counters[Count.RECORD_INTERVALS_LOST] += 1
             return
-        self.switch.count["record intervals"] += 1
+        self.switch.counters[Count.RECORD_INTERVALS] += 1
         self.waiting.append(entry)
         self.in_thread(self._write)
 
@@ -91,12 +103,12 @@
                     self.writer.write(self.waiting.popleft())
                     self.failing = False
                 except (OSError, BadRecord) as e:
-                    self.switch.count["record intervals lost"] += 1
+                    self.switch.counters[Count.RECORD_INTERVALS_LOST] += 1
                     if not self.failing:
                         logger.warning("traffic record: not written, the softswitch serves on: {}", e)
                     self.failing = True
 
-    # as a part of the softswitch (parts.Part)
+    # as a part of the softswitch (components.Component)
 
     def start(self) -> None:
         every = self.record.interval / 1000
@@ -142,5 +154,5 @@
         aims,
     )
     made.table = table
-    host.switch.watcher = made
+    host.switch.observer = made
     return made
--- a/softswitch/net/budgets.py
+++ b/softswitch/net/budgets.py
@@ -18,7 +18,7 @@
 from softswitch.budgets.messages import Message
 from softswitch.budgets.plan import BadPlan, plan_of
 from softswitch.budgets.spending import Purse
-from softswitch.components import Host
+from softswitch.components import ComponentCall, Host
 from softswitch.core.lifecycle import Phase
 from softswitch.net.peers import Peers
 
@@ -88,18 +88,18 @@
         self.encoder, self.decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
         self.due = 0.0
         self.garbage = self.unsent = 0
-        host.calls["/v1/budgets"] = ("GET", self.asked)
+        host.calls["/v1/budgets"] = ComponentCall("GET", self.asked)
         if allocation.record:
-            host.calls["/v1/budgets/"] = ("GET", self.spendings)
+            host.calls["/v1/budgets/"] = ComponentCall("GET", self.spendings)
 
     # what is held
 
     def _part(self, now: float) -> None:
         switch = self.host.switch
-        if switch.other is not None:
+        if switch.peer_process is not None:
             part = HALF
         else:
-            part = switch.part if self.peers.port is not None else 0.0
+            part = switch.slow_start_share if self.peers.port is not None else 0.0
         self.floors.now_is(now, part)
 
     def held(self, now: float, name: str) -> int:
@@ -114,7 +114,7 @@
     def start(self) -> None:
         self.peers.carried[PART] = self.heard
         self.host.switch.lifecycle.on_change.append(self._phase)
-        self.host.switch.new_constraints(self.purse)
+        self.host.switch.apply_constraints(self.purse)
         plan = self.keeper.plan
         logger.info(
             "budgets: {}; {} voters, {}",
@@ -175,7 +175,7 @@
     # time
 
     def _needs(self) -> None:
-        self.wheel.at(self.wheel.now + NEEDS, self._needs)
+        self.wheel.call_at(self.wheel.now + NEEDS, self._needs)
         now = clock()
         self._part(now)
         self.keeper.needs(now, self.purse.needs())
@@ -194,7 +194,7 @@
         due = self.wheel.now + (wait if self.peers.port is not None else NEEDS)
         if due < self.due or self.due <= self.wheel.now:
             self.due = due
-            self.wheel.at(due, self._tick, due)
+            self.wheel.call_at(due, self._tick, due)
 
     # the wire
 
@@ -265,7 +265,7 @@
 
 
 def make(table: Any, host: Host) -> Budgets:
-    peers = host.parts.get("fleet")
+    peers = host.components.get("fleet")
     if not isinstance(peers, Peers):
         raise ValueError("needs `fleet`: they are divided among its members")
     return Budgets(table, host, peers)
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -1,10 +1,13 @@
-"""The WebSocket front: desk tools place, watch and release calls with JSON messages (docs/control-api.md)."""
+"""The call-control API over WebSocket: client programs place, watch and release calls
+(docs/control-api.md).
+"""
 
 from __future__ import annotations
 
 import binascii
 from base64 import b64decode, b64encode
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +19,7 @@
     AcceptConnection,
     BytesMessage,
     CloseConnection,
+    Event,
     Ping,
     RejectConnection,
     Request,
@@ -24,354 +28,433 @@
 from wsproto.utilities import RemoteProtocolError
 
 from softswitch.configuration import ControlSettings
-from softswitch.core.switch import NORMAL, Order, Switch, Verdict
+from softswitch.core.call import FailureReason, ReleaseCause, SetupRequest
+from softswitch.core.counters import Count, CountFamily
+from softswitch.core.switch import Switch
 
 VERSION = 1
 PATH = "/v1/calls"
-LONGEST = 24_576  # characters of one message: 16 KiB of description, written in base64
-MOST_UNREAD = 262_144  # bytes that may wait for a client that doesn't read
-MOST_ENDED = 2_048  # ended calls whose last event is kept for who watches later
-HANDSHAKE, PING_EVERY, SILENT_AFTER = 2_000.0, 20_000.0, 50_000.0  # ms
-# One code for each outcome of the core, and those of the wire itself.
-CODES = {verdict: verdict.value for verdict in Verdict}
+MAX_MESSAGE = 24_576  # characters: 16 KiB of description, written in base64
+MAX_UNREAD = 262_144  # bytes that may wait for a client that doesn't read
+MAX_ENDED_CALLS = 2_048  # ended calls whose last event is kept for who watches later
+MAX_CAUSE = 127
+HANDSHAKE_TIMEOUT = 2_000.0  # ms
+PING_INTERVAL = 20_000.0  # ms
+SILENCE_TIMEOUT = 50_000.0  # ms
+SWEEP_INTERVAL = 1_000.0  # ms
+# Codes of a close, as in RFC 6455.
+GOING_AWAY, UNSUPPORTED_DATA, MESSAGE_TOO_BIG = 1001, 1003, 1009
+# Codes of errors: one for each failure of the core, and those of the wire itself.
+CODES = {reason: reason.value for reason in FailureReason}
 BAD_JSON, BAD_MESSAGE, BAD_VERSION = "bad_json", "bad_message", "bad_version"
 
+Message = dict[str, Any]  # one JSON object of the wire
+
 
 @dataclass(slots=True)
-class Placed:
-    """A call of this front, from its set-up to its end."""
+class PlacedCall:
+    """A call of this API, from its setup to its end."""
 
-    watchers: set[ControlSocket] = field(default_factory=set)
-    last: dict[str, Any] = field(default_factory=dict)  # the newest event
-    stands: bool = False
-    alone_since: float | None = None  # when its last watcher went
+    watchers: set[ClientConnection] = field(default_factory=set)
+    last_event: Message = field(default_factory=dict)
+    established: bool = False
+    unwatched_since: float | None = None  # when its last watcher went
 
 
-def number_of(said: dict[str, Any], name: str, default: float | None = None) -> float:
-    value = said.get(name, default)
+def read_number(message: Message, name: str, default: float | None = None) -> float:
+    """A number of a message; ValueError if it is none."""
+    value = message.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{name} is no number")
     return value
 
 
-def whole_of(said: dict[str, Any], name: str, default: int) -> int:
-    value = number_of(said, name, default)
+def read_integer(message: Message, name: str, default: int) -> int:
+    """A whole number of a message; ValueError if it is none."""
+    value = read_number(message, name, default)
     if value != int(value):
         raise ValueError(f"{name} is no whole number")
     return int(value)
 
 
-def text_of(said: dict[str, Any], name: str, default: str | None = None) -> str:
-    value = said.get(name, default)
+def read_text(message: Message, name: str, default: str | None = None) -> str:
+    """A text of a message; ValueError if it is none."""
+    value = message.get(name, default)
     if not isinstance(value, str):
         raise ValueError(f"{name} is no text")
     return value
 
 
-def order_of(said: dict[str, Any]) -> Order:
-    """The set-up that a `place` asks for; ValueError with a plain text if it can't be read."""
+def read_setup(message: Message) -> SetupRequest:
+    """The call setup that a `place` asks for; ValueError with a plain text if it can't be read."""
     try:
-        description = b64decode(text_of(said, "description_b64", ""), validate=True)
+        description = b64decode(read_text(message, "description_b64", ""), validate=True)
     except binascii.Error:
         raise ValueError("description_b64 is not base64") from None
-    return Order(
-        text_of(said, "id").lower(),
-        text_of(said, "class"),
-        text_of(said, "number"),
-        number_of(said, "patience_ms"),
+    return SetupRequest(
+        read_text(message, "id").lower(),
+        read_text(message, "class"),
+        read_text(message, "number"),
+        read_number(message, "patience_ms"),
         description,
-        whole_of(said, "dest", -1),
-        said.get("retry") is True,
-        number_of(said, "width", 1),
+        read_integer(message, "dest", -1),
+        message.get("retry") is True,
+        read_number(message, "width", 1),
     )
 
 
-class ControlSocket(Protocol):
+class ClientConnection(Protocol):
     """One client."""
 
-    def __init__(self, front: ControlFront) -> None:
-        self.front, self.ws = front, WSConnection(ConnectionType.SERVER)
-        self.ready = self.choked = self.over = False
-        self.unread, self.text = 0, ""
-        self.since = self.heard = front.switch.wheel.now
-        self.opened: set[str] = set()  # its set-ups that wait for their answer
+    def __init__(self, server: CallControlServer) -> None:
+        self.server = server
+        self.websocket = WSConnection(ConnectionType.SERVER)
+        self.is_accepted = False  # the handshake is done
+        self.is_over = False
+        self.opened_at = self.last_data_at = server.switch.wheel.now
+        self.pending: set[str] = set()  # its call setups that wait for their answer
         self.watched: set[str] = set()
+        self._backpressured = False
+        self._unread = 0  # bytes written since the client was last seen to read
+        self._text = ""  # of a message that is not complete
 
     def connectionMade(self) -> None:
+        """Called by Twisted."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
     def connectionLost(self, reason: object = None) -> None:
-        self.over = True
-        self.front.closed(self)
+        """Called by Twisted."""
+        self.is_over = True
+        self.server.connection_lost(self)
 
     # A producer's three calls. A client that doesn't read isn't read from either.
+
     def pauseProducing(self) -> None:
-        self.choked = True
+        """Called by Twisted."""
+        self._backpressured = True
         self.transport.pauseProducing()
 
     def resumeProducing(self) -> None:
-        self.choked, self.unread = False, 0
+        """Called by Twisted."""
+        self._backpressured = False
+        self._unread = 0
         self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
-        pass
+        """Called by Twisted."""
 
-    def _write(self, event: Any) -> None:
-        if self.over:
+    def _write(self, event: Event) -> None:
+        if self.is_over:
             return
-        data = self.ws.send(event)
-        self.unread = self.unread + len(data) if self.choked else 0
-        if self.unread > MOST_UNREAD:
-            self.over = True
-            logger.warning("control client: {} bytes unread, connection closed", self.unread)
+        data = self.websocket.send(event)
+        self._unread = self._unread + len(data) if self._backpressured else 0
+        if self._unread > MAX_UNREAD:
+            self.is_over = True
+            logger.warning("control client: {} bytes unread, connection closed", self._unread)
             self.transport.abortConnection()
             return
         self.transport.write(data)
 
-    def say(self, event: dict[str, Any]) -> None:
-        self._write(TextMessage(data=orjson.dumps({"v": VERSION} | event).decode()))
+    def send(self, message: Message) -> None:
+        """Sends an event."""
+        self._write(TextMessage(data=orjson.dumps({"v": VERSION} | message).decode()))
+
+    def send_error(self, code: str, text: str, call: str | None = None) -> None:
+        """Sends an error event."""
+        self.server.switch.counters[CountFamily.CONTROL_ERRORS + code] += 1
+        message: Message = {"event": "error", "code": code, "text": text}
+        self.send(message | ({"id": call} if call else {}))
+
+    def ping(self) -> None:
+        """Asks for a sign of life."""
+        self._write(Ping())
 
-    def error(self, code: str, text: str, call: str | None = None) -> None:
-        self.front.switch.count[f"control {code}"] += 1
-        self.say({"event": "error", "code": code, "text": text} | ({"id": call} if call else {}))
+    def close(self, code: int, why: str) -> None:
+        """Ends the connection in good order."""
+        if self.is_over:
+            return
+        if self.is_accepted:
+            self._write(CloseConnection(code=code, reason=why))
+        self._end()
 
-    def end(self, code: int, why: str) -> None:
-        if not self.over:
-            if self.ready:
-                self._write(CloseConnection(code=code, reason=why))
-            self.over = True
-            self.transport.loseConnection()
+    def _end(self) -> None:
+        self.is_over = True
+        self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard = self.front.switch.wheel.now
+        """Called by Twisted."""
+        self.last_data_at = self.server.switch.wheel.now
         try:
-            self.ws.receive_data(data)
-            for event in self.ws.events():
-                if self.over:
+            self.websocket.receive_data(data)
+            for event in self.websocket.events():
+                if self.is_over:
                     return
-                self._event(event)
+                self._handle(event)
         except RemoteProtocolError as e:
             logger.warning("control client: not WebSocket, connection closed: {}", e)
             if e.event_hint is not None:
                 self._write(e.event_hint)
-            self.over = True
-            self.transport.loseConnection()
+            self._end()
 
-    def _event(self, event: Any) -> None:
+    def _handle(self, event: Event) -> None:
         match event:
             case Request():
-                self._greet(event)
+                self._handshake(event)
             case TextMessage():
-                self.text += event.data
-                if len(self.text) > LONGEST:
-                    return self.end(1009, "longer than a message may be")
-                if event.message_finished:
-                    text, self.text = self.text, ""
-                    self.front.asked(self, text)
+                self._text_received(event)
             case BytesMessage():
-                self.end(1003, "text messages only")
+                self.close(UNSUPPORTED_DATA, "text messages only")
             case Ping():
                 self._write(event.response())
             case CloseConnection():
                 self._write(event.response())
-                self.over = True
-                self.transport.loseConnection()
-        return None
+                self._end()
+
+    def _text_received(self, event: TextMessage) -> None:
+        self._text += event.data
+        if len(self._text) > MAX_MESSAGE:
+            self.close(MESSAGE_TOO_BIG, "longer than a message may be")
+        elif event.message_finished:
+            text, self._text = self._text, ""
+            self.server.message_received(self, text)
+
+    def _handshake(self, request: Request) -> None:
+        status = self._refusal(request)
+        if status is None:
+            self.is_accepted = True
+            self.server.accepted[self] = None
+            self._write(AcceptConnection())
+        else:
+            self._write(RejectConnection(status_code=status))
+            self._end()
 
-    def _greet(self, request: Request) -> None:
-        origin = next((v.decode("latin-1") for k, v in request.extra_headers if k.lower() == b"origin"), None)
+    def _refusal(self, request: Request) -> int | None:
+        """The status of a handshake that is refused."""
+        settings = self.server.settings
+        origins = [value for name, value in request.extra_headers if name.lower() == b"origin"]
         if request.target.partition("?")[0] != PATH:
-            refusal = 404
-        elif origin is not None and origin not in self.front.set.origins:
-            refusal = 403  # a web page of somebody else's in a browser on this machine
-        elif len(self.front.sockets) >= self.front.set.most_sockets:
-            refusal = 503
-        else:
-            self.ready = True
-            self.front.sockets[self] = None
-            self._write(AcceptConnection())
-            return
-        self._write(RejectConnection(status_code=refusal))
-        self.over = True
-        self.transport.loseConnection()
+            return 404
+        if origins and origins[0].decode("latin-1") not in settings.origins:
+            return 403  # a web page of somebody else's in a browser on this machine
+        if len(self.server.accepted) >= settings.most_sockets:
+            return 503
+        return None
 
 
-class ControlFront(Factory):
-    """All clients of the call-control API. Fulfils `core.switch.Caller`."""
+class CallControlServer(Factory):
+    """All clients of the call-control API, and their calls. Fulfils `core.call.Caller`."""
 
     noisy = False
-    survives = False  # a desk tool watches its calls on this program's sockets
-
-    def __init__(self, settings: ControlSettings, most: int = 1_000) -> None:
-        self.set, self.most = settings, min(2 * settings.most_sockets, most)  # connections, greeted or not
-        self.switch: Switch
-        self.sockets: dict[ControlSocket, None] = {}
-        self.greeting: dict[ControlSocket, None] = {}
-        self.calls: dict[str, Placed] = {}
-        self.ended: OrderedDict[str, dict[str, Any]] = OrderedDict()
+    calls_survive = False  # a client watches its calls on this process's connections
 
-    def attach(self, switch: Switch) -> None:
+    def __init__(self, settings: ControlSettings, switch: Switch, max_connections: int = 1_000) -> None:
+        self.settings = settings
         self.switch = switch
-        switch.wheel.at(switch.wheel.now + 1000.0, self._sweep)
-
-    def buildProtocol(self, addr: object) -> ControlSocket | None:
-        # A socket that was greeted stands in both until the next sweep.
-        if len(self.greeting.keys() | self.sockets.keys()) >= self.most:
-            victim = next((s for s in self.greeting if not s.ready and not s.over), None)
-            if victim is None:
-                self.switch.count["control sockets turned away"] += 1
-                return None
-            victim.over = True  # who connects and says nothing goes first, the longest there
-            self.greeting.pop(victim)
-            victim.transport.abortConnection()
-        socket = ControlSocket(self)
-        self.greeting[socket] = None
-        return socket
-
-    def closed(self, socket: ControlSocket) -> None:
-        """Its set-ups are given up; its calls that stand go on, for who comes back and watches them."""
-        self.sockets.pop(socket, None)
-        self.greeting.pop(socket, None)
-        for call in list(socket.opened):
-            self._end_set_up(call, Verdict.GIVEN_UP)
-        for call in list(socket.watched):
-            self._unwatch(socket, call)
-
-    # what clients ask
-
-    def asked(self, socket: ControlSocket, text: str) -> None:
-        self.switch.count["control messages"] += 1
+        self.max_connections = min(2 * settings.most_sockets, max_connections)  # accepted or not
+        self.accepted: dict[ClientConnection, None] = {}
+        self.connecting: dict[ClientConnection, None] = {}  # and those accepted since the last sweep
+        self.calls: dict[str, PlacedCall] = {}
+        self.ended: OrderedDict[str, Message] = OrderedDict()  # the last event of ended calls
+        self._requests: dict[str, Callable[[ClientConnection, str, Message], None]] = {
+            "place": self._place,
+            "watch": self._watch,
+            "release": self._release,
+        }
+        switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
+
+    def buildProtocol(self, addr: object) -> ClientConnection | None:
+        """Called by Twisted as a client connects."""
+        if (
+            len(self.connecting.keys() | self.accepted.keys()) >= self.max_connections
+            and not self._shed_one()
+        ):
+            self.switch.counters[Count.CONTROL_SOCKETS_REFUSED] += 1
+            return None
+        connection = ClientConnection(self)
+        self.connecting[connection] = None
+        return connection
+
+    def _shed_one(self) -> bool:
+        """Who connects and sends nothing goes first, the longest there."""
+        waiting = (c for c in self.connecting if not c.is_accepted and not c.is_over)
+        victim = next(waiting, None)
+        if victim is None:
+            return False
+        victim.is_over = True
+        self.connecting.pop(victim)
+        victim.transport.abortConnection()
+        return True
+
+    def connection_lost(self, connection: ClientConnection) -> None:
+        """Its call setups are abandoned; its established calls go on, for who comes back and watches them."""
+        self.accepted.pop(connection, None)
+        self.connecting.pop(connection, None)
+        for call in list(connection.pending):
+            self._abandon(call)
+        for call in list(connection.watched):
+            self._stop_watching(connection, call)
+
+    # requests of clients
+
+    def message_received(self, connection: ClientConnection, text: str) -> None:
+        """A client sent a request."""
+        self.switch.counters[Count.CONTROL_MESSAGES] += 1
         try:
-            said = orjson.loads(text)
+            message = orjson.loads(text)
         except ValueError:
-            return socket.error(BAD_JSON, "not JSON")
-        if not isinstance(said, dict) or said.get("v") != VERSION:
-            return socket.error(BAD_VERSION, f'an object with "v":{VERSION} is wanted')
-        act = ASKS.get(said["do"]) if isinstance(said.get("do"), str) else None
-        call = said["id"].lower() if isinstance(said.get("id"), str) else None
-        if act is None or call is None:
-            return socket.error(BAD_MESSAGE, "do is place, watch or release, and id a text", call)
+            connection.send_error(BAD_JSON, "not JSON")
+            return
+        if not isinstance(message, dict) or message.get("v") != VERSION:
+            connection.send_error(BAD_VERSION, f'an object with "v":{VERSION} is wanted')
+            return
+        what, id_ = message.get("do"), message.get("id")
+        request = self._requests.get(what) if isinstance(what, str) else None
+        call = id_.lower() if isinstance(id_, str) else None
+        if request is None or call is None:
+            connection.send_error(BAD_MESSAGE, "do is place, watch or release, and id a text", call)
+            return
         try:
-            act(self, socket, call, said)
+            request(connection, call, message)
         except (ValueError, OverflowError) as e:
-            socket.error(BAD_MESSAGE, str(e), call)
+            connection.send_error(BAD_MESSAGE, str(e), call)
 
-    def _place(self, socket: ControlSocket, call: str, said: dict[str, Any]) -> None:
-        order = order_of(said)
+    def _place(self, connection: ClientConnection, call: str, message: Message) -> None:
+        setup = read_setup(message)
         if call in self.calls or call in self.ended:
-            return socket.error(CODES[Verdict.REPEATED], "this id was placed before", call)
-        if len(socket.opened) >= self.set.most_open:
-            return socket.error(CODES[Verdict.TABLE_FULL], "too many set-ups wait for their answer", call)
-        placed = self.calls[call] = Placed()
-        self._watch_on(socket, call, placed)
-        socket.opened.add(call)
-        self._tell(call, {"event": "setting_up"})
-        verdict = self.switch.set_up(order, self)
-        if verdict is not None:
+            connection.send_error(CODES[FailureReason.DUPLICATE], "this id was placed before", call)
+            return
+        if len(connection.pending) >= self.settings.most_open:
+            code = CODES[FailureReason.TABLE_FULL]
+            connection.send_error(code, "too many set-ups wait for their answer", call)
+            return
+        placed = self.calls[call] = PlacedCall()
+        self._start_watching(connection, call, placed)
+        connection.pending.add(call)
+        self._notify(call, {"event": "setting_up"})
+        reason = self.switch.request_setup(setup, self)
+        if reason is not None:
             del self.calls[call]
-            socket.opened.discard(call)
-            socket.watched.discard(call)
-            socket.error(CODES[verdict], "not taken in", call)
-        return None
+            connection.pending.discard(call)
+            connection.watched.discard(call)
+            connection.send_error(CODES[reason], "not taken in", call)
 
-    def _watch(self, socket: ControlSocket, call: str, said: dict[str, Any]) -> None:
+    def _watch(self, connection: ClientConnection, call: str, message: Message) -> None:
         placed = self.calls.get(call)
         if placed is not None:
-            self._watch_on(socket, call, placed)
-            socket.say(placed.last)
+            self._start_watching(connection, call, placed)
+            connection.send(placed.last_event)
         elif call in self.ended:
-            socket.say(self.ended[call])
+            connection.send(self.ended[call])
         else:
-            socket.error(CODES[Verdict.UNKNOWN], "no call of this id was placed here", call)
+            code = CODES[FailureReason.UNKNOWN_CALL]
+            connection.send_error(code, "no call of this id was placed here", call)
 
-    def _release(self, socket: ControlSocket, call: str, said: dict[str, Any]) -> None:
-        cause = whole_of(said, "cause", NORMAL)
-        if not 0 <= cause <= 127:
-            raise ValueError("cause is 0 to 127")
+    def _release(self, connection: ClientConnection, call: str, message: Message) -> None:
+        cause = read_integer(message, "cause", ReleaseCause.NORMAL)
+        if not 0 <= cause <= MAX_CAUSE:
+            raise ValueError(f"cause is 0 to {MAX_CAUSE}")
         placed = self.calls.get(call)
         if placed is None:
-            socket.error(CODES[Verdict.UNKNOWN], "no call of this id is open", call)
-        elif placed.stands:
-            self.switch.release(call, cause, self)
-            self.released(call, cause)
+            connection.send_error(CODES[FailureReason.UNKNOWN_CALL], "no call of this id is open", call)
+        elif placed.established:
+            self._release_established(call, cause)
         else:
-            self._end_set_up(call, Verdict.GIVEN_UP)
+            self._abandon(call)
+
+    def _release_established(self, call: str, cause: int) -> None:
+        self.switch.release_call(call, cause, self)
+        self.call_released(call, cause)
 
-    def _end_set_up(self, call: str, verdict: Verdict) -> None:
-        self.switch.give_up(call, self)
-        self.turned_away(call, verdict, 0.0)
+    def _abandon(self, call: str) -> None:
+        self.switch.abandon_call(call, self)
+        self.call_failed(call, FailureReason.ABANDONED, 0.0)
 
     # watchers
 
-    def _watch_on(self, socket: ControlSocket, call: str, placed: Placed) -> None:
-        placed.watchers.add(socket)
-        placed.alone_since = None
-        socket.watched.add(call)
+    def _start_watching(self, connection: ClientConnection, call: str, placed: PlacedCall) -> None:
+        placed.watchers.add(connection)
+        placed.unwatched_since = None
+        connection.watched.add(call)
 
-    def _unwatch(self, socket: ControlSocket, call: str) -> None:
+    def _stop_watching(self, connection: ClientConnection, call: str) -> None:
         placed = self.calls.get(call)
-        socket.watched.discard(call)
+        connection.watched.discard(call)
         if placed is not None:
-            placed.watchers.discard(socket)
+            placed.watchers.discard(connection)
             if not placed.watchers:
-                placed.alone_since = self.switch.wheel.now
+                placed.unwatched_since = self.switch.wheel.now
 
-    def _tell(self, call: str, event: dict[str, Any], last: bool = False) -> None:
+    def _notify(self, call: str, event: Message) -> None:
+        """Sends an event to all who watch the call."""
         placed = self.calls.get(call)
         if placed is None:
             return
-        placed.last = {"id": call} | event
-        for socket in list(placed.watchers):
-            socket.say(placed.last)
+        placed.last_event = {"id": call} | event
+        for connection in list(placed.watchers):
+            connection.send(placed.last_event)
         if event["event"] != "setting_up":
-            for socket in placed.watchers:
-                socket.opened.discard(call)
-        if last:
-            del self.calls[call]
-            for socket in placed.watchers:
-                socket.watched.discard(call)
-            self.ended[call] = placed.last
-            if len(self.ended) > MOST_ENDED:
-                self.ended.popitem(last=False)
+            for connection in placed.watchers:
+                connection.pending.discard(call)
+
+    def _notify_end(self, call: str, event: Message) -> None:
+        """Sends the last event of a call, and keeps it for who watches later."""
+        self._notify(call, event)
+        placed = self.calls.pop(call, None)
+        if placed is None:
+            return
+        for connection in placed.watchers:
+            connection.watched.discard(call)
+        self.ended[call] = placed.last_event
+        if len(self.ended) > MAX_ENDED_CALLS:
+            self.ended.popitem(last=False)
 
-    # what the switch tells
+    # as a `core.call.Caller`
 
-    def stands(self, call: str, description: bytes) -> None:
+    def call_established(self, call: str, description: bytes) -> None:
+        """The call is established."""
         if call in self.calls:
-            self.calls[call].stands = True
-            self._tell(call, {"event": "stands", "description_b64": b64encode(description).decode()})
+            self.calls[call].established = True
+            encoded = b64encode(description).decode()
+            self._notify(call, {"event": "stands", "description_b64": encoded})
 
-    def turned_away(self, call: str, verdict: Verdict, stay_away: float) -> None:
-        later = {"later_ms": round(stay_away)} if stay_away > 0 else {}
-        self._tell(call, {"event": "turned_away", "code": CODES[verdict]} | later, last=True)
+    def call_failed(self, call: str, reason: FailureReason, retry_after: float) -> None:
+        """The call is not established."""
+        event: Message = {"event": "turned_away", "code": CODES[reason]}
+        if retry_after > 0:
+            event["later_ms"] = round(retry_after)
+        self._notify_end(call, event)
 
-    def released(self, call: str, cause: int) -> None:
-        self._tell(call, {"event": "released", "cause": cause}, last=True)
+    def call_released(self, call: str, cause: int) -> None:
+        """An established call has ended."""
+        self._notify_end(call, {"event": "released", "cause": cause})
 
     def stop(self) -> None:
-        """The program ends: clients are told so."""
-        for socket in list(self.sockets):
-            socket.end(1001, "the softswitch stops")
+        """The process ends: clients are told so."""
+        for connection in list(self.accepted):
+            connection.close(GOING_AWAY, "the softswitch stops")
+
+    # time
 
     def _sweep(self) -> None:
         now = self.switch.wheel.now
-        self.switch.wheel.at(now + 1000.0, self._sweep)
-        for socket in list(self.greeting):
-            if socket.ready or socket.over:
-                self.greeting.pop(socket)
-            elif now - socket.since > HANDSHAKE:
-                socket.transport.abortConnection()
-        for socket in list(self.sockets):
-            if now - socket.heard > SILENT_AFTER:
-                logger.warning("control client: silent for {:.0f} ms, connection closed", now - socket.heard)
-                socket.transport.abortConnection()
-            elif now - socket.heard > PING_EVERY:
-                socket._write(Ping())
+        self.switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
+        for connection in list(self.connecting):
+            if connection.is_accepted or connection.is_over:
+                self.connecting.pop(connection)
+            elif now - connection.opened_at > HANDSHAKE_TIMEOUT:
+                connection.transport.abortConnection()
+        for connection in list(self.accepted):
+            self._check_silence(now - connection.last_data_at, connection)
+        keep = 1000.0 * self.settings.keep_s
         for call, placed in list(self.calls.items()):
-            if placed.alone_since is not None and now - placed.alone_since > 1000.0 * self.set.keep_s:
-                self.switch.release(call, NORMAL, self)
-                self.released(call, NORMAL)
-
-
-ASKS = {"place": ControlFront._place, "watch": ControlFront._watch, "release": ControlFront._release}
+            if placed.unwatched_since is not None and now - placed.unwatched_since > keep:
+                self._release_established(call, ReleaseCause.NORMAL)
+
+    @staticmethod
+    def _check_silence(silent_for: float, connection: ClientConnection) -> None:
+        if silent_for > SILENCE_TIMEOUT:
+            logger.warning("control client: silent for {:.0f} ms, connection closed", silent_for)
+            connection.transport.abortConnection()
+        elif silent_for > PING_INTERVAL:
+            connection.ping()
--- a/softswitch/net/call_history.py
+++ b/softswitch/net/call_history.py
@@ -9,15 +9,15 @@
 import orjson
 from loguru import logger
 
-from softswitch.components import Host
-from softswitch.core.call_history import SYSTEM, Lives
-from softswitch.core.switch import CALL
+from softswitch.components import ComponentCall, Host
+from softswitch.core.call import CALL_ID
+from softswitch.core.call_history import CONNECTIONS, CallHistory
 
 AT_ONCE = 500  # lives encoded in one turn of the loop, at the most
 
 
 class CallBook:
-    """A `parts.Part`."""
+    """A `components.Component`."""
 
     def __init__(self, table: Any, host: Host) -> None:
         self.table, self.host = table, host
@@ -25,14 +25,16 @@
         self.path = str(host.folder / file) if file else ""
         self.writing = self.failing = False
         wheel = host.switch.wheel
-        self.lives = host.switch.lives = Lives(lambda: wheel.now + wheel.behind(), table.keep)
-        host.calls["/v1/calls/"] = ("GET", self.asked)
+        self.history = host.switch.history = CallHistory(
+            lambda: wheel.now + wheel.elapsed_since_read(), table.keep
+        )
+        host.calls["/v1/calls/"] = ComponentCall("GET", self.asked)
 
     def asked(self, rest: str) -> tuple[int, dict[str, Any]]:
-        call = SYSTEM if rest == "links" else rest.lower()
-        if call and not CALL.match(call):
+        call = CONNECTIONS if rest == "links" else rest.lower()
+        if call and not CALL_ID.match(call):
             return 400, {"error": "16 hex digits of a call are wanted, or `links`"}
-        told = self.lives.told(call, -self.host.offset)
+        told = self.history.report(call, -self.host.offset)
         gone = {"error": f"not known, or no more: {self.table.keep} calls are kept"}
         return (200, told) if told else (404, gone)
 
@@ -43,13 +45,13 @@
 
     def _tick(self) -> None:
         wheel = self.host.switch.wheel
-        wheel.at(wheel.now + self.table.every_s * 1000.0, self._tick)
+        wheel.call_at(wheel.now + self.table.every_s * 1000.0, self._tick)
         if not self.writing and (lines := self._lines(AT_ONCE)):
             self.writing = True
             self.host.reactor.callInThread(self._write, lines)
 
     def _lines(self, most: int) -> list[bytes]:
-        told = (self.lives.told(call, -self.host.offset) for call in self.lives.take(most))
+        told = (self.history.report(call, -self.host.offset) for call in self.history.take_changed(most))
         return [orjson.dumps(life) for life in told if life]
 
     def _write(self, lines: list[bytes]) -> None:
@@ -70,11 +72,11 @@
         return "" if table == self.table else "calls"
 
     def figures(self) -> dict[str, Any]:
-        return {"lives_kept": len(self.lives.calls), "lives_dropped": self.lives.dropped}
+        return {"lives_kept": len(self.history.calls), "lives_dropped": self.history.dropped}
 
     def stop(self) -> None:
         if self.path:
-            self._write(self._lines(len(self.lives.fresh)))
+            self._write(self._lines(len(self.history.changed)))
 
 
 def make(table: Any, host: Host) -> CallBook:
--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -1,8 +1,11 @@
-"""The notice board: numbered events with the changes of the list of quote engines."""
+"""Watches the endpoint list at the notice board: numbered events with the changes of the list of quote
+engines.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from struct import Struct
 from typing import Any
 
@@ -11,189 +14,243 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from softswitch import interface as i
+from softswitch.core.counters import Count
 from softswitch.core.switch import Switch
-from softswitch.net.engine import EngineLinks
+from softswitch.net.engine_pool import EnginePool
 
 RECORD = Struct(">I4sHBBBHIQ")  # id, address, port, state, zone, kind, cell, weight, started
-HEAD = Struct(">QB")
-NOTHING, WHOLE, CHANGES = 0, 1, 2
+HEAD = Struct(">QB")  # number and type of an event
+NOTHING, COMPLETE, CHANGES = 0, 1, 2  # types of events
+MAX_FRAME = 1 << 20  # bytes
+REVISION_SIZE = 8  # bytes
+WEIGHT_UNIT = 1000
 STATES = (i.EndpointState.READY, i.EndpointState.DRAINING, i.EndpointState.REMOVED)
-WORDS = {
+STATE_NAMES = {
     "active": i.EndpointState.READY,
     "leaving": i.EndpointState.DRAINING,
     "left": i.EndpointState.REMOVED,
 }
-SILENT_AFTER = 2_200.0  # ms; the board says at least 'nothing new' once a second
-SWEEP = 250.0  # ms between two looks at the silence
+SILENCE_TIMEOUT = 2_200.0  # ms; the board sends at least 'nothing new' once a second
+SWEEP_INTERVAL = 250.0  # ms between two looks at the silence
+CONNECT_TIMEOUT = 1.0  # s
 
-Named = tuple[i.Endpoint, tuple[str, int]]
-Known = tuple[int, list[tuple[int, bool, list[Named]]]]  # the last number; number, whether whole, and lines
+Address = tuple[str, int]
+ToClock = Callable[[int], float]  # Unix ms to the wheel's clock; 0 stays 0
 
 
-def entries_of(payload: bytes, clock: Callable[[int], float]) -> list[Named]:
+@dataclass(frozen=True, slots=True)
+class LocatedEndpoint:
+    """One entry of the list, and where it is called."""
+
+    endpoint: i.Endpoint
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ListEvent:
+    """One numbered event."""
+
+    revision: int
+    is_complete: bool
+    endpoints: list[LocatedEndpoint]
+
+
+@dataclass(frozen=True, slots=True)
+class KnownEvents:
+    """The events that a configuration holds."""
+
+    revision: int
+    events: list[ListEvent]
+
+
+def decode_endpoints(payload: bytes, to_clock: ToClock) -> list[LocatedEndpoint]:
+    """The records of an event."""
     if len(payload) % RECORD.size:
         raise ValueError(f"{len(payload)} bytes are no whole records")
-    return [
-        (
-            i.Endpoint(f"s-{ident:08x}", cell, STATES[state], clock(born), weight / 1000),
-            (".".join(map(str, address)), port),
-        )
-        for ident, address, port, state, _, _, cell, weight, born in RECORD.iter_unpack(payload)
-    ]
-
-
-def entries_of_json(hosts: Iterable[dict[str, Any]], clock: Callable[[int], float]) -> list[Named]:
-    found = []
-    for h in hosts:
-        address, _, port = h["dial"].rpartition(":")
-        entry = i.Endpoint(
-            h["host"],
-            h.get("block", -1),
-            WORDS[h["health"]],
-            clock(h.get("born_ms") or 0),
-            float(h.get("share", 1.0)),
+    endpoints = []
+    for id_, address, port, state, _, _, cell, weight, started in RECORD.iter_unpack(payload):
+        endpoint = i.Endpoint(f"s-{id_:08x}", cell, STATES[state], to_clock(started), weight / WEIGHT_UNIT)
+        endpoints.append(LocatedEndpoint(endpoint, (".".join(map(str, address)), port)))
+    return endpoints
+
+
+def parse_endpoints(hosts: Iterable[dict[str, Any]], to_clock: ToClock) -> list[LocatedEndpoint]:
+    """The hosts of an event in a configuration."""
+    endpoints = []
+    for host in hosts:
+        address, _, port = host["dial"].rpartition(":")
+        endpoint = i.Endpoint(
+            host["host"],
+            host.get("block", -1),
+            STATE_NAMES[host["health"]],
+            to_clock(host.get("born_ms") or 0),
+            float(host.get("share", 1.0)),
         )
-        found.append((entry, (address, int(port))))
-    return found
+        endpoints.append(LocatedEndpoint(endpoint, (address, int(port))))
+    return endpoints
+
 
+class WatchConnection(Int32StringReceiver):
+    """One connection to the board."""
 
-class BoardWatch(Int32StringReceiver):
-    MAX_LENGTH = 1 << 20
+    MAX_LENGTH = MAX_FRAME
+    factory: EndpointWatch
 
     def connectionMade(self) -> None:
+        """Called by Twisted: asks for the events after the last one that is known."""
         self.transport.setTcpNoDelay(True)
-        self.transport.write(self.factory.rev.to_bytes(8, "big"))
-        self.factory.up(self)
+        self.transport.write(self.factory.revision.to_bytes(REVISION_SIZE, "big"))
+        self.factory.connection_up(self)
 
     def stringReceived(self, frame: bytes) -> None:
-        if self is not self.factory.watch:
+        """Called by Twisted: a frame is complete."""
+        if self is not self.factory.connection:
             return  # what stands behind a bad frame, or comes from a board that was left
         try:
-            number, kind = HEAD.unpack_from(frame)
-            self.factory.heard(number, kind, frame[HEAD.size :])
+            number, type_ = HEAD.unpack_from(frame)
+            self.factory.event_received(number, type_, frame[HEAD.size :])
         except Exception as e:
             logger.warning("notice board: bad frame, connection closed: {!r}", e)
-            self.factory.ask_again()
+            self.factory.reconnect()
 
     def lengthLimitExceeded(self, length: int) -> None:
+        """Called by Twisted."""
         logger.warning("notice board: frame of {} bytes, connection closed", length)
         self.transport.abortConnection()
 
 
-class Board(ReconnectingClientFactory):
+class EndpointWatch(ReconnectingClientFactory):
     """Follows the board over connections that come and go; each event is taken in once, in order."""
 
-    protocol = BoardWatch
+    protocol = WatchConnection
     noisy = False
     initialDelay, maxDelay, factor, jitter = 0.05, 0.5, 2.0, 0.1
 
     def __init__(
-        self,
-        reactor: object,
-        address: tuple[str, int],
-        switch: Switch,
-        engines: EngineLinks,
-        clock: Callable[[int], float],
+        self, reactor: Any, address: Address, switch: Switch, engines: EnginePool, to_clock: ToClock
     ) -> None:
-        self.clock_source, self.address = reactor, address
-        self.switch, self.engines, self.to_clock = switch, engines, clock
-        self.rev, self.watch, self.last = 0, None, switch.wheel.now
-        self.asked_again = 0  # the number after which events were missing, once they were asked for again
+        self.reactor = reactor
+        self.address = address
+        self.switch = switch
+        self.engines = engines
+        self.to_clock = to_clock
+        self.revision = 0  # of the last event that was taken in
+        self.connection: WatchConnection | None = None
+        self.last_frame_at = switch.wheel.now
+        self.requested_after = (
+            0  # the revision after which events were missing, once they were requested again
+        )
 
-    def read(self, config: dict[str, Any]) -> Known:
+    def parse(self, config: dict[str, Any]) -> KnownEvents:
         """The events that a configuration holds; nothing is taken in yet."""
-        events = [
-            (
-                int(event.get("rev") or 0),
-                bool(event["pool"].get("whole")),
-                entries_of_json(event["pool"].get("hosts") or (), self.to_clock),
-            )
-            for event in config.get("notices") or ()
-        ]
-        return int(config.get("rev") or 0), events
-
-    def known(self, told: Known) -> None:
+        events = []
+        for event in config.get("notices") or ():
+            pool = event["pool"]
+            endpoints = parse_endpoints(pool.get("hosts") or (), self.to_clock)
+            events.append(ListEvent(int(event.get("rev") or 0), bool(pool.get("whole")), endpoints))
+        return KnownEvents(int(config.get("rev") or 0), events)
+
+    def take_known(self, known: KnownEvents) -> None:
         """Takes in the events that a configuration holds."""
-        last, events = told
-        last = 0 if self.rev else last
-        for rev, whole, named in events:
-            if rev > self.rev or not self.rev:  # else taken in before this configuration was read
-                self._take(i.UpdateKind.COMPLETE if whole or not self.rev else i.UpdateKind.CHANGES, named)
-                self.rev = max(self.rev, rev)
-        self.rev = max(self.rev, last)
+        last = 0 if self.revision else known.revision
+        for event in known.events:
+            if event.revision > self.revision or not self.revision:  # else it is older than what we have
+                complete = event.is_complete or not self.revision
+                self._take(i.UpdateKind.COMPLETE if complete else i.UpdateKind.CHANGES, event.endpoints)
+                self.revision = max(self.revision, event.revision)
+        self.revision = max(self.revision, last)
 
     def start(self) -> None:
-        self.connector = self.clock_source.connectTCP(*self.address, self, timeout=1.0)
-        self.switch.wheel.at(self.switch.wheel.now + SWEEP, self._sweep)
+        """Opens the first connection."""
+        self._connect()
+        self.switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
+
+    def _connect(self) -> None:
+        self.connector = self.reactor.connectTCP(*self.address, self, timeout=CONNECT_TIMEOUT)
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: Address) -> None:
         """The board is at another address from now on; the numbers continue there."""
         if address == self.address:
             return
-        left, self.address, self.watch = self.connector, address, None
+        left = self.connector
+        self.address = address
+        self.connection = None
         self.stopTrying()
         self.resetDelay()
         self.continueTrying = 1
-        self.connector = self.clock_source.connectTCP(*address, self, timeout=1.0)
+        self._connect()
         left.disconnect()
 
-    def up(self, watch: BoardWatch) -> None:
-        self.watch, self.last = watch, self.switch.wheel.now
+    def connection_up(self, connection: WatchConnection) -> None:
+        """The connection is up."""
+        self.connection = connection
+        self.last_frame_at = self.switch.wheel.now
 
     # What a connection to a board that was left still says of its end must not touch the new one.
+
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Called by Twisted."""
         if connector is self.connector:
             super().clientConnectionFailed(connector, reason)
 
     def clientConnectionLost(self, connector: object, reason: object) -> None:
+        """Called by Twisted."""
         if connector is self.connector:
-            self.watch = None
-            self.switch.count["board connections lost"] += 1
+            self.connection = None
+            self.switch.counters[Count.WATCH_CONNECTIONS_LOST] += 1
             super().clientConnectionLost(connector, reason)
 
-    def heard(self, number: int, kind: int, payload: bytes) -> None:
-        self.last = self.switch.wheel.now
-        self.switch.lifecycle.knows(self.last)  # even if it says that nothing is new
+    def event_received(self, number: int, type_: int, payload: bytes) -> None:
+        """An event, or the sign that there is none."""
+        self.last_frame_at = self.switch.wheel.now
+        self.switch.lifecycle.endpoints_received(self.last_frame_at)  # even if it says that nothing is new
         self.resetDelay()  # not before it speaks: one that hangs up on us at once is not called in a loop
-        missing = number > self.rev + (kind == CHANGES) and kind != WHOLE
-        if missing and self.asked_again != self.rev:
-            # Once: a board that leaves numbers out would be asked without end.
-            self.asked_again = self.rev
-            self.switch.count["notices asked again"] += 1
-            logger.warning(
-                "notice board: events after {} are missing before {}, asking again", self.rev, number
-            )
-            return self.ask_again()
-        if kind not in (WHOLE, CHANGES):
-            return None
-        if number <= self.rev:
-            self.switch.count["repeated notices"] += 1
-            return None
-        self._take(
-            i.UpdateKind.COMPLETE if kind == WHOLE else i.UpdateKind.CHANGES,
-            entries_of(payload, self.to_clock),
+        if self._is_missing_before(number, type_) and self.requested_after != self.revision:
+            self._request_missing(number)
+            return
+        if type_ not in (COMPLETE, CHANGES):
+            return
+        if number <= self.revision:
+            self.switch.counters[Count.DUPLICATE_ENDPOINT_UPDATES] += 1
+            return
+        kind = i.UpdateKind.COMPLETE if type_ == COMPLETE else i.UpdateKind.CHANGES
+        self._take(kind, decode_endpoints(payload, self.to_clock))
+        self.revision = number
+
+    def _is_missing_before(self, number: int, type_: int) -> bool:
+        """Whether events were left out before this one."""
+        next_number = self.revision + (1 if type_ == CHANGES else 0)
+        return type_ != COMPLETE and number > next_number
+
+    def _request_missing(self, number: int) -> None:
+        """Once: a board that leaves numbers out would be asked without end."""
+        self.requested_after = self.revision
+        self.switch.counters[Count.ENDPOINT_UPDATES_REQUESTED] += 1
+        logger.warning(
+            "notice board: events after {} are missing before {}, asking again", self.revision, number
         )
-        self.rev = number
-        return None
+        self.reconnect()
 
-    def ask_again(self) -> None:
-        """Leaves this watch for a new one, which is told all that came after the last event that we have."""
-        left, self.watch = self.watch, None
+    def reconnect(self) -> None:
+        """Leaves this connection for a new one, which brings all that came after the last event that we
+        have.
+        """
+        left, self.connection = self.connection, None
         if left is not None:
             left.transport.abortConnection()
 
-    def _take(self, kind: i.UpdateKind, named: list[Named]) -> None:
-        # The links first: the news may send held calls to a new engine at once.
-        for entry, address in named:
-            if entry.state is not i.EndpointState.REMOVED:
-                self.engines.known(entry.server, address)
-        self.switch.news(kind, tuple(entry for entry, _ in named))
+    def _take(self, kind: i.UpdateKind, located: list[LocatedEndpoint]) -> None:
+        # The links first: the update may send queued calls to a new engine at once.
+        for entry in located:
+            if entry.endpoint.state is not i.EndpointState.REMOVED:
+                self.engines.add_endpoint(entry.endpoint.server, entry.address)
+        self.switch.endpoints_changed(i.EndpointsChanged(kind, tuple(entry.endpoint for entry in located)))
 
     def _sweep(self) -> None:
         """A board that is silent has lost us: what it has to tell counts as told all the same."""
         now = self.switch.wheel.now
-        self.switch.wheel.at(now + SWEEP, self._sweep)
-        if self.watch is not None and now - self.last > SILENT_AFTER:
-            logger.warning("notice board: silent for {:.0f} ms, connecting anew", now - self.last)
-            self.last = now
-            self.ask_again()
+        self.switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
+        if self.connection is not None and now - self.last_frame_at > SILENCE_TIMEOUT:
+            logger.warning("notice board: silent for {:.0f} ms, connecting anew", now - self.last_frame_at)
+            self.last_frame_at = now
+            self.reconnect()
--- /dev/null
+++ b/softswitch/net/engine_codec.py
@@ -0,0 +1,155 @@
+"""Messages of the binary link to the quote engines: a type, the call's id, and parameters with their
+lengths.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from struct import error as StructError  # noqa: N812  # an exception's name
+from struct import pack, unpack_from
+
+from softswitch.core.call import ReleaseCause
+
+MAX_MESSAGE = 16_384  # bytes
+CALL_AT, PARAMETERS_AT = 1, 9  # offsets: the call's id, and the first parameter
+LENGTH_SIZE = 2  # bytes of the length that stands before each message
+NO_CALL = "00" * 8  # the call of messages that concern none
+PASSED = 1  # cause of a probe's answer
+
+
+class MessageType(IntEnum):
+    """The types of messages, as in the protocol."""
+
+    SETUP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    ACKNOWLEDGE = 16
+    STATE = 43
+    PROBE = 52
+    PROBE_ANSWER = 53
+
+
+class Parameter(IntEnum):
+    """The codes of parameters, as in the protocol."""
+
+    CALL_CLASS = 3
+    TIME_LEFT = 5  # ms that the caller still waits
+    NUMBER = 11
+    NOTE = 17
+    REPORT = 21
+    CAUSE = 31
+    DESCRIPTION = 33
+
+
+FROM_ENGINES = frozenset(
+    {
+        MessageType.PROGRESS,
+        MessageType.ANSWER,
+        MessageType.RELEASE,
+        MessageType.ACKNOWLEDGE,
+        MessageType.STATE,
+        MessageType.PROBE,
+        MessageType.PROBE_ANSWER,
+    }
+)
+
+
+class EngineMessageError(ValueError):
+    """A message that can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineMessage:
+    """One message."""
+
+    type: int  # a MessageType
+    call: str  # 16 hex digits
+    parameters: dict[int, bytes] = field(default_factory=dict)  # by Parameter
+
+    @property
+    def cause(self) -> int:
+        """The cause of a release, or the result of a probe; PASSED where none is given."""
+        cause = self.parameters.get(Parameter.CAUSE)
+        return cause[0] if cause else PASSED
+
+    @property
+    def note(self) -> str:
+        """What a release adds to its cause."""
+        return self.parameters.get(Parameter.NOTE, b"").decode("latin-1")
+
+    @property
+    def report(self) -> str | None:
+        """The load report that comes with it."""
+        report = self.parameters.get(Parameter.REPORT)
+        return None if report is None else report.decode("latin-1")
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The end of a call, as it is sent to an engine or comes from one."""
+
+    call: str
+    cause: int
+
+    def encode(self) -> bytes:
+        """The message."""
+        return encode_message(MessageType.RELEASE, self.call, (Parameter.CAUSE, bytes((self.cause & 255,))))
+
+
+def encode_message(type_: int, call: str, *parameters: tuple[int, bytes]) -> bytes:
+    """A message without the length that stands before it."""
+    encoded = b"".join(pack(">BH", code, len(value)) + value for code, value in parameters)
+    return pack(">B", type_) + bytes.fromhex(call) + encoded
+
+
+def decode_message(data: bytes, accepted: frozenset[MessageType] = FROM_ENGINES) -> EngineMessage:
+    """Reads a message; EngineMessageError if it is not complete, or of a type that is not `accepted`."""
+    if len(data) < PARAMETERS_AT:
+        raise EngineMessageError("shorter than its head")
+    parameters = _decode_parameters(data)
+    type_ = data[0]
+    if type_ not in accepted:
+        raise EngineMessageError("type not known")
+    described = type_ != MessageType.ANSWER or Parameter.DESCRIPTION in parameters
+    if not described or len(parameters.get(Parameter.CAUSE, b" ")) != 1:
+        raise EngineMessageError("answer without description, or cause of no byte")
+    if type_ == MessageType.RELEASE and Parameter.CAUSE not in parameters:
+        raise EngineMessageError("release without cause")
+    return EngineMessage(type_, data[CALL_AT:PARAMETERS_AT].hex(), parameters)
+
+
+def _decode_parameters(data: bytes) -> dict[int, bytes]:
+    parameters: dict[int, bytes] = {}
+    at = PARAMETERS_AT
+    while at < len(data):
+        try:
+            code, size = unpack_from(">BH", data, at)
+        except StructError:
+            raise EngineMessageError("parameter cut short") from None
+        at += 3 + size
+        if at > len(data):
+            raise EngineMessageError("parameter longer than the message")
+        if code in parameters:
+            raise EngineMessageError("parameter given twice")
+        parameters[code] = data[at - size : at]
+    return parameters
+
+
+def decode_partial_release(received: bytes) -> Release | None:
+    """A release of which a part has come, from its length on; None if it is none, or does not name its call
+    yet.
+
+    The cause is NORMAL where it did not come.
+    """
+    parameters_at = LENGTH_SIZE + PARAMETERS_AT
+    if len(received) < parameters_at or received[LENGTH_SIZE] != MessageType.RELEASE:
+        return None
+    at, cause = parameters_at, ReleaseCause.NORMAL
+    while at + 3 <= len(received):
+        code, size = unpack_from(">BH", received, at)
+        at += 3 + size
+        if code == Parameter.CAUSE and size == 1 and at <= len(received):
+            cause = received[at - 1]
+    return Release(received[LENGTH_SIZE + CALL_AT : parameters_at].hex(), cause)
--- /dev/null
+++ b/softswitch/net/engine_link.py
@@ -0,0 +1,380 @@
+"""What goes to one quote engine and comes from it, over connections that come and go."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from loguru import logger
+from twisted.internet.error import ConnectionRefusedError as NobodyListens
+from twisted.internet.protocol import ClientFactory
+
+from softswitch import interface as i
+from softswitch.core.call import Call
+from softswitch.core.call_history import CONNECTIONS
+from softswitch.core.counters import Count
+from softswitch.core.switch import Switch
+from softswitch.net.engine_codec import (
+    NO_CALL,
+    PASSED,
+    EngineMessage,
+    MessageType,
+    Parameter,
+    Release,
+    encode_message,
+)
+from softswitch.net.engine_connection import EngineConnection
+from softswitch.net.engine_heartbeat import Heartbeat, Verdict
+from softswitch.net.listening_connection import MissedReleases
+from softswitch.settings import parse_report
+
+MAX_QUEUED = 4_096  # messages kept for a connection that is not up
+MAX_BACKLOG = 1 << 20  # bytes that may wait to be written to an engine that does not read
+PIECE_TIMEOUT = 300.0  # ms that the next piece of a message may take
+ACKNOWLEDGE_TIMEOUT = 1_000.0  # ms after which a release that was written is taken to have arrived
+STEADY_AFTER = 1_000.0  # ms after which a connection that ends is opened anew at once
+MIN_BACKOFF, MAX_BACKOFF = 50.0, 400.0  # ms between tries to open
+ANY_STATE = b"\0"  # parameter of a probe
+
+Report = tuple[float, ...]
+Queued = Call | Release  # a call setup, which can still be withdrawn, or a release
+
+
+@dataclass(frozen=True, slots=True)
+class SentRelease:
+    """A release that was written and is not acknowledged."""
+
+    release: Release
+    sent_at: float
+
+
+class Connector(Protocol):
+    """What a link needs of the pool that it belongs to."""
+
+    settings: i.Settings
+
+    def connect(self, address: tuple[str, int], factory: ClientFactory) -> None:
+        """Opens a connection."""
+
+    def is_wanted(self, server: str) -> bool:
+        """Whether calls may go there, or are there."""
+
+
+def encode_setup(call: Call, now: float) -> bytes:
+    """The setup of a call; it tells how long its caller waits from now."""
+    request, time_left = call.request, max(1.0, call.deadline - now)
+    return encode_message(
+        MessageType.SETUP,
+        request.call,
+        (Parameter.CALL_CLASS, request.call_class.encode()),
+        (Parameter.TIME_LEFT, b"%d" % time_left),
+        (Parameter.NUMBER, request.number.encode()),
+        (Parameter.DESCRIPTION, request.description),
+    )
+
+
+class EngineLink(ClientFactory):
+    """The link to one engine. Fulfils `engine_connection.ConnectionOwner` and `listening_connection.Link`."""
+
+    noisy = False
+
+    def __init__(self, pool: Connector, switch: Switch, server: str, address: tuple[str, int]) -> None:
+        self.pool = pool
+        self.switch = switch
+        self.server = server
+        self.address = address
+        self.connection: EngineConnection | None = None
+        self.is_closing = False
+        self.queue: dict[str, Queued] = {}  # by call, what waits to be written
+        self.in_flight: set[str] = set()  # call setups written to the connection that is up
+        # Releases of established calls, the oldest first. A connection that is reset takes them with it, and
+        # nothing else would tell the engine.
+        self.unacknowledged: dict[str, SentRelease] = {}
+        self.heartbeat = Heartbeat(switch.wheel.now, pool.settings.may_probe)
+        self.missed_releases = MissedReleases(self)
+        self._opening = False
+        self._open_scheduled = False
+        self._open_not_before = 0.0
+        self._backoff = MIN_BACKOFF
+        self._backpressured = False
+        self._backlog = 0  # bytes written since the engine was last seen to read
+
+    # the connection
+
+    def open(self) -> None:
+        """Opens a connection, unless there is one, or it is too soon after the last."""
+        if self.connection is not None or self._opening or self.is_closing or self._open_scheduled:
+            return
+        if self.switch.wheel.now < self._open_not_before:  # however much there is to send
+            self._open_scheduled = True
+            self.switch.wheel.call_at(self._open_not_before, self._open_scheduled_now)
+            return
+        self._opening = True
+        self.pool.connect(self.address, self)
+
+    def _open_scheduled_now(self) -> None:
+        self._open_scheduled = False
+        self.open()
+
+    def _open_after_backoff(self) -> None:
+        self._open_not_before = self.switch.wheel.now + self._backoff
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF)
+        if self._is_needed():
+            self.open()
+
+    def _is_needed(self) -> bool:
+        return bool(self.queue) or self.pool.is_wanted(self.server)
+
+    def buildProtocol(self, addr: object) -> EngineConnection:
+        """Called by Twisted."""
+        return EngineConnection(self)
+
+    def clientConnectionFailed(self, connector: object, reason: Any) -> None:
+        """Called by Twisted: no connection came up."""
+        self._opening = False
+        process_is_gone = reason.check(NobodyListens)  # and its calls with it
+        if process_is_gone:
+            # Before setups go elsewhere: they may come back here at once, to wait for the next process.
+            self.queue = {call: queued for call, queued in self.queue.items() if isinstance(queued, Call)}
+        self.return_queued_setups()
+        if process_is_gone:
+            self.switch.engine_died(self.server)
+        self._open_after_backoff()
+
+    def connection_up(self, connection: EngineConnection) -> None:
+        """The connection is up: what waited is written."""
+        if self.is_closing:
+            connection.transport.abortConnection()
+            return
+        self.connection = connection
+        self._opening = False
+        self._backpressured = False
+        self._backlog = 0
+        self.heartbeat.connection_up(self.switch.wheel.now)
+        self._note(CONNECTIONS, "link up")
+        self._flush()
+
+    def connection_down(self, connection: EngineConnection) -> None:
+        """The connection is over: its attempts have failed, and its releases go out on the next one."""
+        if connection is not self.connection:
+            return
+        now = self.switch.wheel.now
+        self.connection = None
+        in_flight, self.in_flight = self.in_flight, set()
+        self.switch.counters[Count.ENGINE_CONNECTIONS_LOST] += 1
+        self._note(CONNECTIONS, "link down")
+        for call in in_flight:
+            self.switch.attempt_disconnected(self.server, call)
+        if connection.is_corrupt:  # the engine may not know; one that closes or dies does
+            self.missed_releases.connection_given_up()
+        self._expire_unacknowledged(now)
+        self._requeue_unacknowledged()
+        if now - connection.opened_at < STEADY_AFTER:
+            # Guards against a loop with an engine that hangs up on each new connection.
+            self._open_after_backoff()
+        elif self._is_needed():
+            self._backoff = MIN_BACKOFF
+            self.open()  # at once: releases that we missed come on the next connection
+
+    def close(self) -> None:
+        """The engine is removed."""
+        self.is_closing = True
+        self.return_queued_setups()
+        if self.connection is not None:
+            self.connection.transport.loseConnection()
+
+    def set_backpressured(self, backpressured: bool) -> None:
+        """The engine reads too slowly, or reads again."""
+        self._backpressured = backpressured
+        if not backpressured:
+            self._flush()
+
+    # what goes to the engine
+
+    def send(self, call: str, queued: Queued) -> None:
+        """Writes it as soon as a connection is up and read."""
+        if len(self.queue) >= MAX_QUEUED:
+            if isinstance(queued, Call):
+                self.switch.attempt_unreachable(self.server, call)
+            else:  # its call stays established there until the engine ends it
+                self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
+            return
+        self.queue[call] = queued
+        self._flush()
+        if self.connection is None:
+            self.open()
+
+    def withdraw_setup(self, call: str) -> bool:
+        """Takes back a call setup that was never written."""
+        if isinstance(self.queue.get(call), Call):
+            del self.queue[call]
+            return True
+        return False
+
+    def return_queued_setups(self) -> None:
+        """The engine takes nothing new: call setups that still wait here go elsewhere."""
+        for call in [call for call, queued in self.queue.items() if isinstance(queued, Call)]:
+            del self.queue[call]
+            self.switch.attempt_unreachable(self.server, call)
+
+    def take_over_queue(self, predecessor: EngineLink) -> None:
+        """What was queued for an earlier address of the engine goes to this one."""
+        self.queue = predecessor.queue | self.queue
+        predecessor.queue = {}
+
+    def _flush(self) -> None:
+        """Writes what waited, as far as it is read."""
+        while self.connection is not None and not self._backpressured and self.queue:
+            call = next(iter(self.queue))
+            queued = self.queue.pop(call)
+            if isinstance(queued, Call):
+                self._write_setup(queued)
+            else:
+                self._write_release(queued)
+
+    def _write_setup(self, call: Call) -> None:
+        self.in_flight.add(call.id)
+        self._note(call.id, "set-up written")
+        self.switch.attempt_written(call.id)
+        self._write(encode_setup(call, self.switch.wheel.now))
+
+    def _write_release(self, release: Release) -> None:
+        if release.call in self.in_flight:
+            self.in_flight.discard(release.call)  # the end of this connection gives it up as well
+        else:
+            self.unacknowledged[release.call] = SentRelease(release, self.switch.wheel.now)
+        self._note(release.call, "release written")
+        self._write(release.encode())
+
+    def _write(self, data: bytes) -> None:
+        if self.connection is None:
+            return
+        self._backlog = self._backlog + len(data) if self._backpressured else 0
+        if self._backlog > MAX_BACKLOG:
+            logger.warning("engine {}: does not read, connection closed", self.server)
+            self.connection.transport.abortConnection()
+            return
+        self.connection.sendString(data)
+
+    def _expire_unacknowledged(self, now: float) -> None:
+        """Releases that were written so long ago have arrived."""
+        while self.unacknowledged:
+            call, sent = next(iter(self.unacknowledged.items()))
+            if now - sent.sent_at <= ACKNOWLEDGE_TIMEOUT:
+                return
+            del self.unacknowledged[call]
+
+    def _requeue_unacknowledged(self) -> None:
+        for call, sent in self.unacknowledged.items():
+            self.switch.counters[Count.ENGINE_RELEASES_RESENT] += 1
+            self.queue.setdefault(call, sent.release)
+        self.unacknowledged.clear()
+
+    # what comes from the engine
+
+    def message_received(self, message: EngineMessage) -> None:
+        """A message is complete."""
+        now = self.switch.wheel.now
+        self.heartbeat.message_received(now)
+        if message.type == MessageType.ANSWER:
+            self.in_flight.discard(message.call)
+            description = message.parameters.get(Parameter.DESCRIPTION, b"")
+            self.switch.answered_by_engine(self.server, message.call, description)
+        elif message.type == MessageType.RELEASE:
+            self._write(encode_message(MessageType.ACKNOWLEDGE, message.call))
+            self.release_received(message)
+        elif message.type == MessageType.STATE:
+            self.heartbeat.state_received(now, self._may_probe)
+            self.switch.load_reported(self.server, True, self._report(message))
+        elif message.type == MessageType.PROBE_ANSWER:
+            self.switch.load_reported(self.server, message.cause == PASSED, self._report(message))
+        elif message.type == MessageType.ACKNOWLEDGE:
+            self.unacknowledged.pop(message.call, None)
+        elif message.type != MessageType.PROGRESS:
+            self.switch.counters[Count.ENGINE_UNKNOWN_MESSAGES] += 1
+
+    def release_received(self, message: EngineMessage) -> None:
+        """The engine rejected an attempt, or ended a call."""
+        self.in_flight.discard(message.call)
+        report = self._report(message)
+        self.switch.released_by_engine(self.server, message.call, message.cause, message.note, report)
+
+    def partial_release_received(self, release: Release) -> None:
+        """A release whose end did not come.
+
+        Only a call that is established here is over by it: an attempt is retried or failed with the
+        connection.
+        """
+        call = self.switch.calls.get(release.call)
+        if call is not None and call.established and call.server == self.server:
+            self.switch.counters[Count.RELEASES_CUT_SHORT] += 1
+            self.in_flight.discard(release.call)
+            self.switch.released_by_engine(self.server, release.call, release.cause)
+
+    def _report(self, message: EngineMessage) -> Report:
+        text = message.report
+        return () if text is None else parse_report(self.pool.settings, text)
+
+    # signs of life
+
+    @property
+    def _may_probe(self) -> bool:
+        return self.pool.settings.may_probe
+
+    @property
+    def may_listen(self) -> bool:
+        """Whether one more connection makes sense now."""
+        return self.connection is not None and self.pool.is_wanted(self.server)
+
+    def connect(self, listener: ClientFactory) -> None:
+        """Opens one more connection to the engine."""
+        self.pool.connect(self.address, listener)
+
+    def engine_active(self) -> None:
+        """The engine gave a sign of life on another connection."""
+        self.heartbeat.engine_active_at = self.switch.wheel.now
+
+    def sweep(self, now: float) -> None:
+        """An engine that is silent is probed, and given up in time for its calls to be released."""
+        connection = self.connection
+        if connection is not None and self._is_cut_short(now, connection):
+            connection.take_partial_release()
+            connection.give_up("message cut short")
+            return
+        self._expire_unacknowledged(now)
+        draining = not self.in_flight and not self.switch.endpoints.is_ready(self.server)
+        if self.heartbeat.missed(now, draining) and self._has_calls():
+            self._check_heartbeat(now, draining)
+
+    @staticmethod
+    def _is_cut_short(now: float, connection: EngineConnection) -> bool:
+        since = connection.incomplete_since
+        return since is not None and now - since > PIECE_TIMEOUT
+
+    def _has_calls(self) -> bool:
+        return bool(self.in_flight) or self.switch.calls.any_at(self.server)
+
+    def _check_heartbeat(self, now: float, draining: bool) -> None:
+        connection = self.connection
+        verdict = self.heartbeat.check(now, draining, connection is not None, self._may_probe)
+        if verdict is Verdict.ENGINE_DEAD:
+            self._engine_silent(now)
+        elif verdict is Verdict.CONNECTION_DEAD and connection is not None:
+            # Guards against a connection that stays open and brings nothing: it took engines out for seconds.
+            connection.give_up("silent though tested" if self._may_probe else "silent")
+        elif verdict is Verdict.PROBE:
+            self.heartbeat.probe_sent(now)
+            self.switch.counters[Count.ENGINE_PROBES] += 1
+            self._write(encode_message(MessageType.PROBE, NO_CALL, (Parameter.CAUSE, ANY_STATE)))
+
+    def _engine_silent(self, now: float) -> None:
+        silent_for = now - self.heartbeat.engine_active_at
+        logger.warning("engine {}: silent for {:.0f} ms, its calls are cut", self.server, silent_for)
+        self.heartbeat.restart(now)
+        self.switch.engine_died(self.server)
+        if self.connection is not None:
+            self.connection.transport.abortConnection()
+
+    def _note(self, call: str, what: str) -> None:
+        if self.switch.history:
+            self.switch.history.note(call, what, self.server)
--- a/softswitch/net/peers.py
+++ b/softswitch/net/peers.py
@@ -18,7 +18,7 @@
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory
 from twisted.protocols.basic import Int32StringReceiver
 
-from softswitch.components import Host
+from softswitch.components import ComponentCall, Host, settings_digest
 from softswitch.core.lifecycle import Phase
 from softswitch.fleet.member import Changed, Exchange, Member, Periods, Send, Told
 from softswitch.fleet.messages import (
@@ -165,8 +165,8 @@
             boot,
             table.site,
             host.version,
-            host.digest,
-            host.mgmt,
+            settings_digest(host.settings),
+            host.management_address,
         )
         seeds = dict.fromkeys((*table.seeds, *(known.others if known else ())))
         periods = Periods(period=table.period_ms, answer=table.answer_ms)
@@ -174,7 +174,7 @@
         deadline = max((c.deadline for c in host.settings.classes), default=0.0) or LONGEST_CALL
         self.size = Size(host.settings.fleet_size, deadline + LINGER)
         self.told_size = host.settings.fleet_size
-        host.calls["/v1/fleet"] = ("GET", self.asked)
+        host.calls["/v1/fleet"] = ComponentCall("GET", self.asked)
 
     # the snapshot
 
@@ -212,7 +212,7 @@
         """Each SAVE_EVERY ms, if anything changed; written in a thread, so that the loop waits for no
         disk.
         """
-        self.wheel.at(self.wheel.now + SAVE_EVERY, self._save)
+        self.wheel.call_at(self.wheel.now + SAVE_EVERY, self._save)
         if self.snapshot is None or self.saving or self.quiet or self.saved == self.member.table.digest:
             return
         me, records = self.member.me, self.member.known()
@@ -248,12 +248,12 @@
             len(self.member.seeds),
         )
         self._bind()
-        self.wheel.at(self.wheel.now + SAVE_EVERY, self._save)
-        self.wheel.at(self.wheel.now + 1_000.0, self._sizes)
+        self.wheel.call_at(self.wheel.now + SAVE_EVERY, self._save)
+        self.wheel.call_at(self.wheel.now + 1_000.0, self._sizes)
 
     def reload(self, table: Any, settings: Any) -> str:
         self.size.of_file = settings.fleet_size
-        self._do(self.member.now_is(self.wheel.now, self.host.version, self.host.digest_of(settings)))
+        self._do(self.member.now_is(self.wheel.now, self.host.version, settings_digest(settings)))
         self.told_size = settings.fleet_size  # as the switch has it now
         self._resize()
         return "" if table == self.table else "fleet"
@@ -292,7 +292,7 @@
             if not self.said_busy:
                 logger.warning("fleet: address not free yet, tried again: {}", e)
             self.said_busy = True
-            self.wheel.at(self.wheel.now + AGAIN, self._bind)
+            self.wheel.call_at(self.wheel.now + AGAIN, self._bind)
             return
         self.said_busy = False
         self.member.expected = self.wheel.now  # it waited by itself: no standstill
@@ -329,10 +329,10 @@
         due = max(self.member.next_at(), self.wheel.now + self.wheel.tick)
         if due < self.due or self.due <= self.wheel.now:
             self.due = due
-            self.wheel.at(due, self._tick, due)
+            self.wheel.call_at(due, self._tick, due)
 
     def _sizes(self) -> None:
-        self.wheel.at(self.wheel.now + 1_000.0, self._sizes)
+        self.wheel.call_at(self.wheel.now + 1_000.0, self._sizes)
         self._resize()
 
     def _resize(self) -> None:
@@ -342,7 +342,7 @@
         if size != self.told_size and not self.quiet:
             logger.info("fleet: {} softswitches share what is whole, {} before", size, self.told_size)
             self.told_size = size
-            self.switch.new_fleet_size(size)
+            self.switch.apply_fleet_size(size)
 
     # what comes in
 
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -2,244 +2,294 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from loguru import logger
 from twisted.protocols.basic import LineReceiver
-from twisted.python.failure import Failure
-
-if TYPE_CHECKING:
-    from softswitch.net.sip import SipFront
-
-LONGEST = 16_384  # bytes of one message
-MOST_STRIKES = 16.0  # unusable messages, or four times as many of no class, with no call standing between
-TURN = 40.0  # ms that callers may take of one turn of the loop, so that engines and operators are heard too
-READ, OLDEST = 16_384, 500.0  # bytes read at once; ms that what comes behind a full read has waited at most
-LOOKS = 8  # connections that are looked at for one that can go; pieces that are read behind a stale one
-STALE = 100.0  # ms unread after which a caller may have left: nothing is sent before all it said is read
-ONCE = ("content-length", "call-id", "cseq", "subject", "x-patience", "x-facts")
-ECHOED = ("via", "from", "to", "call-id", "cseq")
-SHORT = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length", "s": "subject"}
-NAMES = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
-REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    405: "Method Not Allowed",
-    481: "Call Does Not Exist",
-    482: "Loop Detected",
-    487: "Request Terminated",
-    500: "Server Failure",
-    408: "Request Timeout",
-    503: "Service Unavailable",
-    513: "Message Too Large",
-}
+
+from softswitch.core.timer_wheel import TimerWheel
+from softswitch.net.sip_codec import (
+    MAX_MESSAGE,
+    SipMessage,
+    SipParseError,
+    SipRequest,
+    encode_answer,
+    parse_request,
+)
+from softswitch.net.twisted_internals import has_unwritten_bytes, read_now
+
+MAX_PENALTY = 16.0  # unusable messages, or four times as many of no class, with no established call between
+TURN_BUDGET = (
+    40.0  # ms that callers may take of one turn of the loop, so that engines and operators are heard too
+)
+READ_SIZE = 16_384  # bytes read at once
+MAX_UNREAD_TIME = 500.0  # ms that what lies behind a full read has waited at most
+MAX_READS_AHEAD = 8  # pieces that are read behind a stale one
+STALE_AFTER = (
+    100.0  # ms unread after which a caller may have left: nothing is sent before all it said is read
+)
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the server that it belongs to."""
+
+    wheel: TimerWheel
+
+    def connection_opened(self, connection: SipConnection) -> None:
+        """The connection is up."""
+
+    def connection_lost(self, connection: SipConnection) -> None:
+        """The connection is over."""
+
+    def is_open(self, connection: SipConnection) -> bool:
+        """Whether the connection is up."""
+
+    def data_of_newcomer(self, connection: SipConnection) -> None:
+        """A piece of a connection's first message came."""
+
+    def is_deferred(self, connection: SipConnection) -> bool:
+        """Whether the rest of what came waits for a later turn."""
+
+    def defer(self, connection: SipConnection) -> None:
+        """Callers had their part of this turn: the rest of what came here is read in a later one."""
+
+    def backpressure_changed(self, connection: SipConnection, backpressured: bool) -> None:
+        """The caller stopped reading its answers, or reads again."""
+
+    def request_received(self, connection: SipConnection, request: SipRequest) -> None:
+        """A request is complete."""
+
+    def response_received(self, connection: SipConnection, message: SipMessage) -> None:
+        """An answer to a request of ours is complete."""
+
+    def route_calls(self, calls: list[str]) -> None:
+        """Calls that were accepted may be decided on: their caller has been read."""
+
+    def message_unreadable(self, connection: SipConnection, error: SipParseError) -> None:
+        """Where the next message begins is not known."""
+
+    def connection_misused(self, connection: SipConnection) -> None:
+        """The caller sent too much that can't be used."""
 
 
 class SipConnection(LineReceiver):
     """One connection from a caller."""
 
-    MAX_LENGTH = LONGEST
+    MAX_LENGTH = MAX_MESSAGE
     delimiter = b"\r\n"
 
-    def __init__(self, front: SipFront) -> None:
-        self.front = front
-        self.calls: set[str] = set()  # set-ups taken on this connection that are owed an answer
-        self.choked_at: float | None = None
-        self.began: float | None = None  # since when a message is not whole
-        self.closed_at: float | None = None  # when we began to close it
-        self.strikes = 0.0
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self.owner = owner
+        self.wheel = owner.wheel
         self.name = ""
-        # came: what is being read, at the earliest; read_at: when this was last read, or could be again
-        self.since = self.came = self.read_at = front.switch.wheel.now
-        self.reads = 0  # pieces that came
-        self.taken: list[str] = []  # set-ups that were read: nothing was decided on them yet
-        self.looking = False  # what lies behind them is being read
-        self.full = False  # more may have waited behind the last read
-        self.newcomer = True  # nothing was answered here, or is owed an answer
-        self.stood = False  # whether a call stood here
-        self.heard: float | None = None  # when it last sent what only callers send, not just a test
-        self._begin()
-
-    def _begin(self) -> None:
-        self.began = None
-        self.first, self.length, self.size = "", 0, 0
-        self.headers: dict[str, str] = {}
-        self.body: list[bytes] = []
-        self.vias: list[str] = []
+        self.opened_at = self.wheel.now
+        self.closing_since: float | None = None  # when we began to close it
+        self.backpressured_at: float | None = None  # since when its caller leaves answers unread
+        self.caller_active_at: float | None = (
+            None  # when it last sent what only callers send, not just a probe
+        )
+        self.is_newcomer = True  # nothing was answered here, or is owed an answer
+        self.had_established_call = False
+        self.pending_calls: set[str] = set()  # call setups accepted here that are owed an answer
+        self.penalty = 0.0
+        # What is being read: when it arrived at the earliest, and when this was last read, or could be again.
+        self.received_at = self.wheel.now
+        self.last_read_at = self.wheel.now
+        self.read_count = 0  # pieces that came
+        self.more_unread = False  # more may have waited behind the last read
+        self.reading_ahead = False
+        self.unrouted_calls: list[str] = []  # call setups that were read: nothing was decided on them yet
+        self._start_message()
+
+    def _start_message(self) -> None:
+        self.message = SipMessage()
+        self.message_started_at: float | None = None  # since when a message is not complete
+        self.body_length = 0
+        self.body_parts: list[bytes] = []
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether our side is closed."""
+        return self.closing_since is not None
+
+    @property
+    def has_unwritten_bytes(self) -> bool:
+        """Whether some of what was written here has not left the process."""
+        return has_unwritten_bytes(self.transport)
+
+    # Twisted's protocol
 
     def connectionMade(self) -> None:
+        """Called by Twisted."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ
+        self.transport.bufferSize = READ_SIZE
         self.transport.registerProducer(self, True)
-        self.front.opened(self)
+        self.owner.connection_opened(self)
 
     def connectionLost(self, reason: object = None) -> None:
-        self.front.closed(self)
+        """Called by Twisted."""
+        self.owner.connection_lost(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.closed_at is not None:
+        """Called by Twisted, and with nothing when reading goes on."""
+        if self.is_closing:
             return  # read, so that our close is no reset, which would take what we wrote last
-        wheel = self.front.switch.wheel
         if data:
-            behind = self.full and wheel.now - self.read_at <= wheel.lag + TURN  # else it came only now
-            self.came = max(self.came, wheel.now - OLDEST) if behind else wheel.now - wheel.lag
-            self.full, self.read_at, self.reads = len(data) >= READ, wheel.now, self.reads + 1
-        if self.newcomer:
-            self.front.moved(self)
+            self._note_read(len(data))
+        if self.is_newcomer:
+            self.owner.data_of_newcomer(self)
         super().dataReceived(data)
-        if self.looking:
-            return  # within a look below, which decides
-        if self.taken and wheel.now - self.came > STALE:
-            self.looking = True  # long unread: what its caller said since may lie behind
-            for _ in range(LOOKS):
-                if self in self.front.put_off or self.look():
-                    break
-            self.looking = False
-            if self in self.front.put_off:
+        if self.reading_ahead:
+            return  # `_read_ahead` goes on
+        if self.unrouted_calls and self.wheel.now - self.received_at > STALE_AFTER:
+            self._read_ahead()
+            if self.owner.is_deferred(self):
                 return  # decided once that was read
-        self._decide()
+        self._route_calls()
 
-    def _decide(self) -> None:
-        taken, self.taken = self.taken, []
-        for call in taken:
-            self.front.switch.decide(call)
+    def _note_read(self, size: int) -> None:
+        now, lag = self.wheel.now, self.wheel.lag
+        waited_behind = (
+            self.more_unread and now - self.last_read_at <= lag + TURN_BUDGET
+        )  # else it came only now
+        self.received_at = max(self.received_at, now - MAX_UNREAD_TIME) if waited_behind else now - lag
+        self.more_unread = size >= READ_SIZE
+        self.last_read_at = now
+        self.read_count += 1
 
-    @property
-    def unsent(self) -> bool:
-        """Whether some of what was written here has not left the process."""
-        way = self.transport
-        return bool(len(way.dataBuffer) > way.offset or way._tempDataLen)
+    def _read_ahead(self) -> None:
+        """What came was long unread: what its caller sent since, such as a CANCEL, may lie behind."""
+        self.reading_ahead = True
+        for _ in range(MAX_READS_AHEAD):
+            if self.owner.is_deferred(self) or self.read_pending():
+                break
+        self.reading_ahead = False
 
-    def go_on(self) -> None:
-        """Reads on what was put off."""
-        self.read_at = self.front.switch.wheel.now
-        if self.choked_at is None and self.closed_at is None and self in self.front.connections:
-            super().resumeProducing()
-        else:
-            self._decide()
+    def _route_calls(self) -> None:
+        calls, self.unrouted_calls = self.unrouted_calls, []
+        if calls:
+            self.owner.route_calls(calls)
 
-    def look(self) -> bool:
-        """Reads what lies unread here; False: something did, or does, or this connection is over."""
-        if self in self.front.put_off:
+    def read_pending(self) -> bool:
+        """Reads what lies unread here; false: something did, or does, or this connection is over."""
+        if self.owner.is_deferred(self):
+            return False
+        reads = self.read_count
+        if self.backpressured_at is None and not read_now(self.transport):
             return False
-        before, over = self.reads, None
-        if self.choked_at is None:
-            over = self.transport.doRead()
-        if over is not None:
-            self.transport.connectionLost(Failure(over))
-        return over is None and self.reads == before
+        return self.read_count == reads
+
+    def resume_deferred(self) -> None:
+        """Goes on with what was deferred."""
+        self.last_read_at = self.wheel.now
+        if self.backpressured_at is None and not self.is_closing and self.owner.is_open(self):
+            super().resumeProducing()
+        else:
+            self._route_calls()
 
     # A producer's three calls. A caller that doesn't read its answers isn't read from either.
+
     def pauseProducing(self) -> None:
-        self.choked_at = self.front.switch.wheel.now
-        self.front.releases.choked(self, True)
+        """Called by Twisted: the caller does not read."""
+        self.backpressured_at = self.wheel.now
+        self.owner.backpressure_changed(self, True)
         super().pauseProducing()
 
     def resumeProducing(self) -> None:
-        self.choked_at = None
-        self.front.releases.choked(self, False)
-        if self not in self.front.put_off:
+        """Called by Twisted: the caller reads again."""
+        self.backpressured_at = None
+        self.owner.backpressure_changed(self, False)
+        if not self.owner.is_deferred(self):
             super().resumeProducing()
 
     def stopProducing(self) -> None:
-        pass
+        """Called by Twisted."""
 
-    def _bad(self, why: str, code: int = 400) -> None:
-        """Where the next message begins is not known: it is told so, and nothing more is read."""
-        self.front.switch.count["bad messages"] += 1
-        logger.warning("caller: bad message, connection closed: {}", why)
-        if self.first and not self.first.startswith("SIP/"):
-            self.answer(code, self.headers, self.vias)
-        self.front.shut(self)
+    # messages
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        self._bad("a line without end")
+        """Called by Twisted."""
+        self.owner.message_unreadable(self, SipParseError("a line without end"))
 
     def lineReceived(self, line: bytes) -> None:
-        if self.closed_at is not None:
-            return None
-        self.size += len(line) + 2
-        if self.size > LONGEST:
-            return self._bad("longer than 16 KiB", 513)
+        """Called by Twisted: a line of a message's head."""
+        if self.is_closing:
+            return
+        try:
+            self._add_line(line)
+        except SipParseError as e:
+            self.owner.message_unreadable(self, e)
+
+    def _add_line(self, line: bytes) -> None:
+        message = self.message
+        message.size += len(line) + len(self.delimiter)
+        if message.size > MAX_MESSAGE:
+            raise SipParseError("longer than 16 KiB", 513)
         text = line.decode("latin-1")
-        if not self.first:
-            self.first = text.strip()  # empty lines between messages are skipped, however many
-            self.began = self.front.switch.wheel.now if self.first else None
-            self.size = self.size if self.first else 0
-            return None
-        if not text:
-            return self._head_done()
-        name, colon, value = text.partition(":")
-        if not colon:
-            return self._bad("a header without a colon")
-        name, value = name.strip().lower(), value.strip()
-        name = SHORT.get(name, name)
-        if name == "via":
-            self.vias.append(value)
-        if self.headers.setdefault(name, value) != value and name in ONCE:
-            return self._bad("a header twice")
-        return None
-
-    def _head_done(self) -> None:
-        length = self.headers.get("content-length", "")
-        if not length.isascii() or not length.isdigit() or len(length) > 30:
-            return self._bad("Content-Length is no number")
-        self.length = int(length)
-        if self.size + self.length > LONGEST:
-            return self._bad("longer than 16 KiB", 513)  # told before its body is read, not after
-        if self.length:
+        if not message.start_line:
+            self._add_start_line(text.strip())
+        elif text:
+            message.add_header(text)
+        else:
+            self._head_complete()
+
+    def _add_start_line(self, text: str) -> None:
+        """Empty lines between messages are skipped, however many."""
+        if text:
+            self.message.start_line = text
+            self.message_started_at = self.wheel.now
+        else:
+            self.message.size = 0
+
+    def _head_complete(self) -> None:
+        self.body_length = self.message.content_length()
+        if self.body_length:
             self.setRawMode()
         else:
-            self._whole(b"")
-        return None
+            self._message_complete(b"")
 
     def rawDataReceived(self, data: bytes) -> None:
-        if self.closed_at is not None:
+        """Called by Twisted: a piece of a message's body, and of what follows it."""
+        if self.is_closing:
+            return
+        self.body_parts.append(data)
+        if sum(map(len, self.body_parts)) < self.body_length:
             return
-        self.body.append(data)
-        have = sum(map(len, self.body))
-        if have >= self.length:
-            whole = b"".join(self.body)
-            rest, body = whole[self.length :], whole[: self.length]
-            self._whole(body)
-            if self.closed_at is None:
-                self.setLineMode()
-                super().dataReceived(rest)
-
-    def _whole(self, body: bytes) -> None:
-        first, headers, vias = self.first, self.headers, self.vias
-        self._begin()
-        if first.startswith("SIP/"):
-            return self.front.answered(self, first, headers)
-        words = first.split()
-        if len(words) != 3 or not words[2].startswith("SIP/2"):
-            return self._bad("no SIP first line")
-        self.front.asked(self, words[0], words[1], headers, vias, body)
-        if self.closed_at is None and self.front.switch.wheel.behind() > TURN:
-            self.full = True  # what comes meanwhile waits unread
-            self.front.later(self)
+        received = b"".join(self.body_parts)
+        body, rest = received[: self.body_length], received[self.body_length :]
+        try:
+            self._message_complete(body)
+        except SipParseError as e:
+            self.owner.message_unreadable(self, e)
+        if not self.is_closing:
+            self.setLineMode()
+            super().dataReceived(rest)
+
+    def _message_complete(self, body: bytes) -> None:
+        message = self.message
+        self._start_message()
+        if message.is_response:
+            self.owner.response_received(self, message)
+            return
+        self.owner.request_received(self, parse_request(message, body))
+        if not self.is_closing and self.wheel.elapsed_since_read() > TURN_BUDGET:
+            self.more_unread = True  # what arrives meanwhile waits unread
+            self.owner.defer(self)
             super().pauseProducing()
-        return None
-
-    def answer(
-        self, code: int, headers: dict[str, str], vias: list[str], body: bytes = b"", later: float = 0.0
-    ) -> None:
-        lines = [f"SIP/2.0 {code} {REASONS[code]}", *(f"Via: {via}" for via in vias)]
-        lines += [f"{NAMES[name]}: {headers[name]}" for name in ECHOED[1:] if name in headers]
-        if later > 0:
-            lines.append(f"X-Later-Ms: {later:.0f}")
-        self.write(lines, body)
-
-    def strike(self, weight: float = 1.0) -> None:
-        """Guards against a caller that sends the same nonsense again as soon as it is turned away. What no
-        good caller sends counts alone: closing loses set-ups that are on their way, and refusals, crossing
-        CANCELs and BYEs are daily bread.
+
+    def answer(self, code: int, request: SipMessage, body: bytes = b"", retry_after: float = 0.0) -> None:
+        """Answers a request."""
+        self.transport.write(encode_answer(code, request, body, retry_after))
+
+    def write(self, data: bytes) -> None:
+        """Writes a complete message."""
+        self.transport.write(data)
+
+    def penalize(self, weight: float = 1.0) -> None:
+        """Guards against a caller that sends the same nonsense again as soon as it is rejected.
+
+        Only what no good caller sends counts: closing loses call setups that are on their way, and
+        rejections, crossing CANCELs and BYEs are ordinary.
         """
-        self.strikes += weight
-        if self.strikes >= MOST_STRIKES and self.closed_at is None:
-            self.front.switch.count["connections ended for misuse"] += 1
-            self.front.shut(self)
-
-    def write(self, lines: list[str], body: bytes = b"") -> None:
-        head = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode("latin-1")
-        self.transport.write(head + body)
+        self.penalty += weight
+        if self.penalty >= MAX_PENALTY and not self.is_closing:
+            self.owner.connection_misused(self)
--- /dev/null
+++ b/softswitch/process/__init__.py
@@ -0,0 +1,1 @@
+"""One softswitch process: wiring, ticks, listeners, reload and shutdown."""
--- a/softswitch/signals.py
+++ b/softswitch/signals.py
@@ -1,30 +1,48 @@
-"""Signals from the first instant on. What is asked while the program starts is kept until there is somebody
-to carry it out: SIGHUP would end a process that has no handler yet, and one left out would be lost.
+"""Signals from the first instant on.
+
+What is asked while the program starts is kept until there is somebody to carry it out: SIGHUP would end a
+process that has no handler yet, and one left out would be lost.
 """
 
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import FrameType
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
+
+_pending: list[int] = []  # what came while starting, each once
+
 
-STOP, RELOAD = (signal.SIGTERM, signal.SIGINT), signal.SIGHUP
-kept: list[int] = []  # what came while starting, each once
+def _keep(number: int, _frame: FrameType | None) -> None:
+    if number not in _pending:
+        _pending.append(number)
 
 
 def keep() -> None:
-    """From now on; called before anything is imported that takes time."""
-    for number in (*STOP, RELOAD):
-        signal.signal(number, lambda n, _: kept.append(n) if n not in kept else None)
+    """Keeps signals from now on; called before anything is imported that takes time."""
+    for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
+        signal.signal(number, _keep)
+
+
+def stop_requested() -> bool:
+    """Whether a stop was asked for since `keep`."""
+    return any(number in _pending for number in STOP_SIGNALS)
+
 
+def _running(action: Callable[[], object]) -> Callable[[int, FrameType | None], None]:
+    def handler(_number: int, _frame: FrameType | None) -> None:
+        action()
 
-def asked_to_stop() -> bool:
-    return any(number in kept for number in STOP)
+    return handler
 
 
-def carry_out(acts: dict[int, Callable[[], object]]) -> None:
-    """From now on each of these signals calls its act. What was kept is carried out, a stop last."""
-    for number, act in acts.items():
-        signal.signal(number, lambda *_, act=act: act())
-    for number in sorted(kept, key=lambda n: n in STOP):
-        acts[number]()
-    kept.clear()
+def handle(actions: Mapping[int, Callable[[], object]]) -> None:
+    """From now on each of these signals runs its action. What was kept is carried out, a stop last."""
+    for number, action in actions.items():
+        signal.signal(number, _running(action))
+    for number in sorted(_pending, key=lambda number: number in STOP_SIGNALS):
+        actions[number]()
+    _pending.clear()
--- a/softswitch/standin/board.py
+++ b/softswitch/standin/board.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.protocol import Factory, Protocol
 
-from softswitch.net.endpoint_watch import CHANGES, HEAD, NOTHING, RECORD, WHOLE
+from softswitch.net.endpoint_watch import CHANGES, COMPLETE, HEAD, NOTHING, RECORD
 
 STATES = {"active": 0, "leaving": 1, "left": 2}
 
@@ -82,7 +82,7 @@
         self.reactor = reactor
         self.listed = {one.name: one for one in listed}
         self.number = 1
-        self.events: list[tuple[int, int, bytes]] = [(1, WHOLE, self._all())]
+        self.events: list[tuple[int, int, bytes]] = [(1, COMPLETE, self._all())]
         self.lines: dict[BoardSide, None] = {}
         self.port: Any = None
         self.beat: Any = None
@@ -115,7 +115,7 @@
         self.listed |= {one.name: one for one in changed}
         self.events.append((self.number, CHANGES, b"".join(one.record() for one in changed)))
         if len(self.events) > 1_000:
-            self.events = [(self.number, WHOLE, self._all())]
+            self.events = [(self.number, COMPLETE, self._all())]
         for line in self.lines:
             line.say(*self.events[-1])
         for one in changed:
--- a/softswitch/standin/engine.py
+++ b/softswitch/standin/engine.py
@@ -18,28 +18,24 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int16StringReceiver
 
-from softswitch.net.engine import (
-    ANSWER,
-    CAUSE,
-    CLASS,
-    DESCRIPTION,
-    HEARD,
-    LONGEST,
-    NOTE,
-    NUMBER,
-    PROGRESS,
-    RELEASE,
-    REPORT,
-    SET_UP,
-    STATE,
-    TEST,
-    TESTED,
-    message,
-    read,
+from softswitch.net.engine_codec import (
+    MAX_MESSAGE,
+    NO_CALL,
+    MessageType,
+    Parameter,
+    decode_message,
+    encode_message,
 )
 
-MEANT = frozenset({SET_UP, PROGRESS, RELEASE, HEARD, TEST})
-NO_CALL = "00" * 8
+ACCEPTED = frozenset(
+    {
+        MessageType.SETUP,
+        MessageType.PROGRESS,
+        MessageType.RELEASE,
+        MessageType.ACKNOWLEDGE,
+        MessageType.PROBE,
+    }
+)
 NORMAL, ERROR, NO_CIRCUIT, CUT = 16, 47, 34, 41
 
 
@@ -93,7 +89,7 @@
 class EngineSide(Int16StringReceiver):
     """One connection from a softswitch."""
 
-    MAX_LENGTH = LONGEST
+    MAX_LENGTH = MAX_MESSAGE
 
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
@@ -107,16 +103,16 @@
 
     def stringReceived(self, data: bytes) -> None:
         try:
-            kind, call, said = read(data, MEANT)
+            message = decode_message(data, ACCEPTED)
         except ValueError as e:
             self.engine.count[f"unreadable: {e}"] += 1
             self.transport.loseConnection()
             return
-        self.engine.heard(self, kind, call, said)
+        self.engine.heard(self, message.type, message.call, message.parameters)
 
     def say(self, kind: int, call: str, *parameters: tuple[int, bytes]) -> None:
         if self.transport.connected:
-            self.sendString(message(kind, call, *parameters))
+            self.sendString(encode_message(kind, call, *parameters))
 
 
 class Engine(Factory):
@@ -269,14 +265,14 @@
     def _state(self) -> None:
         self.beat = self.reactor.callLater(self.set.state_every, self._state)
         for line in self.lines:
-            line.say(STATE, NO_CALL, (REPORT, self.report()))
+            line.say(MessageType.STATE, NO_CALL, (Parameter.REPORT, self.report()))
 
     def opened(self, line: EngineSide) -> None:
         self.lines[line] = None
-        line.say(STATE, NO_CALL, (REPORT, self.report()))
+        line.say(MessageType.STATE, NO_CALL, (Parameter.REPORT, self.report()))
         unsaid, self.unsaid = self.unsaid, {}
         for call, said in unsaid.items():
-            line.say(RELEASE, call, (CAUSE, said), (REPORT, self.report()))
+            line.say(MessageType.RELEASE, call, (Parameter.CAUSE, said), (Parameter.REPORT, self.report()))
 
     def closed(self, line: EngineSide) -> None:
         """Set-ups open there are given up; calls that stand go on."""
@@ -287,11 +283,11 @@
             self._forget(call)
 
     def heard(self, line: EngineSide, kind: int, call: str, said: dict[int, bytes]) -> None:
-        if kind == SET_UP:
+        if kind == MessageType.SETUP:
             self.count["set-ups"] += 1
             self.watch("set-up", call)
             if self.came is not None:
-                self.came(call, said.get(CLASS, b"").decode("latin-1"))
+                self.came(call, said.get(Parameter.CALL_CLASS, b"").decode("latin-1"))
             if self._falls():
                 return self._fall()
             if self.queued > self.set.longest_wait:
@@ -300,22 +296,24 @@
             else:
                 self.waiting[call] = line
                 self._work(1.0, lambda: self._look(line, call, said), new=True)
-        elif kind == RELEASE:
+        elif kind == MessageType.RELEASE:
             self.waiting.pop(call, None)
             if call in self.calls:
                 self.count["released by softswitches"] += 1
                 self._forget(call)
-                self._work(self.set.release_work, lambda: line.say(HEARD, call))
-        elif kind == TEST:
-            line.say(TESTED, call, (CAUSE, b"\1"), (REPORT, self.report()))
+                self._work(self.set.release_work, lambda: line.say(MessageType.ACKNOWLEDGE, call))
+        elif kind == MessageType.PROBE:
+            line.say(
+                MessageType.PROBE_ANSWER, call, (Parameter.CAUSE, b"\1"), (Parameter.REPORT, self.report())
+            )
         return None
 
     def _look(self, line: EngineSide, call: str, said: dict[int, bytes]) -> None:
         if self.waiting.pop(call, None) is None:
             self.count["given up"] += 1
             return
-        klass = said.get(CLASS, b"").decode("latin-1")
-        width, number = self.set.widths.get(klass, 1), said.get(NUMBER, b"").decode("latin-1")
+        klass = said.get(Parameter.CALL_CLASS, b"").decode("latin-1")
+        width, number = self.set.widths.get(klass, 1), said.get(Parameter.NUMBER, b"").decode("latin-1")
         kept = self.set.reserve if not number.startswith(self.set.own) else 0
         if self.free < width + kept:
             self.count["refused: circuits"] += 1
@@ -323,10 +321,16 @@
             return
         self._use(width)
         self.calls[call] = Standing(line, width, klass)
-        self._work(self.set.answer_work, lambda: self._answer(call, said.get(DESCRIPTION, b"")))
+        self._work(self.set.answer_work, lambda: self._answer(call, said.get(Parameter.DESCRIPTION, b"")))
 
     def _refuse(self, line: EngineSide, call: str, cause: int, note: bytes) -> None:
-        line.say(RELEASE, call, (CAUSE, bytes((cause,))), (NOTE, note), (REPORT, self.report()))
+        line.say(
+            MessageType.RELEASE,
+            call,
+            (Parameter.CAUSE, bytes((cause,))),
+            (Parameter.NOTE, note),
+            (Parameter.REPORT, self.report()),
+        )
 
     def _answer(self, call: str, description: bytes) -> None:
         standing = self.calls.get(call)
@@ -338,7 +342,9 @@
         mean = self.set.hold.get(standing.klass, 8.0)
         held = self.random.expovariate(1 / mean) if self.set.hold_kind == "exponential" else mean
         standing.line.say(
-            ANSWER, call, (DESCRIPTION, b"engine " + self.set.name.encode() + b"\r\n" + description)
+            MessageType.ANSWER,
+            call,
+            (Parameter.DESCRIPTION, b"engine " + self.set.name.encode() + b"\r\n" + description),
         )
         standing.end = self.reactor.callLater(held, self._ends, call)
 
@@ -353,7 +359,12 @@
         self.watch("over", call)
         line = line if line in self.lines else next(iter(self.lines), line)
         if line in self.lines:
-            line.say(RELEASE, call, (CAUSE, bytes((cause,))), (REPORT, self.report()))
+            line.say(
+                MessageType.RELEASE,
+                call,
+                (Parameter.CAUSE, bytes((cause,))),
+                (Parameter.REPORT, self.report()),
+            )
         elif len(self.unsaid) < 4_096:
             self.unsaid[call] = bytes((cause,))
 
--- a/softswitch/telemetry.py
+++ b/softswitch/telemetry.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from softswitch.core.counters import Duration
 from softswitch.core.switch import Switch
 
 ENDPOINT = "OTEL_EXPORTER_OTLP_ENDPOINT"
@@ -43,25 +44,25 @@
 
         def counters(_: Any) -> Iterable[Observation]:
             # `dict` copies in one step: the loop's thread may add a counter meanwhile
-            return [Observation(n, {"what": what}) for what, n in dict(switch.count).items()]
+            return [Observation(n, {"what": str(what)}) for what, n in dict(switch.counters).items()]
 
         def now(_: Any) -> Iterable[Observation]:
             return [
-                Observation(switch.open, {"state": "setting up"}),
-                Observation(len(switch.calls) - switch.open, {"state": "standing"}),
+                Observation(switch.calls.unanswered, {"state": "setting up"}),
+                Observation(len(switch.calls) - switch.calls.unanswered, {"state": "standing"}),
             ]
 
         meter.create_observable_counter("willowhitch.events", [counters], description="what was counted")
         meter.create_observable_gauge("willowhitch.calls", [now], description="calls known now")
         self.times = {
             what: meter.create_histogram(
-                f"willowhitch.{what}.duration", "ms", explicit_bucket_boundaries_advisory=BOUNDS
+                f"willowhitch.{what.value}.duration", "ms", explicit_bucket_boundaries_advisory=BOUNDS
             )
-            for what in ("set-up", "call")
+            for what in Duration
         }
         switch.on_duration = self.measured
 
-    def measured(self, what: str, ms: float) -> None:
+    def measured(self, what: Duration, ms: float) -> None:
         self.times[what].record(ms)
 
     def stop(self) -> None:
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -252,7 +252,7 @@
 
 
 @pytest.mark.parametrize(
-    "at", ["softswitch.lazy_import", "twisted.internet", "softswitch.settings", "softswitch.net.sip"]
+    "at", ["softswitch.lazy_import", "twisted.internet", "softswitch.settings", "softswitch.net.sip_server"]
 )
 def test_sighup_during_the_start_is_carried_out_once_it_serves(at):
     with started(at, "SIGHUP") as s:
@@ -260,7 +260,7 @@
         assert s.said().count("configuration reloaded") == 1, s.said()
 
 
-@pytest.mark.parametrize("at", ["softswitch.lazy_import", "softswitch.net.sip"])
+@pytest.mark.parametrize("at", ["softswitch.lazy_import", "softswitch.net.sip_server"])
 def test_sigterm_during_the_start_ends_it_in_good_order_before_anybody_was_let_in(at):
     stage = started(at, "SIGTERM")
     try:
--- a/tests/test_call_history.py
+++ b/tests/test_call_history.py
@@ -6,7 +6,7 @@
 
 from support.harness import Stage, call_id
 
-from softswitch.core.call_history import FIRST, LAST, Lives
+from softswitch.core.call_history import FIRST_ENTRIES, LAST_ENTRIES, CallHistory
 
 CALL = """
     c0 send INVITE 1
@@ -20,23 +20,23 @@
 
 def test_bounds_of_calls_and_of_entries():
     at = [0.0]
-    lives = Lives(lambda: at[0], most=3)
+    history = CallHistory(lambda: at[0], max_calls=3)
     for n in range(5):
-        lives.note(call_id(n), "set-up")
-    assert list(lives.calls) == [call_id(n) for n in (2, 3, 4)]
-    assert lives.dropped == 2
-    assert lives.take(2) == [call_id(2), call_id(3)]
-    assert lives.take(9) == [call_id(4)]
-    assert lives.take(9) == []
+        history.note(call_id(n), "set-up")
+    assert list(history.calls) == [call_id(n) for n in (2, 3, 4)]
+    assert history.dropped == 2
+    assert history.take_changed(2) == [call_id(2), call_id(3)]
+    assert history.take_changed(9) == [call_id(4)]
+    assert history.take_changed(9) == []
     for n in range(100):
         at[0] = float(n)
-        lives.note(call_id(4), "again", str(n))
-    told = lives.told(call_id(4), 1000.0)
-    assert len(told["life"]) == FIRST + LAST
-    assert told["left_out"] == 101 - FIRST - LAST
+        history.note(call_id(4), "again", str(n))
+    told = history.report(call_id(4), 1000.0)
+    assert len(told["life"]) == FIRST_ENTRIES + LAST_ENTRIES
+    assert told["left_out"] == 101 - FIRST_ENTRIES - LAST_ENTRIES
     assert told["life"][0] == {"ms": 1000.0, "what": "set-up"}
     assert told["life"][-1]["where"] == "99"
-    assert lives.told(call_id(0)) is None
+    assert history.report(call_id(0)) is None
 
 
 def test_a_life_is_told_on_request_and_written_to_the_file(tmp_path):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,8 +9,8 @@
 
 from support.harness import Stage, call_id
 
-from softswitch.core.switch import Verdict
-from softswitch.net import call_control, sip
+from softswitch.core.call import FailureReason
+from softswitch.net import call_control, sip_calls
 import contextlib
 
 
@@ -214,8 +214,8 @@
                 """)
 
     def test_each_outcome_of_the_core_has_one_code(self):
-        assert set(call_control.CODES) == set(sip.CODES) == set(Verdict)
-        assert len(set(call_control.CODES.values())) == len(Verdict)
+        assert set(call_control.CODES) == set(sip_calls.ANSWER_CODES) == set(FailureReason)
+        assert len(set(call_control.CODES.values())) == len(FailureReason)
 
     def test_bad_settings_are_one_plain_line(self):
         for bad in ("most_sockets = 0", "strange = 1", "keep_s = [", 'most_open = "many"'):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,50 +4,58 @@
 from support.policy_driver import settings
 
 from softswitch import interface as i
-from softswitch.core import switch
-from softswitch.core.switch import MARGIN, MOST_CALLS, Order, Switch, Verdict
-from softswitch.core.timer_wheel import Wheel
+from softswitch.core import predecessor
+from softswitch.core.call import FailureReason, SetupRequest
+from softswitch.core.call_table import MAX_CALLS
+from softswitch.core.switch import ANSWER_MARGIN, Switch
+from softswitch.core.timer_wheel import TimerWheel
 
 A, B = "s-0000000a", "s-0000000b"
 
 
+CALLED = ("send_setup", "cancel_setup", "send_release", "call_established", "call_failed", "call_released")
+
+
 class Bench:
     """Caller, engines and clock in one; `said` holds what the switch told any of them."""
 
-    survives = False
+    calls_survive = False
 
     def __init__(self, servers=(A, B), **changes):
         self.now, self.said = 1000.0, []
-        self.wheel = Wheel(5.0, lambda: self.now)
+        self.wheel = TimerWheel(5.0, lambda: self.now)
         self.switch = Switch(settings(**changes), 1, self.wheel, self)
         self.switch.start()
-        self.switch.news(
-            i.UpdateKind.COMPLETE,
-            tuple(i.Endpoint(s, n, i.EndpointState.READY) for n, s in enumerate(servers)),
-        )
+        ready = (i.Endpoint(s, n, i.EndpointState.READY) for n, s in enumerate(servers))
+        self.list_changed(*ready, kind=i.UpdateKind.COMPLETE)
 
-    def drains(self, server):
+    def list_changed(self, *endpoints, kind=i.UpdateKind.CHANGES):
+        self.switch.endpoints_changed(i.EndpointsChanged(kind, endpoints))
+
+    def endpoint_unavailable(self, server):
         """Nothing waits to be written here."""
 
     def __getattr__(self, name):
-        if name not in ("set_up", "give_up", "release", "stands", "turned_away", "released"):
+        if name not in CALLED:
             raise AttributeError(name)
 
         def note(*words):
-            plain = [w if isinstance(w, str | int | bytes | Verdict) else None for w in words]
+            plain = [w if isinstance(w, str | int | bytes | FailureReason) else None for w in words]
             self.said.append((name, *[w for w in plain if w is not None]))
 
         return note
 
-    def call(self, n=1, patience=3000.0, dest=0, klass="plain"):
-        return self.switch.set_up(Order(f"{n:016x}", klass, "77", patience, b"d", dest), self)
+    def call(self, n=1, timeout=3000.0, destination_cell=0, call_class="plain"):
+        return self.switch.request_setup(
+            SetupRequest(f"{n:016x}", call_class, "77", timeout, b"d", destination_cell), self
+        )
 
     def run(self, ms):
         until = self.now + ms
         while self.now < until:
             self.now += 5.0
-            self.wheel.read()
-            self.wheel.turn()
+            self.wheel.read_clock()
+            self.wheel.run_due()
 
     def heard(self, name):
         return [words for words in self.said if words[0] == name]
@@ -58,56 +66,56 @@
 
 def test_timers_fire_in_order_never_early_and_never_in_the_tick_under_way():
     now = [0.0]
-    wheel, fired = Wheel(5.0, lambda: now[0]), []
-    wheel.at(12.0, fired.append, "b")
-    wheel.at(3.0, lambda: wheel.at(0.0, fired.append, "next"))
-    wheel.at(6_000.0, fired.append, "far")  # more than once round the wheel
+    wheel, fired = TimerWheel(5.0, lambda: now[0]), []
+    wheel.call_at(12.0, fired.append, "b")
+    wheel.call_at(3.0, lambda: wheel.call_at(0.0, fired.append, "next"))
+    wheel.call_at(6_000.0, fired.append, "far")  # more than once round the wheel
     for t, then in ((4.9, []), (5.0, []), (10.0, ["next"]), (14.9, ["next"]), (15.0, ["next", "b"])):
         now[0] = t
-        wheel.read()
-        wheel.turn()
+        wheel.read_clock()
+        wheel.run_due()
         assert fired == then, t
     now[0] = 6_000.0  # after a standstill all that is due fires at once
-    wheel.read()
-    wheel.turn()
+    wheel.read_clock()
+    wheel.run_due()
     assert fired == ["next", "b", "far"]
 
 
 def test_a_timer_that_fails_does_not_stop_the_others():
     now, fired = [0.0], []
-    wheel = Wheel(5.0, lambda: now[0])
-    wheel.at(5.0, lambda: 1 / 0)
-    wheel.at(5.0, fired.append, "x")
+    wheel = TimerWheel(5.0, lambda: now[0])
+    wheel.call_at(5.0, lambda: 1 / 0)
+    wheel.call_at(5.0, fired.append, "x")
     now[0] = 5.0
-    wheel.read()
-    wheel.turn()
+    wheel.read_clock()
+    wheel.run_due()
     assert fired == ["x"]
 
 
 def test_one_answer_and_the_description_as_it_came():
     b = Bench()
     assert b.call() is None
-    b.switch.answered(A, ONE, b"\xff\0")
-    b.switch.answered(A, ONE, b"other")
-    assert b.heard("stands") == [("stands", ONE, b"\xff\0")]
-    b.switch.cleared(A, ONE, 16)
-    b.switch.cleared(A, ONE, 16)
+    b.switch.answered_by_engine(A, ONE, b"\xff\0")
+    b.switch.answered_by_engine(A, ONE, b"other")
+    assert b.heard("call_established") == [("call_established", ONE, b"\xff\0")]
+    b.switch.released_by_engine(A, ONE, 16)
+    b.switch.released_by_engine(A, ONE, 16)
     b.run(5000.0)
-    assert b.heard("released") == [("released", ONE, 16)]
-    assert not b.heard("turned_away")
+    assert b.heard("call_released") == [("call_released", ONE, 16)]
+    assert not b.heard("call_failed")
     assert not b.switch.calls
-    assert b.switch.open == 0
+    assert b.switch.calls.unanswered == 0
 
 
 def test_the_answer_comes_before_the_caller_gives_up_even_if_the_module_fails():
     for broken in (False, True):
         b = Bench()
-        b.call(patience=1000.0)
+        b.call(timeout=1000.0)
         if broken:
             b.switch.controller.handle = lambda *_: 1 / 0
         b.run(1000.0 - 5.0)
-        assert b.heard("turned_away") == [("turned_away", ONE, Verdict.FAILED)], broken
-        assert b.heard("give_up") == [("give_up", A, ONE)]
+        assert b.heard("call_failed") == [("call_failed", ONE, FailureReason.FAILED)], broken
+        assert b.heard("cancel_setup") == [("cancel_setup", A, ONE)]
 
 
 def test_a_set_up_that_waited_unread_is_answered_by_its_callers_clock():
@@ -115,72 +123,72 @@
     b = Bench()
     b.run(100.0)
     sent, b.now = b.now, b.now + 400.0
-    b.wheel.read()
-    b.call(patience=1000.0)
-    b.wheel.turn()
+    b.wheel.read_clock()
+    b.call(timeout=1000.0)
+    b.wheel.run_due()
     b.run(sent + 1000.0 - b.now - 5.0)
-    assert b.heard("turned_away") == [("turned_away", ONE, Verdict.FAILED)]
+    assert b.heard("call_failed") == [("call_failed", ONE, FailureReason.FAILED)]
 
 
 def test_a_call_that_cannot_be_sent_is_refused_with_advice_not_held_to_its_end():
     b = Bench(max_attempts=1)
     b.call()
     before = b.now
-    b.switch.unreachable(A, ONE)
-    assert b.heard("turned_away") == [("turned_away", ONE, Verdict.REFUSED)]
+    b.switch.attempt_unreachable(A, ONE)
+    assert b.heard("call_failed") == [("call_failed", ONE, FailureReason.REJECTED)]
     assert b.now == before
 
 
 def test_no_second_attempt_beside_one_and_the_release_is_awaited():
     b = Bench()
     b.call()
-    b.switch.broken(A, ONE)
+    b.switch.attempt_disconnected(A, ONE)
     b.run(345.0)  # 300 in the settings; the limits on sockets are 50 longer
-    assert len(b.heard("set_up")) == 1
+    assert len(b.heard("send_setup")) == 1
     b.run(60.0)
-    assert len(b.heard("set_up")) == 2
+    assert len(b.heard("send_setup")) == 2
     b.switch._carry_out([i.SendAttempt(ONE, A)])  # should the module ever ask for it
-    assert len(b.heard("set_up")) == 2
-    assert b.switch.count["guard: not owed or already out"] == 1
+    assert len(b.heard("send_setup")) == 2
+    assert b.switch.counters["guard: not owed or already out"] == 1
 
 
 def test_guards_against_a_send_to_a_leaving_engine():
     b = Bench()
-    b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(A, 0, i.EndpointState.DRAINING),))
+    b.list_changed(i.Endpoint(A, 0, i.EndpointState.DRAINING))
     b.switch.controller.gates[A].state = i.EndpointState.READY  # as if the module had missed it
-    b.call(dest=0)
-    assert not any(words[1] == A for words in b.heard("set_up"))
-    assert b.switch.count["guard: moot"]
-    assert b.heard("turned_away") or b.heard("set_up")
+    b.call(destination_cell=0)
+    assert not any(words[1] == A for words in b.heard("send_setup"))
+    assert b.switch.counters["guard: moot"]
+    assert b.heard("call_failed") or b.heard("send_setup")
 
 
 def test_crossing_and_unknown_messages_do_no_harm():
     b = Bench()
-    b.switch.answered(A, ONE, b"d")
-    assert not b.heard("release")  # whoever thinks up ids has us write nothing
-    b.switch.cleared(A, ONE, 41)
-    b.switch.broken(A, ONE)
-    b.switch.unreachable("s-0000000f", ONE)
-    assert not b.switch.give_up(ONE, b)
-    assert not b.switch.release(ONE, 16, b)
+    b.switch.answered_by_engine(A, ONE, b"d")
+    assert not b.heard("send_release")  # whoever thinks up ids has us write nothing
+    b.switch.released_by_engine(A, ONE, 41)
+    b.switch.attempt_disconnected(A, ONE)
+    b.switch.attempt_unreachable("s-0000000f", ONE)
+    assert not b.switch.abandon_call(ONE, b)
+    assert not b.switch.release_call(ONE, 16, b)
     b.call()
-    assert b.call() is Verdict.REPEATED
-    assert not b.switch.release(ONE, 16, object())  # another front's call
-    b.switch.answered(A, ONE, b"d")
-    assert b.switch.give_up(ONE, b)  # its cancel crossed the answer
-    assert b.heard("released") == [("released", ONE, 16)]
-    assert ("release", A, ONE, 16) in b.said[-3:]
+    assert b.call() is FailureReason.DUPLICATE
+    assert not b.switch.release_call(ONE, 16, object())  # another front's call
+    b.switch.answered_by_engine(A, ONE, b"d")
+    assert b.switch.abandon_call(ONE, b)  # its cancel crossed the answer
+    assert b.heard("call_released") == [("call_released", ONE, 16)]
+    assert ("send_release", A, ONE, 16) in b.said[-3:]
 
 
 def test_calls_of_a_dead_or_replaced_engine_are_released():
     b = Bench()
     for n, dest in ((1, 0), (2, 0), (3, 1)):
-        b.call(n, dest=dest)
-        b.switch.answered((A, B)[dest], f"{n:016x}", b"d")
-    b.switch.died(A)
-    assert [words[1] for words in b.heard("released")] == [ONE, f"{2:016x}"]
-    b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(B, 1, i.EndpointState.READY, started_at=b.now + 1.0),))
-    assert len(b.heard("released")) == 3
+        b.call(n, destination_cell=dest)
+        b.switch.answered_by_engine((A, B)[dest], f"{n:016x}", b"d")
+    b.switch.engine_died(A)
+    assert [words[1] for words in b.heard("call_released")] == [ONE, f"{2:016x}"]
+    b.list_changed(i.Endpoint(B, 1, i.EndpointState.READY, started_at=b.now + 1.0))
+    assert len(b.heard("call_released")) == 3
 
 
 def test_nothing_grows_with_engines_and_calls_seen():
@@ -188,15 +196,15 @@
     for n in range(50):
         server = f"s-{n + 100:08x}"
         for state in (i.EndpointState.READY, i.EndpointState.REMOVED):
-            b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(server, 5, state),))
-        b.switch.drop(server)  # as the links do once no call is left there
-        b.switch.news(i.UpdateKind.CHANGES, (i.Endpoint(server, 5, i.EndpointState.REMOVED),))
+            b.list_changed(i.Endpoint(server, 5, state))
+        b.switch.endpoints.forget(server)  # as the links do once no call is left there
+        b.list_changed(i.Endpoint(server, 5, i.EndpointState.REMOVED))
         b.call(n)
-        b.switch.answered(A, f"{n:016x}", b"d")
-        assert b.switch.calls[f"{n:016x}"].order.description == b""  # told, and held no longer
-        b.switch.cleared(A, f"{n:016x}", 16)
+        b.switch.answered_by_engine(A, f"{n:016x}", b"d")
+        assert b.switch.calls[f"{n:016x}"].request.description == b""  # told, and held no longer
+        b.switch.released_by_engine(A, f"{n:016x}", 16)
     b.run(4000.0)
-    assert set(b.switch.states) == set(b.switch.started) == {A, B}
+    assert set(b.switch.endpoints.states) == set(b.switch.endpoints.started_at) == {A, B}
     assert not b.switch.calls
     assert not b.switch.controller.calls
     assert not b.switch.controller.timers
@@ -206,9 +214,9 @@
 
 def test_the_table_is_bounded():
     b = Bench(servers=())
-    for n in range(MOST_CALLS):
+    for n in range(MAX_CALLS):
         b.switch.calls[f"{n + 10:016x}"] = None
-    assert b.call(1) is Verdict.TABLE_FULL
+    assert b.call(1) is FailureReason.TABLE_FULL
 
 
 @pytest.mark.parametrize(
@@ -218,135 +226,135 @@
         dict(call="0" * 15 + "A"),
         dict(number="a b"),
         dict(number=""),
-        dict(patience=float("nan")),
-        dict(patience=-1.0),
-        dict(width=0.0),
-        dict(dest=10**9),
+        dict(timeout=float("nan")),
+        dict(timeout=-1.0),
+        dict(circuits=0.0),
+        dict(destination_cell=10**9),
         dict(description=b"x" * 17_000),
     ],
 )
 def test_orders_that_cannot_be_carried_out(bad):
     with pytest.raises(ValueError):
-        Order(**(dict(call=ONE, klass="x", number="77", patience=1.0) | bad))
+        SetupRequest(**(dict(call=ONE, call_class="x", number="77", timeout=1.0) | bad))
 
 
 def test_calls_of_the_process_before_are_released_both_ways_once_and_for_a_while_only():
     # guards against calls left standing for ever because the process that set them up was stopped or killed
     b, heard = Bench(), []
-    b.switch.on_predecessor_release, b.survives = lambda *said: heard.append(said), True
+    b.switch.on_predecessor_release, b.calls_survive = lambda *said: heard.append(said), True
     b.call(1)
-    b.switch.answered(A, ONE, b"d")
+    b.switch.answered_by_engine(A, ONE, b"d")
     for _ in range(2):
-        b.switch.cleared(A, ONE, 16)  # the second copy of our own call's
-        b.switch.cleared(B, f"{2:016x}", 41)
+        b.switch.released_by_engine(A, ONE, 16)  # the second copy of our own call's
+        b.switch.released_by_engine(B, f"{2:016x}", 41)
     assert heard == [(f"{2:016x}", 41)]
-    assert len(b.heard("released")) == 1
-    assert b.switch.release(f"{3:016x}", 16, b)
-    assert not b.switch.release(f"{3:016x}", 16, b)
-    assert b.heard("release") == [("release", s, f"{3:016x}", 16) for s in (A, B)]
+    assert len(b.heard("call_released")) == 1
+    assert b.switch.release_call(f"{3:016x}", 16, b)
+    assert not b.switch.release_call(f"{3:016x}", 16, b)
+    assert b.heard("send_release") == [("send_release", s, f"{3:016x}", 16) for s in (A, B)]
     b.run(60_000.0)
-    b.switch.cleared(B, f"{4:016x}", 16)
+    b.switch.released_by_engine(B, f"{4:016x}", 16)
     assert len(heard) == 1
-    assert not b.switch.release(f"{5:016x}", 16, b)
+    assert not b.switch.release_call(f"{5:016x}", 16, b)
     b.call(6)
-    b.switch.answered(A, f"{6:016x}", b"d")
-    b.switch.cleared(A, f"{6:016x}", 16)
-    assert not b.switch.over
+    b.switch.answered_by_engine(A, f"{6:016x}", b"d")
+    b.switch.released_by_engine(A, f"{6:016x}", 16)
+    assert not b.switch.predecessor.ended
 
 
 def test_many_calls_ended_since_the_start_keep_no_release_from_callers_of_the_process_before(monkeypatch):
     # they did: from the 4,096th call that ended on, a busy softswitch took them all for late copies
-    monkeypatch.setattr(switch, "MOST_OVER", 3)
+    monkeypatch.setattr(predecessor, "MAX_ENDED_CALLS", 3)
     b, heard = Bench(), []
-    b.switch.on_predecessor_release, b.survives = lambda *said: heard.append(said), True
+    b.switch.on_predecessor_release, b.calls_survive = lambda *said: heard.append(said), True
     for n in range(1, 6):
         b.call(n)
-        b.switch.answered(A, f"{n:016x}", b"d")
-        b.switch.cleared(A, f"{n:016x}", 16)
-    b.switch.cleared(A, f"{5:016x}", 16)  # a late copy of a call that ended lately
-    b.switch.cleared(B, f"{9:016x}", 41)
+        b.switch.answered_by_engine(A, f"{n:016x}", b"d")
+        b.switch.released_by_engine(A, f"{n:016x}", 16)
+    b.switch.released_by_engine(A, f"{5:016x}", 16)  # a late copy of a call that ended lately
+    b.switch.released_by_engine(B, f"{9:016x}", 41)
     assert heard == [(f"{9:016x}", 41)]
-    assert len(b.switch.over) == 3
+    assert len(b.switch.predecessor.ended) == 3
 
 
 def test_callers_that_make_ids_up_do_not_have_every_engine_told_without_end(monkeypatch):
-    monkeypatch.setattr(switch, "MOST_TOLD", 3)
+    monkeypatch.setattr(predecessor, "MAX_BROADCASTS", 3)
     b = Bench()
-    b.switch.on_predecessor_release, b.survives = lambda *said: None, True
-    assert [b.switch.release(f"{n:016x}", 16, b) for n in range(1, 6)] == [True] * 3 + [False] * 2
-    assert len(b.heard("release")) == 3 * 2  # engines
+    b.switch.on_predecessor_release, b.calls_survive = lambda *said: None, True
+    assert [b.switch.release_call(f"{n:016x}", 16, b) for n in range(1, 6)] == [True] * 3 + [False] * 2
+    assert len(b.heard("send_release")) == 3 * 2  # engines
 
 
 def test_a_planned_stop_leaves_calls_standing_that_the_next_process_carries_on():
     b = Bench()
-    b.survives = True
+    b.calls_survive = True
     b.call(1)
-    b.switch.answered(A, ONE, b"d")
-    b.switch.cut_rest()
-    assert not b.heard("released")
-    assert not b.heard("release")
+    b.switch.answered_by_engine(A, ONE, b"d")
+    b.switch.cut_calls_that_end_here()
+    assert not b.heard("call_released")
+    assert not b.heard("send_release")
 
 
 def test_the_end_of_a_planned_stop_leaves_nobody_without_an_answer():
     b = Bench()
     b.call(1)
     b.call(2)
-    b.switch.answered(A, f"{2:016x}", b"d")
-    b.switch.refuse_rest()
-    b.switch.cut_rest()
-    assert b.heard("turned_away") == [("turned_away", ONE, Verdict.REFUSED)]
-    assert b.heard("released") == [("released", f"{2:016x}", 41)]
+    b.switch.answered_by_engine(A, f"{2:016x}", b"d")
+    b.switch.answer_all()
+    b.switch.cut_calls_that_end_here()
+    assert b.heard("call_failed") == [("call_failed", ONE, FailureReason.REJECTED)]
+    assert b.heard("call_released") == [("call_released", f"{2:016x}", 41)]
     assert not b.switch.calls
-    assert MARGIN > 0
+    assert ANSWER_MARGIN > 0
 
 
 def test_the_wheel_tells_what_is_due_next_and_reads_the_clock_when_something_comes_in():
     now, fired, earlier = [0.0], [], []
-    wheel = Wheel(5.0, lambda: now[0])
+    wheel = TimerWheel(5.0, lambda: now[0])
     wheel.on_earlier = earlier.append
-    assert wheel.due is None
-    wheel.at(100.0, fired.append, "far")
-    wheel.at(200.0, fired.append, "farther")
-    assert wheel.due == 100.0
+    assert wheel.next_due is None
+    wheel.call_at(100.0, fired.append, "far")
+    wheel.call_at(200.0, fired.append, "farther")
+    assert wheel.next_due == 100.0
     assert earlier == [100.0]
-    wheel.rests_until = 50.0
+    wheel.idle_until = 50.0
     now[0] = 30.0
-    wheel.look()
+    wheel.read_after_idle()
     assert (wheel.now, wheel.lag) == (30.0, 0.0)  # it came in a rest: only now
-    wheel.at(32.0, fired.append, "soon")
-    assert wheel.due == 35.0
+    wheel.call_at(32.0, fired.append, "soon")
+    assert wheel.next_due == 35.0
     assert earlier == [100.0, 35.0]
     now[0] = 90.0
-    wheel.look()
+    wheel.read_after_idle()
     assert (wheel.now, wheel.lag) == (90.0, 55.0)  # not seen at 50: it stood still
-    wheel.read()
-    wheel.turn()
+    wheel.read_clock()
+    wheel.run_due()
     assert fired == ["soon"]
     assert wheel.lag == 0.0
     now[0] = 300.0
-    wheel.read()
-    wheel.turn()
+    wheel.read_clock()
+    wheel.run_due()
     assert fired == ["soon", "far", "farther"]
     assert wheel.lag == 205.0
-    assert wheel.due is None
+    assert wheel.next_due is None
 
 
 def test_timers_drawn_at_random_fire_in_order_and_never_early():
     import random
 
     rng, now, fired, asked = random.Random(5), [0.0], [], {}
-    wheel = Wheel(5.0, lambda: now[0])
+    wheel = TimerWheel(5.0, lambda: now[0])
     for n in range(2_000):
         asked[n] = now[0] + rng.choice((0, 1, 7, 60, 900, 20_000)) * rng.random()
-        wheel.at(asked[n], lambda n=n: fired.append((wheel.now, n)))
+        wheel.call_at(asked[n], lambda n=n: fired.append((wheel.now, n)))
         if rng.random() < 0.3:
             now[0] += rng.choice((1, 5, 40))
-            wheel.read()
-            wheel.turn()
-    while wheel.due is not None:
-        now[0] = max(now[0], wheel.due)
-        wheel.read()
-        wheel.turn()
+            wheel.read_clock()
+            wheel.run_due()
+    while wheel.next_due is not None:
+        now[0] = max(now[0], wheel.next_due)
+        wheel.read_clock()
+        wheel.run_due()
     assert sorted(n for _, n in fired) == list(range(2_000))
     assert all(at >= asked[n] for at, n in fired)
     assert fired == sorted(fired, key=lambda f: f[0])
--- a/tests/test_read_scheduling.py
+++ b/tests/test_read_scheduling.py
@@ -5,8 +5,8 @@
 from test_core import Bench
 from twisted.internet.testing import StringTransport
 
-from softswitch.net.sip import SipFront
-from softswitch.net.sip_connection import OLDEST, READ, TURN
+from softswitch.net.sip_connection import MAX_UNREAD_TIME, READ_SIZE, TURN_BUDGET
+from softswitch.net.sip_server import SipServer
 
 INVITE = (
     "INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
@@ -20,88 +20,87 @@
         pass
 
 
-class Slow(SipFront):
-    """A front on a machine where each set-up takes its time."""
+class Slow(SipServer):
+    """A server on a machine where each set-up takes its time."""
 
     def __init__(self, bench):
-        super().__init__("n0")
+        super().__init__("n0", bench.switch)
         self.bench, self.taken = bench, []
-        self.attach(bench.switch)
 
-    def asked(self, line, method, address, headers, vias, body):
+    def request_received(self, connection, request):
         self.bench.now += COST
-        self.taken.append(int(headers["call-id"], 16))
-        super().asked(line, method, address, headers, vias, body)
+        self.taken.append(int(request.call_id, 16))
+        super().request_received(connection, request)
 
-    def line_up(self):
-        line = self.buildProtocol(None)
-        line.makeConnection(Wire())
-        return line
+    def connect(self):
+        connection = self.buildProtocol(None)
+        connection.makeConnection(Wire())
+        return connection
 
 
 def test_a_flood_is_read_in_parts_in_turn_and_in_order():
     b = Bench()
-    front = Slow(b)
-    first, second = front.line_up(), front.line_up()
-    b.wheel.read()
+    server = Slow(b)
+    first, second = server.connect(), server.connect()
+    b.wheel.read_clock()
     first.dataReceived("".join(INVITE.format(n, 3000) for n in range(1, 11)).encode())
-    assert len(front.taken) == int(TURN / COST) + 1
+    assert len(server.taken) == int(TURN_BUDGET / COST) + 1
     assert first.transport.producerState == "paused"
     second.dataReceived(INVITE.format(100, 3000).encode())
-    assert front.taken[-1] == 100  # one message each, however late it is
+    assert server.taken[-1] == 100  # one message each, however late it is
     for _ in range(20):
         b.run(5.0)
-    assert [n for n in front.taken if n < 100] == list(range(1, 11))
+    assert [n for n in server.taken if n < 100] == list(range(1, 11))
     assert first.transport.producerState == "producing"
-    assert not front.put_off
+    assert not server.connections.deferred
 
 
 def test_what_waited_to_be_read_has_that_much_less_patience():
     b = Bench()
-    front = Slow(b)
-    line = front.line_up()
-    b.wheel.read()
+    server = Slow(b)
+    connection = server.connect()
+    b.wheel.read_clock()
     came = b.now
-    line.dataReceived("".join(INVITE.format(n, 300) for n in range(1, 11)).encode())
+    connection.dataReceived("".join(INVITE.format(n, 300) for n in range(1, 11)).encode())
     for _ in range(20):
         b.run(5.0)
-    assert len(front.taken) == 10
+    assert len(server.taken) == 10
     assert all(abs(call.deadline - came - 300) <= 5 + b.wheel.tick for call in b.switch.calls.values())
 
 
 def test_what_comes_behind_a_full_read_is_taken_to_have_waited_but_not_for_ever():
     b = Bench()
-    front = Slow(b)
-    line = front.line_up()
+    server = Slow(b)
+    connection = server.connect()
     for _ in range(30):  # turns in which it is never read empty
         b.run(25.0)
-        line.dataReceived(b"\r\n" * (READ // 2))
-    assert b.wheel.now - line.came == OLDEST
+        connection.dataReceived(b"\r\n" * (READ_SIZE // 2))
+    assert b.wheel.now - connection.received_at == MAX_UNREAD_TIME
     b.run(200.0)  # nothing waited behind it: what comes now has come now
-    line.dataReceived(b"\r\n")
-    assert b.wheel.now - line.came <= b.wheel.lag
+    connection.dataReceived(b"\r\n")
+    assert b.wheel.now - connection.received_at <= b.wheel.lag
 
 
 def test_a_set_up_long_after_one_that_was_put_off_keeps_its_patience():
     b = Bench()
-    front = Slow(b)
-    line = front.line_up()
-    b.wheel.read()
-    line.dataReceived("".join(INVITE.format(n, 3000) for n in range(1, 11)).encode())
+    server = Slow(b)
+    connection = server.connect()
+    b.wheel.read_clock()
+    connection.dataReceived("".join(INVITE.format(n, 3000) for n in range(1, 11)).encode())
     b.run(900.0)
-    assert len(front.taken) == 10
-    line.dataReceived(INVITE.format(11, 1000).encode())
+    assert len(server.taken) == 10
+    connection.dataReceived(INVITE.format(11, 1000).encode())
     assert b.switch.calls[f"{11:016x}"].deadline - b.wheel.now >= 1000 - b.wheel.lag
 
 
 def test_a_connection_that_is_lost_while_it_waits_is_read_no_more():
     b = Bench()
-    front = Slow(b)
-    line = front.line_up()
-    b.wheel.read()
-    line.dataReceived("".join(INVITE.format(n, 3000) for n in range(1, 11)).encode())
-    taken = len(front.taken)
-    line.connectionLost()
+    server = Slow(b)
+    connection = server.connect()
+    b.wheel.read_clock()
+    connection.dataReceived("".join(INVITE.format(n, 3000) for n in range(1, 11)).encode())
+    taken = len(server.taken)
+    connection.connectionLost()
     b.run(200.0)
-    assert len(front.taken) == taken
+    assert len(server.taken) == taken
     assert not b.switch.calls
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -16,7 +16,7 @@
 from support.harness import Stage
 
 from softswitch import cli
-from softswitch.core.timer_wheel import Wheel
+from softswitch.core.timer_wheel import TimerWheel
 from softswitch.measure.record import MOST_ROUTES, OTHER, TrafficRecord
 from softswitch.measure.recordfile import FRAME, BadRecord, Writer, encoded, read
 from softswitch.measure.recording import MOST_WAITING, Recording
@@ -247,7 +247,7 @@
             hangs.wait(20)
             wrote.append(entry)
 
-    switch = SimpleNamespace(count=Counter(), wheel=Wheel(5.0, lambda: 0.0))
+    switch = SimpleNamespace(counters=Counter(), wheel=TimerWheel(5.0, lambda: 0.0))
     started = []
 
     def in_thread(work):
@@ -260,11 +260,11 @@
         r._save({"n": n})
     assert time.monotonic() - began < 2
     assert len(r.waiting) == MOST_WAITING
-    assert switch.count["record intervals"] + switch.count["record intervals lost"] == 30
+    assert switch.counters["record intervals"] + switch.counters["record intervals lost"] == 30
     hangs.set()
     for thread in started:
         thread.join(10)
-    assert len(wrote) == switch.count["record intervals"]
+    assert len(wrote) == switch.counters["record intervals"]
     assert not r.waiting
 
 
--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -5,7 +5,7 @@
 import pytest
 from support.harness import Stage, call_id
 
-from softswitch.core.release_delivery import KEPT_FOR, REPEAT_AFTER, Releases
+from softswitch.core.release_delivery import EXPIRES_AFTER, RETRY_AFTER, ReleaseQueue
 
 STAYS = {"lanes": [{"name": "x", "aim": 1500.0, "credit": 1.0, "late_value": 0.25, "hard_limit": 9000.0}]}
 TWO_STAND = """
@@ -24,7 +24,7 @@
     """Callers' connections as they truly are, and what has come out at their far end."""
 
     def __init__(self, seed):
-        self.rng, self.now, self.table = random.Random(seed), 0.0, Releases(most=64)
+        self.rng, self.now, self.table = random.Random(seed), 0.0, ReleaseQueue(max_releases=64)
         self.open, self.silent, self.flight, self.read = {}, set(), [], {}
         self.made = self.calls = 0
         self.over = {}  # call -> when it was over
@@ -32,15 +32,15 @@
 
     def out(self, told):
         for tell in told:
-            assert tell.way in self.open, "written to a connection that is over"
-            self.flight.append([self.now + self.rng.choice((1, 5, 40)), tell.way, tell.call])
+            assert tell.connection in self.open, "written to a connection that is over"
+            self.flight.append([self.now + self.rng.choice((1, 5, 40)), tell.connection, tell.call])
 
     def connect(self):
         self.made += 1
         self.open[self.made] = None
         if self.rng.random() < 0.7:
-            self.table.stood(self.made)
-        self.out(self.table.spoke(self.now, self.made))
+            self.table.call_established(self.made)
+        self.out(self.table.caller_active(self.now, self.made))
 
     def step(self):
         rng, ways = self.rng, list(self.open)
@@ -51,7 +51,7 @@
             call = f"{self.calls:016x}"
             self.over[call] = self.now
             own = rng.choice([*ways, None, -1])  # -1: a connection that is over
-            self.out(self.table.owe(self.now, call, "77", 16, own))
+            self.out(self.table.add(self.now, call, "77", 16, own))
         elif act == "connect" and len(ways) < 5:
             self.connect()
         elif act in ("close", "reset") and ways:
@@ -59,13 +59,13 @@
             del self.open[way]
             self.silent.discard(way)
             self.flight = [f for f in self.flight if f[1] != way]
-            self.out(self.table.ended(self.now, way))
+            self.out(self.table.connection_closed(self.now, way))
         elif act == "silent" and len(set(ways) - self.silent) > 1:
             self.silent.add(rng.choice(ways))  # open, and nothing is read there any more
         elif act == "speak" and set(ways) - self.silent:
-            self.out(self.table.spoke(self.now, rng.choice(sorted(set(ways) - self.silent))))
+            self.out(self.table.caller_active(self.now, rng.choice(sorted(set(ways) - self.silent))))
         elif act == "choke" and ways:
-            self.table.choked(rng.choice(ways), rng.random() < 0.5)
+            self.table.set_backpressured(rng.choice(ways), rng.random() < 0.5)
         else:
             self.pass_time(rng.choice((1, 10, 60)))
 
@@ -75,9 +75,9 @@
             for f in [f for f in self.flight if f[0] <= self.now and f[1] not in self.silent]:
                 self.flight.remove(f)
                 self.read.setdefault(f[2], self.now)
-                self.table.heard(f[2])
+                self.table.acknowledge(f[2])
             if self.now % 100 == 0:
-                self.out(self.table.turn(self.now))
+                self.out(self.table.advance(self.now))
             reading = set(self.open) - self.silent
             for call, since in self.over.items():
                 if call not in self.read and reading:
@@ -86,17 +86,19 @@
                     self.reachable.pop(call, None)
                 # Told in time if any way to a caller stood: three tries of 300 ms, looked at each 100 ms.
                 late = self.now - self.reachable.get(call, self.now)
-                if call not in self.read and late > 1_000 and self.now - since < KEPT_FOR - 1_000:
+                if call not in self.read and late > 1_000 and self.now - since < EXPIRES_AFTER - 1_000:
                     raise AssertionError(f"{call} over at {since}, not read at {self.now}")
         self.check()
 
     def check(self):
         table = self.table
-        assert len(table.owed) <= table.most
-        assert set(table.ways) <= set(self.open)
-        sent = {call: way for way, state in table.ways.items() for call in state.sent}
-        assert sent == {call: owed.way for call, owed in table.owed.items() if owed.way is not None}
-        assert not any(owed.way is None for owed in table.owed.values()) or not table.ways
+        assert len(table.pending) <= table.max_releases
+        assert set(table.connections) <= set(self.open)
+        sent = {call: way for way, state in table.connections.items() for call in state.unacknowledged}
+        assert sent == {
+            call: owed.connection for call, owed in table.pending.items() if owed.connection is not None
+        }
+        assert not any(owed.connection is None for owed in table.pending.values()) or not table.connections
 
 
 def test_drawn_lives_of_releases_are_told_in_time_if_any_way_to_a_caller_stood():
@@ -114,33 +116,35 @@
 
 
 def test_no_acknowledgement_is_missed_where_callers_never_acknowledge():
-    table = Releases()
-    table.spoke(0.0, "a")
-    table.spoke(0.0, "b")
-    assert [t.way for t in table.owe(1.0, "1", "77", 16, "a")] == ["a"]
-    assert table.turn(1.0 + 2 * REPEAT_AFTER) == []  # nobody here ever said that it heard one
-    assert [t.way for t in table.ended(700.0, "a")] == ["b"]  # but an end is an end
-    assert table.heard("1")
-    assert not table.heard("1")
-    table.owe(800.0, "2", "77", 16, "b")
-    table.spoke(800.0, "c")
-    assert [t.way for t in table.turn(800.0 + REPEAT_AFTER)] == ["c"]
-    assert table.turn(800.0 + 2 * REPEAT_AFTER) == []  # there is no third
-    table.turn(800.0 + KEPT_FOR + 1)
-    assert not table.owed
-    assert table.unheard == 1
-    assert table.lost == 0
+    table = ReleaseQueue()
+    table.caller_active(0.0, "a")
+    table.caller_active(0.0, "b")
+    assert [message.connection for message in table.add(1.0, "1", "77", 16, "a")] == ["a"]
+    assert table.advance(1.0 + 2 * RETRY_AFTER) == []  # nobody here ever said that it heard one
+    assert [message.connection for message in table.connection_closed(700.0, "a")] == [
+        "b"
+    ]  # but an end is an end
+    assert table.acknowledge("1")
+    assert not table.acknowledge("1")
+    table.add(800.0, "2", "77", 16, "b")
+    table.caller_active(800.0, "c")
+    assert [message.connection for message in table.advance(800.0 + RETRY_AFTER)] == ["c"]
+    assert table.advance(800.0 + 2 * RETRY_AFTER) == []  # there is no third
+    table.advance(800.0 + EXPIRES_AFTER + 1)
+    assert not table.pending
+    assert table.unacknowledged == 1
+    assert table.unsent == 0
 
 
 def test_bounds_the_oldest_go_first_and_are_counted():
-    table = Releases(most=3)
+    table = ReleaseQueue(max_releases=3)
     for n in range(5):
-        assert table.owe(float(n), str(n), "7", 16, None) == []
-    assert list(table.owed) == ["2", "3", "4"]
-    assert table.lost == 2
-    assert [t.call for t in table.spoke(9.0, "a")] == ["2", "3", "4"]
-    table.hand_on("3")
-    assert set(table.ways["a"].sent) == {"2", "4"}
+        assert table.add(float(n), str(n), "7", 16, None) == []
+    assert list(table.pending) == ["2", "3", "4"]
+    assert table.unsent == 2
+    assert [t.call for t in table.caller_active(9.0, "a")] == ["2", "3", "4"]
+    table.hand_over("3")
+    assert set(table.connections["a"].unacknowledged) == {"2", "4"}
 
 
 def test_a_release_unread_at_a_close_goes_out_on_another_connection():
--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.task import Clock
 
-from softswitch.net.engine import CLASS, SET_UP
+from softswitch.net.engine_codec import MessageType, Parameter
 from softswitch.standin.engine import Engine, EngineSettings
 
 
@@ -43,7 +43,7 @@
     for n in range(round(rate * seconds)):
         if engine.count["fell"]:
             return
-        engine.heard(line, SET_UP, f"{n:016x}", {CLASS: b"x"})
+        engine.heard(line, MessageType.SETUP, f"{n:016x}", {Parameter.CALL_CLASS: b"x"})
         clock.advance(1 / rate)
 
 
