--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,6 +3,8 @@
 import re
 from pathlib import Path
 
+from softswitch.core.counters import Count, CountFamily
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -15,3 +17,19 @@
             found.append(line)
             assert all(part in page for part in parts if part), f"{source.name}: {line!r}"
     assert len(found) > 20
+
+
+def test_every_counter_is_on_the_page():
+    page = (ROOT / "docs" / "oncall.md").read_text()
+    names = [value for key, value in vars(Count).items() if key.isupper()]
+    families = [value for key, value in vars(CountFamily).items() if key.isupper()]
+    assert len(names) > 50
+    assert len(set(names)) == len(names)
+    assert [name for name in names if f"`{name}`" not in page] == []
+    assert [name for name in families if f"`{name}" not in page] == []
+
+
+def test_the_program_counts_by_declared_names_alone():
+    free_text = re.compile(r"counters\[f?\"")
+    for source in sorted((ROOT / "softswitch").rglob("*.py")):
+        assert not free_text.search(source.read_text()), source
--- /dev/null
+++ b/tests/test_stored_data.py
@@ -0,0 +1,48 @@
+"""Files that 020d907 wrote are read as it read them: a fleet snapshot and a traffic record, under data/."""
+
+import msgspec
+from support.harness import ROOT
+
+from softswitch.measure.recordfile import read
+from softswitch.measure.streams import measured
+from softswitch.net.peers import KIND, VERSION, Saved
+from softswitch.storage.snapshot import Snapshot
+
+DATA = ROOT / "tests" / "data"
+
+
+def test_a_fleet_snapshot():
+    version, record = Snapshot(DATA / "fleet-020d907.snapshot", KIND, VERSION).read()
+    assert version == VERSION
+    saved = msgspec.msgpack.decode(record, type=Saved)
+    assert saved == Saved("tana", "n0@10.1.0.4:7946", 7, ("10.2.0.4:7946", "10.3.0.4:7946"))
+
+
+def test_a_traffic_record():
+    contents = read(DATA / "traffic-020d907.whtr")
+    assert contents.cut == ""
+    assert [head["name"] for head in contents.heads] == ["n0"]
+    assert len(contents.entries) == 3
+    found = measured([contents])
+    assert found.seconds == 30.0
+    assert found.erlangs == {0: [3.67, 6.67, 6.67], 1: [3.33, 6.67, 6.67], 2: [3.0, 6.66, 6.66]}
+    assert found.peaks == {0: 6, 1: 6, 2: 6}
+    rows = [(s.dest, s.klass, s.redials, s.carried, s.blocked, s.ended) for s in found.streams]
+    assert rows == [
+        (0, "x", 12, 15, 14, 29),
+        (0, "y", 3, 4, 4, 7),
+        (1, "x", 11, 15, 15, 29),
+        (1, "y", 3, 4, 3, 7),
+        (2, "x", 11, 15, 15, 29),
+        (2, "y", 3, 3, 4, 7),
+    ]
+
+
+def test_the_digest_of_settings_is_that_of_020d907():
+    # softswitches of two versions with the same settings must not seem to have others
+    from support.settings import INFO
+
+    from softswitch.components import settings_digest
+    from softswitch.settings import parse_settings
+
+    assert settings_digest(parse_settings(INFO)) == "7acfbfd04123"
