--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -13,15 +13,16 @@
 import time
 from collections import deque
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from os import sched_getaffinity
 from random import Random
 from statistics import mean
 
-from softswitch.budgets import allocator, lease_client, lease_holder, plan, voter
-from softswitch.budgets.lease_client import Keeper
-from softswitch.budgets.messages import Promised
+from softswitch.budgets import allocator, lease_client, lease_holder, ledger, plan, voter
+from softswitch.budgets.lease_client import LeaseClient
+from softswitch.budgets.messages import NO_EPOCH, Promise
 from softswitch.budgets.plan import Budget, Plan
-from softswitch.budgets.sliding_window import Window
+from softswitch.budgets.sliding_window import SlidingWindow
 from softswitch.standin.faults.budget_simulation import BudgetWorld, address_of, even, play
 from softswitch.standin.faults.schedule import drawn
 
@@ -79,9 +80,9 @@
 
     votes, HEARD = False, 3_000.0
 
-    def __init__(self, plan, me, boot, seed, now):
-        self.plan, self.me, self.heard_at, self.next = plan, me, {}, now
-        self.holder = type("None", (), {"fresh": False})()
+    def __init__(self, plan, address, boot, seed, now):
+        self.plan, self.address, self.heard_at, self.next = plan, address, {}, now
+        self.holder = type("None", (), {"has_no_lease": True})()
 
     def next_at(self):
         return self.next
@@ -90,20 +91,24 @@
         if now < self.next:
             return []
         self.next = now + 1_000.0
-        return [lease_client.Say(m, Promised(self.me, (1, 1), 1)) for m in self.plan.members if m != self.me]
+        return [
+            lease_client.SendMessage(m, Promise(self.address, (1, 1), 1))
+            for m in self.plan.members
+            if m != self.address
+        ]
 
-    def heard(self, now, message):
+    def message_received(self, now, message):
         self.heard_at[message.voter] = now
         return []
 
     def held(self, now, name):
         count = 1 + sum(now - at < self.HEARD for at in self.heard_at.values())
-        return self.plan.by_name[name].whole // count
+        return self.plan.by_name[name].total // count
 
-    def needs(self, now, needs):
+    def set_needs(self, now, needs):
         pass
 
-    def leave(self, now):
+    def stop(self, now):
         return []
 
 
@@ -126,44 +131,44 @@
         setattr(owner, name, made(old))
         return lambda: setattr(owner, name, old)
 
-    def after_start(old):
-        def init(self, plan, me, voters, now):
-            old(self, plan, me, voters, now)
+    def promises_after_start(old):
+        def init(self, plan, address, voters_digest, now):
+            old(self, plan, address, voters_digest, now)
             self.until = 0.0
 
         return init
 
     def promises_all(old):
-        def asked(self, now, ask):
+        def promise_requested(self, now, request):
             self.until = 0.0
-            return old(self, now, ask)
+            return old(self, now, request)
 
-        return asked
+        return promise_requested
 
     def any_number(old):
-        def promised(self, now, said):
-            found = self.rounds.get(said.round)
+        def promise_received(self, now, promise):
+            found = self.rounds.get(promise.round)
             if found is not None:
-                found[1].update(self.plan.voters)
-            return old(self, now, said)
+                found.voters.update(self.plan.voters)
+            return old(self, now, promise)
 
-        return promised
+        return promise_received
 
     def from_answer(old):
-        def promised(self, now, said):
-            found = self.rounds.get(said.round)
+        def promise_received(self, now, promise):
+            found = self.rounds.get(promise.round)
             if found is not None:
-                self.rounds[said.round] = (now + self.plan.promise / 2, found[1])
-            return old(self, now, said)
+                found.sent_at = now + self.plan.promise / 2
+            return old(self, now, promise)
 
-        return promised
+        return promise_received
 
     def never_asks_clock(old):
-        return lambda self, now: self.office != (0, 0)
+        return lambda self, now: self.epoch != NO_EPOCH
 
     def any_basis(old):
         def granted(self, now, grant):
-            self.last = grant.basis
+            self.last_grant = grant.basis
             return old(self, now, grant)
 
         return granted
@@ -176,83 +181,83 @@
 
         return granted
 
-    def any_life(old):
+    def any_start(old):
         def granted(self, now, grant):
             self.sent.setdefault(grant.seq, now)
-            return old(self, now, replace_struct(grant, boot=self.boot, basis=self.last))
+            return old(self, now, replace_struct(grant, boot=self.boot, basis=self.last_grant))
 
         return granted
 
-    def keeps_on(old):
-        return lambda self, now, name: 0 if self.leaving else self.parts.get(name, 0)
+    def holds_on(old):
+        return lambda self, now, name: 0 if self.stopping else self.slots.get(name, 0)
 
-    def no_rest(old):
+    def no_cooldown(old):
         return lambda self, budget: 0.0
 
-    def own_lease(old):
+    def lease_bound_too_short(old):
         return property(lambda self: self.lease * 0.7)
 
     def no_echo(old):
-        def wanted(self, now, want):
-            return old(self, now, replace_struct(want, office=self.office))
+        def lease_requested(self, now, request):
+            return old(self, now, replace_struct(request, epoch=self.epoch))
 
-        return wanted
+        return lease_requested
 
-    def settles(old):
+    def always_over(old):
         return lambda self, now, name: True
 
-    def trusts_held(old):
-        def wanted(self, now, want):
-            lines = tuple(replace_struct(line, held=line.held or 20) for line in want.lines)
-            return old(self, now, replace_struct(want, lines=lines))
+    def trusts_leased(old):
+        def lease_requested(self, now, request):
+            budgets = tuple(replace_struct(asked, leased=asked.leased or 20) for asked in request.budgets)
+            return old(self, now, replace_struct(request, budgets=budgets))
 
-        return wanted
+        return lease_requested
 
-    def last_debt(old):
-        def owe(self, now, account, id, parts):
-            account.debts.clear()
-            old(self, now, account, id, parts)
+    def last_grant_only(old):
+        def add_grant(self, now, holder, id_, slots):
+            holder.grants.clear()
+            old(self, now, holder, id_, slots)
 
-        return owe
+        return add_grant
 
     def no_floors(old):
-        return lambda self, name: self.bound[name][0]
+        return lambda self, name: self.limits[name].total
 
-    def two_lives(old):
-        def heard(self, now, want, number):
-            for key in [k for k in self.accounts if k[0] == want.address and k[1] != want.boot]:
-                account = self.accounts.pop(key)
-                for name, n in account.out.items():
-                    self.out[name] -= n
-            return old(self, now, want, number)
+    def write_off(ledger, key):
+        for name, slots in ledger.holders.pop(key).leased.items():
+            ledger.leased[name] -= slots
 
-        return heard
+    def restart_ends_all(old):
+        def request_received(self, now, request, epoch_number):
+            for key in [k for k in self.holders if k[0] == request.address and k[1] != request.boot]:
+                write_off(self, key)
+            return old(self, now, request, epoch_number)
 
-    def forgets(old):
+        return request_received
+
+    def forgets_the_silent(old):
         def sweep(self, now):
-            for key, account in list(self.accounts.items()):
-                if now - account.heard > 1_000.0:
-                    for name, n in account.out.items():
-                        self.out[name] -= n
-                    del self.accounts[key]
+            for key, holder in list(self.holders.items()):
+                if now - holder.last_request_at > 1_000.0:
+                    write_off(self, key)
             old(self, now)
 
         return sweep
 
-    def whole_target(old):
+    def all_available(old):
         return lambda self, now, name: 1_000_000
 
-    def keeps_books(old):
-        def free(self, now, name):
+    def a_few_more(old):
+        def available(self, now, name):
             return old(self, now, name) + 5
 
-        return free
+        return available
 
     def rounds_up(old):
-        return lambda whole, needs, weights: [p + 1 for p in old(whole, needs, weights)]
+        return lambda total, needs, weights: [part + 1 for part in old(total, needs, weights)]
 
     def floor_at_once(old):
-        return lambda self, now, name: self.plan.floor_of(name, self.me)
+        return lambda self, now, name: self.plan.floor_of(name, self.address)
 
     def loses_uses(old):
         def used(self, now):
@@ -260,33 +265,38 @@
 
         return used
 
-    return {
-        "a voter that started anew promises at once": lambda: patch(voter.Voter, "__init__", after_start),
-        "a voter promises itself to two": lambda: patch(voter.Voter, "asked", promises_all),
-        "one promise is a majority": lambda: patch(allocator.Candidate, "promised", any_number),
-        "an office counts from the answer, not the question": lambda: patch(
-            allocator.Candidate, "promised", from_answer
+    allocator_class, ledger_class = allocator.Allocator, ledger.Ledger
+    holder_class = lease_holder.LeaseHolder
+    faults = {
+        "a voter that started anew promises at once": (voter.Voter, "__init__", promises_after_start),
+        "a voter promises itself to two": (voter.Voter, "promise_requested", promises_all),
+        "one promise is a majority": (allocator_class, "promise_received", any_number),
+        "an office counts from the answer, not the question": (
+            allocator_class,
+            "promise_received",
+            from_answer,
         ),
-        "an office never ends by its clock": lambda: patch(allocator.Candidate, "holds", never_asks_clock),
-        "a grant replaces whatever is held": lambda: patch(lease_holder.Holder, "granted", any_basis),
-        "a part runs from its arrival": lambda: patch(lease_holder.Holder, "granted", from_arrival),
-        "a grant of a life before is taken": lambda: patch(lease_holder.Holder, "granted", any_life),
-        "a part is held after its time": lambda: patch(lease_holder.Holder, "leased", keeps_on),
-        "freed slots do not rest": lambda: patch(plan.Plan, "rests", no_rest),
-        "leases are written off early": lambda: patch(plan.Plan, "owed", own_lease),
-        "a renewal needs no echo of the office": lambda: patch(allocator.Candidate, "wanted", no_echo),
-        "a new office grants at once": lambda: patch(allocator.Books, "settled", settles),
-        "a holder is believed whatever it says": lambda: patch(allocator.Candidate, "wanted", trusts_held),
-        "only the last grant is in the books": lambda: patch(allocator.Books, "owe", last_debt),
-        "floors are left out of the sum": lambda: patch(allocator.Books, "leasable", no_floors),
-        "a restart ends what the life before holds": lambda: patch(allocator.Books, "heard", two_lives),
-        "who is silent is written off": lambda: patch(allocator.Books, "sweep", forgets),
-        "all is free": lambda: patch(allocator.Books, "free", whole_target),
-        "a few more are free": lambda: patch(allocator.Books, "free", keeps_books),
-        "parts are rounded up": lambda: patch(allocator, "divided", rounds_up),
-        "a restart has its floor at once": lambda: patch(lease_holder.Holder, "floor", floor_at_once),
-        "one use in ten is not counted": lambda: patch(Window, "used", loses_uses),
+        "an office never ends by its clock": (allocator_class, "is_leader", never_asks_clock),
+        "a grant replaces whatever is held": (holder_class, "granted", any_basis),
+        "a part runs from its arrival": (holder_class, "granted", from_arrival),
+        "a grant of a life before is taken": (holder_class, "granted", any_start),
+        "a part is held after its time": (holder_class, "leased", holds_on),
+        "freed slots do not rest": (plan.Plan, "cooldown", no_cooldown),
+        "leases are written off early": (plan.Plan, "lease_bound", lease_bound_too_short),
+        "a renewal needs no echo of the office": (allocator_class, "lease_requested", no_echo),
+        "a new office grants at once": (ledger_class, "earlier_epoch_over", always_over),
+        "a holder is believed whatever it says": (allocator_class, "lease_requested", trusts_leased),
+        "only the last grant is in the books": (ledger_class, "add_grant", last_grant_only),
+        "floors are left out of the sum": (ledger_class, "leasable", no_floors),
+        "a restart ends what the life before holds": (ledger_class, "request_received", restart_ends_all),
+        "who is silent is written off": (ledger_class, "sweep", forgets_the_silent),
+        "all is free": (ledger_class, "available", all_available),
+        "a few more are free": (ledger_class, "available", a_few_more),
+        "parts are rounded up": (ledger, "divide", rounds_up),
+        "a restart has its floor at once": (holder_class, "floor", floor_at_once),
+        "one use in ten is not counted": (SlidingWindow, "used", loses_uses),
     }
+    return {name: partial(patch, *fault) for name, fault in faults.items()}
 
 
 def replace_struct(struct, **changes):
@@ -373,7 +383,7 @@
     """Each has the same fixed part, whatever happens."""
 
     def held(self, now, name):
-        return self.plan.by_name[name].whole // len(self.plan.members)
+        return self.plan.by_name[name].total // len(self.plan.members)
 
     def tick(self, now):
         self.next = now + 1_000.0
@@ -418,7 +428,7 @@
             for share, moves in ((0.06, False), (0.25, False), (0.25, True)):
                 seen = [
                     mean(used(make, over, load, moves, share, seed) for seed in (1, 2))
-                    for make in (Keeper, Equal)
+                    for make in (LeaseClient, Equal)
                 ]
                 moving = ", another each 10 s" * moves
                 print(
@@ -463,7 +473,7 @@
         for _ in range(200_000):
             now += rng.expovariate(rate) * 1000
             times.append(now)
-        cells, exact, let, lets = Window(over), deque(), 0, 0
+        cells, exact, let, lets = SlidingWindow(over), deque(), 0, 0
         began = time.perf_counter()
         for at in times:
             if cells.used(at) < slots:
--- a/softswitch/budgets/lease_client.py
+++ b/softswitch/budgets/lease_client.py
@@ -1,4 +1,4 @@
-"""One member's part in the budgets of the fleet: it holds, it may vote, it may be the allocator.
+"""One member's part in the budgets of the fleet: it holds a lease, it may vote, it may be the allocator.
 
 Events in, actions out. `now` is a clock in ms that is never set and goes on while the machine sleeps.
 """
@@ -6,188 +6,240 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from enum import Enum
 from hashlib import blake2b
 from random import Random
 
-from softswitch.budgets.allocator import Candidate
-from softswitch.budgets.lease_holder import Holder
-from softswitch.budgets.messages import NOBODY, Ask, Denied, Grant, Message, Promised, See, Waive, Want
-from softswitch.budgets.plan import Plan
+from softswitch.budgets.allocator import Allocator
+from softswitch.budgets.lease_holder import LeaseHolder, Needs
+from softswitch.budgets.messages import (
+    NO_EPOCH,
+    EpochWithdrawn,
+    LeaseGrant,
+    LeaseRequest,
+    Message,
+    Promise,
+    PromiseDenied,
+    PromiseRequest,
+    Redirect,
+)
+from softswitch.budgets.plan import Budget, Plan
 from softswitch.budgets.voter import Voter
 
+DIGEST_SIZE = 7  # bytes
+PLAN_CHANGED_DELAY = 200.0  # ms before an allocator whose plan changed tries again
+
 
 @dataclass(frozen=True, slots=True)
-class Say:
+class SendMessage:
     """A message to this member."""
 
     to: str
     message: Message
 
 
+class NoticeKind(Enum):
+    """What operators are told of. The values are in the log."""
+
+    ELECTED = "office taken"
+    DEPOSED = "office lost"
+    AT_THE_FLOOR = "at the floor"
+    GRANTED_AGAIN = "granted again"
+    TOTAL_LOWERED = "whole lowered"
+
+
 @dataclass(frozen=True, slots=True)
-class Note:
-    """For operators. `what`: 'office taken' or 'lost', 'at the floor', 'granted again', 'whole lowered'."""
+class Notice:
+    """For operators."""
 
-    what: str
+    kind: NoticeKind
     why: str = ""
 
 
-Act = Say | Note
+Action = SendMessage | Notice
 
 
 def voters_digest(plan: Plan) -> int:
-    """Of all that voters must agree on: who they are, and the times that the proof of one office rests on."""
-    said = f"{sorted(plan.voters)} {plan.promise} {plan.lease} {plan.drift}".encode()
-    return int.from_bytes(blake2b(said, digest_size=7).digest(), "big")
-
-
-class Keeper:
-    def __init__(self, plan: Plan, me: str, boot: int, seed: int, now: float) -> None:
-        self.plan, self.me = plan, me
-        rng, voters = Random(seed), voters_digest(plan)
-        self.votes = me in plan.voters
-        self.voter = Voter(plan, me, voters, now)
-        self.candidate = Candidate(plan, me, voters, rng, now)
-        self.holder = Holder(plan, me, boot, rng, now)
-        self.acts: list[Act] = []
-        self.own: list[Message] = []  # what it says to itself
-        self.was = False  # in office, as told last
-        self.low = True  # at its floor, as told last
-        self.bound = {b.name: b.whole for b in plan.budgets}  # the lowest wholes, as told last
+    """Of all that voters must agree on: who they are, and the times that the proof of one allocator rests
+    on.
+    """
+    agreed = f"{sorted(plan.voters)} {plan.promise} {plan.lease} {plan.drift}".encode()
+    return int.from_bytes(blake2b(agreed, digest_size=DIGEST_SIZE).digest(), "big")
+
+
+class LeaseClient:
+    """The holder, and where this member votes the voter and the allocator beside it."""
+
+    def __init__(self, plan: Plan, address: str, boot: int, seed: int, now: float) -> None:
+        self.plan = plan
+        self.address = address
+        rng, digest = Random(seed), voters_digest(plan)
+        self.votes = address in plan.voters
+        self.voter = Voter(plan, address, digest, now)
+        self.allocator = Allocator(plan, address, digest, rng, now)
+        self.holder = LeaseHolder(plan, address, boot, rng, now)
+        self._actions: list[Action] = []
+        self._own_messages: list[Message] = []  # what it sends itself
+        # As operators were told last:
+        self._was_leader = False
+        self._was_at_the_floor = True
+        self._totals = {budget.name: budget.total for budget in plan.budgets}
 
     # time
 
     def next_at(self) -> float:
         """When `tick` is to be called next, at the latest."""
-        due = [self.holder.next_want]
-        if not self.holder.fresh:
+        due = [self.holder.next_request]
+        if not self.holder.has_no_lease:
             due.append(self.holder.until)
         if self.votes:
-            due.append(self.candidate.next_at())
+            due.append(self.allocator.next_at())
         return min(due)
 
-    def tick(self, now: float) -> list[Act]:
-        if self.votes and not self.holder.leaving:
-            for message in self.candidate.tick(now, self.voter.promised(now)):
-                self._to_voters(message)
-        self._office(now)
-        if now >= self.holder.next_want and not self.holder.leaving:
-            self._say(*self.holder.want(now))
-        return self._take(now)
+    def tick(self, now: float) -> list[Action]:
+        """Time went on."""
+        if self.votes and not self.holder.stopping:
+            for message in self.allocator.tick(now, self.voter.promised_to(now)):
+                self._send_to_voters(message)
+        self._note_leadership(now)
+        if now >= self.holder.next_request and not self.holder.stopping:
+            self._send(*self.holder.request(now))
+        return self._take_actions(now)
 
     # what goes out
 
-    def _say(self, to: str, message: Message) -> None:
-        if to == self.me:
-            self.own.append(message)
+    def _send(self, to: str, message: Message) -> None:
+        if to == self.address:
+            self._own_messages.append(message)
         else:
-            self.acts.append(Say(to, message))
+            self._actions.append(SendMessage(to, message))
 
-    def _to_voters(self, message: Message) -> None:
+    def _send_to_voters(self, message: Message) -> None:
         for voter in self.plan.voters:
-            self._say(voter, message)
-
-    def _take(self, now: float) -> list[Act]:
-        while self.own:
-            self._heard(now, self.own.pop(0))
-        if self.holder.lapsed(now) and not self.low:
-            self.low = True
-            self.acts.append(Note("at the floor", "no allocator was heard for a whole lease"))
-        acts, self.acts = self.acts, []
-        return acts
-
-    def _office(self, now: float) -> None:
-        holds = self.candidate.holds(now)
-        if holds != self.was:
-            self.was = holds
-            self.acts.append(Note("office taken" if holds else "office lost", f"term {self.candidate.term}"))
-        if holds:
-            for name, (whole, _) in self.candidate.books.bound.items():
-                if whole < self.bound.get(name, 0):
-                    self.acts.append(Note("whole lowered", f"{name}: {whole} slots by another member's file"))
-                self.bound[name] = whole
+            self._send(voter, message)
+
+    def _note(self, kind: NoticeKind, why: str) -> None:
+        self._actions.append(Notice(kind, why))
+
+    def _take_actions(self, now: float) -> list[Action]:
+        while self._own_messages:
+            self._handle(now, self._own_messages.pop(0))
+        if self.holder.expired(now) and not self._was_at_the_floor:
+            self._was_at_the_floor = True
+            self._note(NoticeKind.AT_THE_FLOOR, "no allocator was heard for a whole lease")
+        actions, self._actions = self._actions, []
+        return actions
+
+    def _note_leadership(self, now: float) -> None:
+        leader = self.allocator.is_leader(now)
+        if leader != self._was_leader:
+            self._was_leader = leader
+            kind = NoticeKind.ELECTED if leader else NoticeKind.DEPOSED
+            self._note(kind, f"term {self.allocator.term}")
+        if not leader:
+            return
+        for name, limits in self.allocator.ledger.limits.items():
+            if limits.total < self._totals.get(name, 0):
+                why = f"{name}: {limits.total} slots by another member's file"
+                self._note(NoticeKind.TOTAL_LOWERED, why)
+            self._totals[name] = limits.total
 
     # what comes in
 
-    def heard(self, now: float, message: Message) -> list[Act]:
-        self._heard(now, message)
-        return self._take(now)
-
-    def _heard(self, now: float, message: Message) -> None:
-        if isinstance(message, Want):
-            self._wanted(now, message)
-        elif isinstance(message, Grant):
-            if self.holder.granted(now, message) and self.low:
-                self.low = False
-                self.acts.append(Note("granted again", f"by {message.at}"))
-        elif isinstance(message, See):
-            self.holder.seen(now, message)
-            if now >= self.holder.next_want and not self.holder.leaving:
-                self._say(*self.holder.want(now))
-        elif not self.votes:
-            return
-        elif isinstance(message, Ask):
+    def message_received(self, now: float, message: Message) -> list[Action]:
+        """Another member sent this."""
+        self._handle(now, message)
+        return self._take_actions(now)
+
+    def _handle(self, now: float, message: Message) -> None:
+        if isinstance(message, LeaseRequest):
+            self._lease_requested(now, message)
+        elif isinstance(message, LeaseGrant):
+            self._granted(now, message)
+        elif isinstance(message, Redirect):
+            self._redirected(now, message)
+        elif self.votes:
+            self._handle_as_voter(now, message)
+
+    def _handle_as_voter(self, now: float, message: Message) -> None:
+        if isinstance(message, PromiseRequest):
             if message.address in self.plan.voters:
-                self.candidate.term = max(self.candidate.term, message.office[0])
-                self._say(message.address, self.voter.asked(now, message))
-        elif isinstance(message, Promised):
-            if self.candidate.promised(now, message):
-                self._office(now)
-        elif isinstance(message, Denied):
-            self.candidate.refused(message)
-        elif isinstance(message, Waive):
-            self.voter.released(message)
-
-    def _wanted(self, now: float, want: Want) -> None:
-        if self.votes and self.candidate.holds(now):
-            answer = self.candidate.wanted(now, want)
+                self.allocator.term = max(self.allocator.term, message.epoch[0])
+                self._send(message.address, self.voter.promise_requested(now, message))
+        elif isinstance(message, Promise):
+            if self.allocator.promise_received(now, message):
+                self._note_leadership(now)
+        elif isinstance(message, PromiseDenied):
+            self.allocator.denial_received(message)
+        elif isinstance(message, EpochWithdrawn):
+            self.voter.epoch_withdrawn(message)
+
+    def _granted(self, now: float, grant: LeaseGrant) -> None:
+        if self.holder.granted(now, grant) and self._was_at_the_floor:
+            self._was_at_the_floor = False
+            self._note(NoticeKind.GRANTED_AGAIN, f"by {grant.allocator}")
+
+    def _redirected(self, now: float, message: Redirect) -> None:
+        self.holder.redirected(now, message)
+        if now >= self.holder.next_request and not self.holder.stopping:
+            self._send(*self.holder.request(now))
+
+    def _lease_requested(self, now: float, request: LeaseRequest) -> None:
+        if not self.votes:
+            return
+        if self.allocator.is_leader(now):
+            answer = self.allocator.lease_requested(now, request)
             if answer is not None:
-                self._say(want.address, answer)
-        elif self.votes:
-            at = self.voter.promised(now)
-            if at and at != self.me and not want.back:
-                self._say(want.address, See(NOBODY, at))
+                self._send(request.address, answer)
+            return
+        allocator = self.voter.promised_to(now)
+        if allocator and allocator != self.address and not request.returns_all:
+            self._send(request.address, Redirect(NO_EPOCH, allocator))
 
     # what this process needs, and holds
 
-    def needs(self, now: float, needs: dict[str, tuple[int, float]]) -> None:
-        self.holder.need(now, needs)
+    def set_needs(self, now: float, needs: Needs) -> None:
+        """What this process would spend."""
+        self.holder.set_needs(now, needs)
 
     def held(self, now: float, name: str) -> int:
         """Slots that it may use at this instant, floor and all."""
         return self.holder.held(now, name)
 
-    def leave(self, now: float) -> list[Act]:
-        """A planned stop: all goes back at once; an allocator's office ends with its promises."""
-        if not self.holder.leaving:
-            self.holder.leaving = True
-            self._say(*self.holder.want(now, back=True))
-            if self.candidate.asking != NOBODY:
-                given_up = self.candidate.asking
-                self.candidate.office = self.candidate.asking = NOBODY
-                self._to_voters(Waive(given_up))
-        return self._take(now)
-
-    def now_is(self, now: float, plan: Plan) -> list[Act]:
-        """Another file holds from now on. Wholes change at once, and floors that fall. What a budget is, a
-        floor that rises, who votes and the times change at the next start only: they are what slots were
-        counted by that are out.
+    def stop(self, now: float) -> list[Action]:
+        """A planned stop: all goes back at once; an allocator's epoch ends with its promises."""
+        if not self.holder.stopping:
+            self.holder.stopping = True
+            self._send(*self.holder.request(now, returns_all=True))
+            self._resign()
+        return self._take_actions(now)
+
+    def _resign(self) -> None:
+        withdrawn = self.allocator.resign()
+        if withdrawn != NO_EPOCH:
+            self._send_to_voters(EpochWithdrawn(withdrawn))
+
+    def change_plan(self, now: float, plan: Plan) -> list[Action]:
+        """Another file holds from now on. Totals change at once, and floors that fall.
+
+        What a budget is, a floor that rises, who votes and the times change at the next start only: they are
+        what slots were counted by that are leased.
         """
-        budgets = []
-        for new in plan.budgets:
-            old = self.plan.by_name.get(new.name)
-            if old is None:
-                budgets.append(replace(new, floor=0))
-            elif replace(new, whole=old.whole, floor=old.floor) != old:
-                budgets.append(old)
-            else:
-                budgets.append(replace(new, floor=min(new.floor, old.floor)))
-        self.plan = replace(self.plan, budgets=tuple(budgets))
-        self.holder.plan = self.voter.plan = self.candidate.plan = self.plan
-        if self.candidate.office != NOBODY:  # the books are of the old budgets: the office is given up
-            given_up = self.candidate.asking
-            self.candidate.office = self.candidate.asking = NOBODY
-            self.candidate.next_try = now + 200.0
-            self._to_voters(Waive(given_up))
-        self._office(now)
-        return self._take(now)
+        budgets = tuple(self._changed_budget(new) for new in plan.budgets)
+        self.plan = replace(self.plan, budgets=budgets)
+        self.holder.plan = self.plan
+        self.voter.plan = self.plan
+        self.allocator.plan = self.plan
+        if self.allocator.epoch != NO_EPOCH:  # the ledger is of the old budgets: the epoch is given up
+            self.allocator.next_campaign = now + PLAN_CHANGED_DELAY
+            self._resign()
+        self._note_leadership(now)
+        return self._take_actions(now)
+
+    def _changed_budget(self, new: Budget) -> Budget:
+        old = self.plan.by_name.get(new.name)
+        if old is None:
+            return replace(new, floor=0)
+        if replace(new, total=old.total, floor=old.floor) != old:
+            return old
+        return replace(new, floor=min(new.floor, old.floor))
--- a/softswitch/budgets/messages.py
+++ b/softswitch/budgets/messages.py
@@ -1,4 +1,7 @@
-"""What members say to each other about budgets. They travel inside the fleet's datagrams (`net/peers.py`)."""
+"""What members send each other about budgets, as typed messages inside the fleet's datagrams (`net/peers`).
+
+On the wire they are arrays with a numbered tag: names of types and fields may change, their order may not.
+"""
 
 from __future__ import annotations
 
@@ -8,86 +11,98 @@
 
 from softswitch.fleet.messages import Address, Digest, Whole
 
-MOST_BUDGETS = 16  # so many fit one datagram, whatever their names and figures
+MAX_BUDGETS = 16  # so many fit one datagram, whatever their names and figures
+MAX_DURATION = 600_000  # ms
+
 Name = Annotated[str, Meta(min_length=1, max_length=32)]
 Slots = Annotated[int, Meta(ge=0, le=10_000_000)]
-Office = tuple[Whole, Digest]  # term, and a number drawn for this office: no two offices are the same
-Id = tuple[Digest, Whole]  # of a grant: the office's number, and its place there
+Duration = Annotated[float, Meta(gt=0, le=MAX_DURATION)]  # ms
+Epoch = tuple[
+    Whole, Digest
+]  # an allocator's time in office: term, and a number drawn for it; none comes twice
+GrantId = tuple[Digest, Whole]  # the number of the allocator's epoch, and the grant's place in it
+NO_EPOCH: Epoch = (0, 0)
+NO_GRANT: GrantId = (0, 0)
 
 
-class Line(Struct, frozen=True, array_like=True):
+class BudgetRequest(Struct, frozen=True, array_like=True):
     """What a holder says of one budget. In slots."""
 
     name: Name
-    whole: Slots  # by its own file
+    total: Slots  # by its own file
     floor: Slots
-    held: Slots  # leased, not lapsed as it asks
+    leased: Slots  # not expired as it asks
     need: Slots  # of these it would use, floor and all
-    worth: Annotated[float, Meta(ge=0, le=1e9)] = 1.0  # of what it would spend on
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0  # priority weight of what it would spend on
 
 
-class Want(Struct, frozen=True, array_like=True, tag=1):
-    """A holder asks for its parts anew. What is granted runs from when this was sent."""
+class LeaseRequest(Struct, frozen=True, array_like=True, tag=1):
+    """A holder asks for its lease anew. What is granted runs from when this was sent."""
 
     address: Address
     boot: Digest
     seq: Whole
-    office: Office  # the one heard of last; an answer that echoes it was sent after the office began
-    basis: Id  # the grant that is held, or was last
-    lines: Annotated[tuple[Line, ...], Meta(max_length=MOST_BUDGETS)]
-    back: bool = False  # it gives all back, and spends nothing of it any more
+    epoch: Epoch  # the one heard of last; an answer that echoes it was sent after the epoch began
+    basis: GrantId  # the grant that is held, or was last
+    budgets: Annotated[tuple[BudgetRequest, ...], Meta(max_length=MAX_BUDGETS)]
+    returns_all: bool = False  # it spends nothing of its lease any more
 
 
-class Grant(Struct, frozen=True, array_like=True, tag=2):
+class LeaseGrant(Struct, frozen=True, array_like=True, tag=2):
     """The allocator's answer. It holds only where `basis` is still what the holder has."""
 
     boot: Digest
     seq: Whole
-    office: Office
-    at: Address  # of the allocator
-    id: Id
-    basis: Id
-    parts: Annotated[tuple[tuple[Name, Slots], ...], Meta(max_length=MOST_BUDGETS)]
-    lease: Annotated[float, Meta(gt=0, le=600_000)]  # ms from when the want was sent
-    again: Annotated[float, Meta(gt=0, le=600_000)]  # ms until the next want is of use
+    epoch: Epoch
+    allocator: Address
+    id: GrantId
+    basis: GrantId
+    slots: Annotated[tuple[tuple[Name, Slots], ...], Meta(max_length=MAX_BUDGETS)]
+    duration: Duration  # from when the request was sent
+    renew_after: Duration  # until the next request is of use
+
 
+class Redirect(Struct, frozen=True, array_like=True, tag=3):
+    """The sender is not the allocator. `allocator`: who is, as far as it has promised; empty if nobody.
 
-class See(Struct, frozen=True, array_like=True, tag=3):
-    """I am not the allocator. `at`: who is, as far as I have promised; empty if nobody."""
+    An allocator answers with it too, where its holder has to hear of the epoch first.
+    """
 
-    office: Office
-    at: Annotated[str, Meta(max_length=21)]
+    epoch: Epoch
+    allocator: Annotated[str, Meta(max_length=21)]
 
 
-class Ask(Struct, frozen=True, array_like=True, tag=4):
-    """Promise yourself to this office."""
+class PromiseRequest(Struct, frozen=True, array_like=True, tag=4):
+    """A candidate asks a voter to promise itself to this epoch."""
 
     address: Address
-    office: Office
+    epoch: Epoch
     round: Whole
     voters: Digest  # of what voters have to agree on
 
 
-class Promised(Struct, frozen=True, array_like=True, tag=5):
+class Promise(Struct, frozen=True, array_like=True, tag=5):
+    """A voter has promised itself."""
+
     voter: Address
-    office: Office
+    epoch: Epoch
     round: Whole
 
 
-class Denied(Struct, frozen=True, array_like=True, tag=6):
+class PromiseDenied(Struct, frozen=True, array_like=True, tag=6):
+    """A voter has not promised itself."""
+
     voter: Address
-    office: Office  # that was asked for
+    epoch: Epoch  # that was asked for
     round: Whole
-    term: Whole  # the highest one heard of here
+    term: Whole  # the highest one heard of there
     why: Annotated[str, Meta(max_length=160)]
 
 
-class Waive(Struct, frozen=True, array_like=True, tag=7):
-    """The candidate counts on no promise of this office any more."""
+class EpochWithdrawn(Struct, frozen=True, array_like=True, tag=7):
+    """The candidate counts on no promise of this epoch any more."""
 
-    office: Office
+    epoch: Epoch
 
 
-Message = Want | Grant | See | Ask | Promised | Denied | Waive
-NOBODY: Office = (0, 0)
-NOTHING: Id = (0, 0)
+Message = LeaseRequest | LeaseGrant | Redirect | PromiseRequest | Promise | PromiseDenied | EpochWithdrawn
--- a/softswitch/budgets/spending.py
+++ b/softswitch/budgets/spending.py
@@ -1,7 +1,7 @@
 """What this process may spend now, what it spent, and what it would. Fulfils `interface.Constraints`.
 
-The module asks before it decides, and says what it did. The clock is handed in and read at each question: a
-process that was stopped in the middle of its work must not spend on by a time from before.
+The module asks before it decides, and reports what it did. The clock is handed in and read at each question:
+a process that was stopped in the middle of its work must not spend on by a time from before.
 """
 
 from __future__ import annotations
@@ -9,169 +9,196 @@
 from collections.abc import Callable
 from math import ceil, exp, sqrt
 
-from softswitch.budgets.plan import SHARED, SHARES, Budget, Plan
-from softswitch.budgets.sliding_window import Window
+from softswitch.budgets.lease_holder import Need, Needs
+from softswitch.budgets.plan import CALLS, RETRIES, SHARES, Budget, Plan
+from softswitch.budgets.sliding_window import SlidingWindow
 
-QUICK, SLOW = 1_500.0, 10_000.0  # ms; two means of what is asked for
-CHANGED = 3.0  # standard deviations of the quick mean from the slow one, from which on the load has moved
+FAST, SLOW = 1_500.0, 10_000.0  # ms; two means of the load
+LOAD_MOVED = 3.0  # standard deviations of the fast mean from the slow one, from which on the load has moved
+WEIGHT_SMOOTHING = 20
+MIN_SHARE_LOAD = 0.05  # calls in SLOW ms below which no share is needed
+MIN_SLOT_LOAD = 0.02  # slots below which none is needed
+MIN_SHARE_WEIGHT = 1e-3
 
 
-class Offered:
-    """How much is asked for, and its mean worth. A slow mean, so that what comes unevenly by itself moves no
-    parts; once the quick one differs by more than that can explain, the load has moved, and it holds.
+class OfferedLoad:
+    """How much is asked for, and its mean weight.
+
+    A slow mean, so that what comes unevenly by itself moves no slots; once the fast one differs by more than
+    that can explain, the load has moved, and the fast one holds.
     """
 
-    __slots__ = ("at", "quick", "slow", "worth")
+    __slots__ = ("fast", "slow", "updated_at", "weight")
 
     def __init__(self, now: float) -> None:
-        self.quick = self.slow = 0.0  # a ms
-        self.at, self.worth = now, 1.0
+        self.fast = 0.0  # per ms
+        self.slow = 0.0
+        self.updated_at = now
+        self.weight = 1.0
 
     def _age(self, now: float) -> None:
-        gap = now - self.at
-        if gap > 0:
-            self.quick *= exp(-gap / QUICK)
-            self.slow *= exp(-gap / SLOW)
-            self.at = now
-
-    def add(self, now: float, worth: float) -> None:
+        elapsed = now - self.updated_at
+        if elapsed > 0:
+            self.fast *= exp(-elapsed / FAST)
+            self.slow *= exp(-elapsed / SLOW)
+            self.updated_at = now
+
+    def add(self, now: float, weight: float) -> None:
+        """One more is asked for."""
         self._age(now)
-        self.quick += 1 / QUICK
+        self.fast += 1 / FAST
         self.slow += 1 / SLOW
-        self.worth += (worth - self.worth) / 20
+        self.weight += (weight - self.weight) / WEIGHT_SMOOTHING
 
     def rate(self, now: float) -> float:
-        """A ms."""
+        """Per ms."""
         self._age(now)
         # Such a mean of events that come by themselves has half the variance of their number in that time.
-        spread = CHANGED * sqrt(max(self.quick, self.slow) * QUICK / 2) + 1
-        if abs(self.quick - self.slow) * QUICK > spread:
-            self.slow = self.quick
+        spread = LOAD_MOVED * sqrt(max(self.fast, self.slow) * FAST / 2) + 1
+        if abs(self.fast - self.slow) * FAST > spread:
+            self.slow = self.fast
         return self.slow
 
 
-class Pocket:
+class BudgetUse:
     """One budget, as this process uses it."""
 
     def __init__(self, budget: Budget, now: float, drift: float) -> None:
         self.budget = budget
-        self.window = Window(budget.over * (1 + drift))
-        self.offered = Offered(now)
-        self.wanted = self.spent = self.refused = 0
-
-    def binds(self, what: str, klass: str, engine: str) -> bool:
+        self.window = SlidingWindow(budget.window * (1 + drift))
+        self.load = OfferedLoad(now)
+        self.wanted = 0
+        self.spent = 0
+        self.rejected = 0
+
+    def limits(self, resource: str, call_class: str, engine: str) -> bool:
+        """Whether the budget is one of that resource, for that class and engine."""
         b = self.budget
-        return b.what == what and b.klass in ("", klass) and b.engine in ("", engine)
+        return b.resource == resource and b.call_class in ("", call_class) and b.engine in ("", engine)
 
+    def spend(self, now: float) -> None:
+        """One slot is used."""
+        self.spent += 1
+        self.window.use(now)
 
-class Purse:
-    """Owner of the pockets. `held` tells the slots that are held at a time (floor and lease)."""
 
-    def __init__(self, plan: Plan, held: Callable[[float, str], int], clock: Callable[[], float]) -> None:
-        self.held, self.clock = held, clock
-        self.pockets: dict[str, Pocket] = {}
-        self.settle(plan)
+def _resource(retry: bool) -> str:
+    return RETRIES if retry else CALLS
 
-    def settle(self, plan: Plan) -> None:
-        """What was used stays used, whatever the file says now: a budget's window does not change."""
-        old, self.pockets = self.pockets, {}
-        for b in plan.budgets:
-            pocket = self.pockets[b.name] = old.get(b.name) or Pocket(b, self.clock(), plan.drift)
-            pocket.budget = b
-        self.first = [p for p in self.pockets.values() if p.budget.what == "set-ups" and not p.budget.engine]
-        self.each = [
-            p
-            for p in self.pockets.values()
-            if p.budget.what == "repeats" or (p.budget.what == "set-ups" and p.budget.engine)
-        ]
 
-    # what the module asks
+class Spending:
+    """Owner of the uses. `held` tells the slots that are held at a time (floor and lease)."""
 
-    def admit(self, klass: str, worth: float) -> float:
-        """A call comes. 0: it is let in, and counted as spent. Else ms until the budget that binds opens."""
+    def __init__(self, plan: Plan, held: Callable[[float, str], int], clock: Callable[[], float]) -> None:
+        self.held = held
+        self.clock = clock
+        self.uses: dict[str, BudgetUse] = {}  # by budget
+        self.of_calls: list[BudgetUse] = []  # asked as a call comes
+        self.of_attempts: list[BudgetUse] = []  # asked before each attempt
+        self.set_plan(plan)
+
+    def set_plan(self, plan: Plan) -> None:
+        """What was used stays used, whatever the file says now: a budget's window does not change."""
+        before, self.uses = self.uses, {}
+        for budget in plan.budgets:
+            use = before.get(budget.name) or BudgetUse(budget, self.clock(), plan.drift)
+            use.budget = budget
+            self.uses[budget.name] = use
+        self.of_calls = []
+        self.of_attempts = []
+        for use in self.uses.values():
+            if use.budget.resource == CALLS and not use.budget.engine:
+                self.of_calls.append(use)
+            elif use.budget.resource in (CALLS, RETRIES):
+                self.of_attempts.append(use)
+
+    # as `interface.Constraints`
+
+    def admit(self, call_class: str, priority_weight: float) -> float:
+        """Admits a call and counts it as spent: 0. Otherwise ms until the exhausted budget opens."""
         now, wait = self.clock(), 0.0
-        bound = [p for p in self.first if p.binds("set-ups", klass, "")]
-        for p in bound:
-            p.wanted += 1
-            p.offered.add(now, worth)
-            wait = max(wait, p.window.opens(now, self.held(now, p.budget.name)))
-        for p in bound:
+        limiting = [use for use in self.of_calls if use.limits(CALLS, call_class, "")]
+        for use in limiting:
+            use.wanted += 1
+            use.load.add(now, priority_weight)
+            wait = max(wait, use.window.opens_in(now, self.held(now, use.budget.name)))
+        for use in limiting:
             if wait:
-                p.refused += 1
+                use.rejected += 1
             else:
-                p.spent += 1
-                p.window.use(now)
-        for p in self.pockets.values():  # what cold engines and probes are asked for follows the calls
-            if p.budget.what in SHARED:
-                p.offered.add(now, worth)
+                use.spend(now)
+        for use in self.uses.values():  # what warming engines and probes are asked for follows the calls
+            if use.budget.is_share:
+                use.load.add(now, priority_weight)
         return wait
 
-    def may_attempt(self, klass: str, engine: str, repeat: bool) -> bool:
+    def may_attempt(self, call_class: str, server: str, retry: bool) -> bool:
         """Whether an attempt may go there now. Asked often; counts nothing."""
-        if not self.each:
+        if not self.of_attempts:
             return True
-        now = self.clock()
-        what = "repeats" if repeat else "set-ups"
+        now, resource = self.clock(), _resource(retry)
         return all(
-            p.window.used(now) < self.held(now, p.budget.name)
-            for p in self.each
-            if p.binds(what, klass, engine)
+            use.window.used(now) < self.held(now, use.budget.name)
+            for use in self.of_attempts
+            if use.limits(resource, call_class, server)
         )
 
-    def attempt_sent(self, klass: str, engine: str, repeat: bool) -> None:
+    def attempt_sent(self, call_class: str, server: str, retry: bool) -> None:
         """An attempt goes there."""
-        if self.each:
-            now = self.clock()
-            for p in self.each:
-                if p.binds("repeats" if repeat else "set-ups", klass, engine):
-                    p.spent += 1
-                    p.window.use(now)
-
-    def attempt_wanted(self, klass: str, repeat: bool, worth: float) -> None:
+        if not self.of_attempts:
+            return
+        now, resource = self.clock(), _resource(retry)
+        for use in self.of_attempts:
+            if use.limits(resource, call_class, server):
+                use.spend(now)
+
+    def attempt_wanted(self, call_class: str, retry: bool, priority_weight: float) -> None:
         """An attempt is wanted, at whichever engine; once for each."""
+        now, resource = self.clock(), _resource(retry)
+        for use in self.of_attempts:
+            if use.limits(resource, call_class, use.budget.engine):
+                use.wanted += 1
+                use.load.add(now, priority_weight)
+
+    def share(self, resource: str, server: str, default: float) -> float:
+        """The share of that engine's resource that is held now; `default`: no budget divides it."""
         now = self.clock()
-        for p in self.each:
-            if p.binds("repeats" if repeat else "set-ups", klass, p.budget.engine):
-                p.wanted += 1
-                p.offered.add(now, worth)
-
-    def share(self, what: str, engine: str, default: float) -> float:
-        """The share of what that engine can take of this that is held now; `default`: no budget binds it."""
-        found = None
-        for p in self.pockets.values():
-            if p.budget.what == what and p.budget.engine in ("", engine):
-                held = self.held(self.clock(), p.budget.name) / SHARES
-                found = held if found is None else min(found, held)
-        return default if found is None else found
+        shares = [
+            self.held(now, use.budget.name) / SHARES
+            for use in self.uses.values()
+            if use.budget.resource == resource and use.budget.engine in ("", server)
+        ]
+        return min(shares, default=default)
 
     # what is needed
 
-    def needs(self) -> dict[str, tuple[int, float]]:
+    def needs(self) -> Needs:
         """For each budget the slots that would be used, and the weight of this need among others."""
-        now, found = self.clock(), {}
-        for name, p in self.pockets.items():
-            rate = p.offered.rate(now)
-            if p.budget.what in SHARED:
-                # Everyone could use all of it: it is divided by how much each has to do.
-                found[name] = (SHARES if rate * SLOW > 0.05 else 0, max(1e-3, rate * 1_000.0))
-            else:
-                mean = rate * p.budget.over
-                found[name] = (ceil(mean) if mean > 0.02 else 0, p.offered.worth)
-        return found
-
-    def told(self) -> dict[str, dict[str, float | int]]:
-        """Figures, by budget."""
+        now = self.clock()
+        return {name: self._need(use, use.load.rate(now)) for name, use in self.uses.items()}
+
+    @staticmethod
+    def _need(use: BudgetUse, rate: float) -> Need:
+        if use.budget.is_share:
+            # Everyone could use all of it: it is divided by how much each has to do.
+            slots = SHARES if rate * SLOW > MIN_SHARE_LOAD else 0
+            return Need(slots, max(MIN_SHARE_WEIGHT, rate * 1_000.0))
+        mean = rate * use.budget.window
+        return Need(ceil(mean) if mean > MIN_SLOT_LOAD else 0, use.load.weight)
+
+    def report(self) -> dict[str, dict[str, float | int]]:
+        """Figures, by budget; the names are those of the page."""
         now = self.clock()
         return {
             name: {
-                "whole": p.budget.whole,
-                "floor": p.budget.floor,
+                "whole": use.budget.total,
+                "floor": use.budget.floor,
                 "held": self.held(now, name),
-                "in_use": p.window.used(now),
-                "wanted": p.wanted,
-                "spent": p.spent,
-                "refused": p.refused,
-                "over_ms": p.budget.over,
+                "in_use": use.window.used(now),
+                "wanted": use.wanted,
+                "spent": use.spent,
+                "refused": use.rejected,
+                "over_ms": use.budget.window,
             }
-            for name, p in self.pockets.items()
+            for name, use in self.uses.items()
         }
--- a/softswitch/cli/fleet.py
+++ b/softswitch/cli/fleet.py
@@ -273,13 +273,13 @@
         return []
     import msgspec
 
-    from softswitch.budgets.plan import plan_of
+    from softswitch.budgets.plan import make_plan
     from softswitch.operator.tables import Allocation, Budget
 
     try:
         found = msgspec.json.decode(Path(path).read_bytes(), type=tuple[Budget, ...])
         at = tuple(f"127.0.0.1:{n + 1}" for n in range(members))
-        plan_of(found, Allocation(members=at, voters=at[:1]))
+        make_plan(found, Allocation(members=at, voters=at[:1]))
         made: list[dict[str, Any]] = msgspec.to_builtins(found)
     except OSError as e:
         bad(f"{path}: can't be read: {e.strerror}")
--- a/softswitch/net/budgets.py
+++ b/softswitch/net/budgets.py
@@ -1,270 +1,319 @@
 """Budgets on the wire: inside the fleet's datagrams, and towards the module as its constraints.
 
-Nothing here decides: events go to `budgets.keeper.Keeper`, its actions are carried out. The clock is one that
-is never set and goes on while the machine sleeps, read anew for every event and every question of the module.
+Nothing here decides: events go to `budgets.lease_client.LeaseClient`, its actions are carried out. The clock
+is one that is never set and goes on while the machine sleeps, read anew for every event and every question of
+the module.
 """
 
 from __future__ import annotations
 
 import time
 from collections import deque
+from collections.abc import Iterable
 from random import SystemRandom
 from typing import Any
 
 import msgspec
 from loguru import logger
 
-from softswitch.budgets.lease_client import Keeper, Note, Say
+from softswitch import interface as i
+from softswitch.budgets.lease_client import Action, LeaseClient, Notice, NoticeKind, SendMessage
+from softswitch.budgets.lease_holder import NO_NEED
 from softswitch.budgets.messages import Message
-from softswitch.budgets.plan import BadPlan, plan_of
-from softswitch.budgets.spending import Purse
-from softswitch.components import ComponentCall, Host
+from softswitch.budgets.plan import CALLS, RETRIES, Plan, PlanError, make_plan
+from softswitch.budgets.spending import Spending
+from softswitch.components import Answer, ComponentCall, Host
 from softswitch.core.lifecycle import Phase
 from softswitch.net.peers import Peers
 
-PART = "budgets"
-NEEDS = 200.0  # ms between two times that the needs are looked at
-HALF = 0.5  # of the floors, while one process replaces the other
+CHANNEL = "budgets"  # of what the fleet's datagrams carry
+NEEDS_INTERVAL = 200.0  # ms between two times that the needs are looked at
+FLOOR_SHARE_OF_TWO = 0.5  # of the floors, while one process replaces the other
+MAX_SHOWN_HOLDERS = 1_000
+MAX_SHOWN_NAMES = 200  # characters
+BOOT_BITS, SEED_BITS = 62, 64
+WARNINGS = (NoticeKind.AT_THE_FLOOR, NoticeKind.DEPOSED, NoticeKind.TOTAL_LOWERED)
 
 
-def clock() -> float:
-    """Ms. Counts the time that the machine slept, and is never set."""
+def boot_time_ms() -> float:
+    """A clock that counts the time that the machine slept, and is never set."""
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
-class Floors:
-    """How much of its floors this process may use. They belong to the fleet's address: only who has bound it
-    has them. While one process replaces the other each has half. What is gained counts only after the slots
-    have rested that the other process may have used.
+class FloorShare:
+    """How much of its floors this process may use.
+
+    They belong to the fleet's address: only who has bound it has them. While one process replaces the other
+    each has half. What is gained counts only after the slots have cooled down that the other process may have
+    used.
     """
 
-    def __init__(self, now: float, longest: float) -> None:
-        self.longest = longest  # ms, the longest that slots of any budget rest
-        self.part = self.before = 0.0
+    def __init__(self, now: float, longest_cooldown: float) -> None:
+        self.longest_cooldown = longest_cooldown  # ms, of any budget
+        self.share = 0.0
+        self.share_before = 0.0
         self.since = now
 
-    def now_is(self, now: float, part: float) -> None:
-        if part != self.part:
-            self.before, self.part, self.since = self.of(now, self.longest), part, now
+    def set(self, now: float, share: float) -> None:
+        """This process has that share from now on."""
+        if share != self.share:
+            self.share_before = self.usable(now, self.longest_cooldown)
+            self.share = share
+            self.since = now
 
-    def of(self, now: float, rests: float) -> float:
-        return min(self.before, self.part) if now < self.since + rests else self.part
+    def usable(self, now: float, cooldown: float) -> float:
+        """The share of a budget's floor that may be used now."""
+        return min(self.share_before, self.share) if now < self.since + cooldown else self.share
 
 
-class Recorded(Purse):
+class RecordedSpending(Spending):
     """Keeps the time of the last spendings, for drills that add them up over all processes."""
 
-    kept: dict[str, deque[float]]
+    def __init__(self, plan: Plan, held: Any, clock: Any, limit: int) -> None:
+        self.limit = limit
+        self.times: dict[str, deque[float]] = {}
+        super().__init__(plan, held, clock)
+
+    def set_plan(self, plan: Plan) -> None:
+        """Keeps what was recorded."""
+        super().set_plan(plan)
+        for budget in plan.budgets:
+            self.times.setdefault(budget.name, deque(maxlen=self.limit))
 
-    def admit(self, klass: str, worth: float) -> float:
-        wait = super().admit(klass, worth)
+    def admit(self, call_class: str, priority_weight: float) -> float:
+        """As `Spending.admit`."""
+        wait = super().admit(call_class, priority_weight)
         if not wait:
-            for p in self.first:
-                if p.binds("set-ups", klass, ""):
-                    self.kept[p.budget.name].append(self.clock())
+            self._record(use.budget.name for use in self.of_calls if use.limits(CALLS, call_class, ""))
         return wait
 
-    def attempt_sent(self, klass: str, engine: str, repeat: bool) -> None:
-        super().attempt_sent(klass, engine, repeat)
-        for p in self.each:
-            if p.binds("repeats" if repeat else "set-ups", klass, engine):
-                self.kept[p.budget.name].append(self.clock())
+    def attempt_sent(self, call_class: str, server: str, retry: bool) -> None:
+        """As `Spending.attempt_sent`."""
+        super().attempt_sent(call_class, server, retry)
+        resource = RETRIES if retry else CALLS
+        self._record(use.budget.name for use in self.of_attempts if use.limits(resource, call_class, server))
+
+    def _record(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.times[name].append(self.clock())
 
 
 class Budgets:
-    """The part of a softswitch that holds its parts of the fleet's budgets. A `parts.Part`."""
+    """Holds this softswitch's part of the fleet's budgets. A `components.Component`."""
 
     def __init__(self, table: Any, host: Host, peers: Peers) -> None:
-        self.table, self.host, self.peers, self.wheel = table, host, peers, host.switch.wheel
-        self.allocation = allocation = host.tables.allocation
-        plan, draw = plan_of(table, allocation), SystemRandom()
-        now = clock()
-        self.me = peers.table.address
-        self.keeper = Keeper(plan, self.me, draw.getrandbits(62), draw.getrandbits(64), now)
-        self.floors = Floors(now, max(plan.rests(b) for b in plan.budgets))
-        self.purse = (Recorded if allocation.record else Purse)(plan, self.held, clock)
-        if isinstance(self.purse, Recorded):
-            self.purse.kept = {b.name: deque(maxlen=allocation.record) for b in plan.budgets}
-        self.encoder, self.decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
-        self.due = 0.0
-        self.garbage = self.unsent = 0
-        host.calls["/v1/budgets"] = ComponentCall("GET", self.asked)
-        if allocation.record:
-            host.calls["/v1/budgets/"] = ComponentCall("GET", self.spendings)
+        self.table = table
+        self.host = host
+        self.peers = peers
+        self.wheel = host.switch.wheel
+        self.allocation = host.tables.allocation
+        self.address: str = peers.table.address
+        plan, random, now = make_plan(table, self.allocation), SystemRandom(), boot_time_ms()
+        boot, seed = random.getrandbits(BOOT_BITS), random.getrandbits(SEED_BITS)
+        self.client = LeaseClient(plan, self.address, boot, seed, now)
+        self.floor_share = FloorShare(now, max(plan.cooldown(budget) for budget in plan.budgets))
+        self.spending = self._make_spending(plan)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(Message)
+        self.unreadable = 0
+        self.unsent = 0
+        self._due = 0.0  # when the next tick is due, by the wheel's clock
+        host.calls["/v1/budgets"] = ComponentCall("GET", self._report_budgets)
+        if self.allocation.record:
+            host.calls["/v1/budgets/"] = ComponentCall("GET", self._report_spendings)
+
+    def _make_spending(self, plan: Plan) -> Spending:
+        if self.allocation.record:
+            return RecordedSpending(plan, self.held, boot_time_ms, self.allocation.record)
+        return Spending(plan, self.held, boot_time_ms)
 
     # what is held
 
-    def _part(self, now: float) -> None:
+    def _update_floor_share(self, now: float) -> None:
         switch = self.host.switch
         if switch.peer_process is not None:
-            part = HALF
+            share = FLOOR_SHARE_OF_TWO
+        elif self.peers.port is not None:
+            share = switch.slow_start_share
         else:
-            part = switch.slow_start_share if self.peers.port is not None else 0.0
-        self.floors.now_is(now, part)
+            share = 0.0
+        self.floor_share.set(now, share)
 
     def held(self, now: float, name: str) -> int:
         """Slots that this process may use at this instant."""
-        self._part(now)
-        plan = self.keeper.plan
-        floor = int(self.keeper.holder.floor(now, name) * self.floors.of(now, plan.rests(plan.by_name[name])))
-        return floor + self.keeper.holder.leased(now, name)
+        self._update_floor_share(now)
+        plan, holder = self.client.plan, self.client.holder
+        usable = self.floor_share.usable(now, plan.cooldown(plan.by_name[name]))
+        return int(holder.floor(now, name) * usable) + holder.leased(now, name)
 
-    # as a part
+    # as a component
 
     def start(self) -> None:
-        self.peers.carried[PART] = self.heard
-        self.host.switch.lifecycle.on_change.append(self._phase)
-        self.host.switch.apply_constraints(self.purse)
-        plan = self.keeper.plan
+        """The softswitch starts."""
+        self.peers.receivers[CHANNEL] = self._message_received
+        self.host.switch.lifecycle.on_change.append(self._phase_changed)
+        self.host.switch.apply_constraints(self.spending)
+        plan = self.client.plan
         logger.info(
             "budgets: {}; {} voters, {}",
-            ", ".join(b.name for b in plan.budgets)[:200],
+            ", ".join(budget.name for budget in plan.budgets)[:MAX_SHOWN_NAMES],
             len(plan.voters),
-            "one of them" if self.keeper.votes else "not one of them",
+            "one of them" if self.client.votes else "not one of them",
         )
-        self._unknown_classes(self.host.settings)
-        self._needs()
+        self._warn_of_unknown_classes(self.host.settings)
+        self._update_needs()
         self._tick(self.wheel.now)
 
-    def reload(self, table: Any, settings: Any) -> str:
-        later = "allocation" if self.host.tables.allocation != self.allocation else ""
+    def reload(self, table: Any, settings: i.Settings) -> str:
+        """The operator file was read again."""
+        delayed = "allocation" if self.host.tables.allocation != self.allocation else ""
         if table is None:
             return "budgets"
-        self._unknown_classes(settings)
+        self._warn_of_unknown_classes(settings)
         try:
-            plan = plan_of(table, self.allocation)
-        except BadPlan as e:
+            plan = make_plan(table, self.allocation)
+        except PlanError as e:
             logger.error("budgets: not taken, the old ones stay: {}", e)
             return "budgets"
-        self._do(self.keeper.now_is(clock(), plan))
-        self.purse.settle(self.keeper.plan)
-        if isinstance(self.purse, Recorded):
-            for b in self.keeper.plan.budgets:
-                self.purse.kept.setdefault(b.name, deque(maxlen=self.allocation.record))
-        if self.keeper.plan != plan:
-            later += " and " * bool(later) + "what budgets count, or floors that rise,"
-        return later
-
-    def _unknown_classes(self, settings: Any) -> None:
+        self._carry_out(self.client.change_plan(boot_time_ms(), plan))
+        self.spending.set_plan(self.client.plan)
+        if self.client.plan != plan:
+            delayed += " and " * bool(delayed) + "what budgets count, or floors that rise,"
+        return delayed
+
+    def _warn_of_unknown_classes(self, settings: i.Settings) -> None:
         known = {c.name for c in settings.classes}
-        for b in self.host.tables.budgets:
-            if b.klass and b.klass not in known:
-                logger.warning("budgets: {} binds class {}, which the settings do not have", b.name, b.klass)
+        for budget in self.host.tables.budgets:
+            if budget.klass and budget.klass not in known:
+                logger.warning(
+                    "budgets: {} binds class {}, which the settings do not have", budget.name, budget.klass
+                )
 
     def figures(self) -> dict[str, Any]:
-        holder, candidate, now = self.keeper.holder, self.keeper.candidate, clock()
+        """At the management address."""
+        holder, allocator, now = self.client.holder, self.client.allocator, boot_time_ms()
         return {
-            "in_office": candidate.holds(now),
-            "allocator": holder.at,
-            "at_the_floor": holder.fresh,
-            "offices": candidate.offices,
-            "granted": candidate.granted,
-            "garbage": self.garbage,
+            "in_office": allocator.is_leader(now),
+            "allocator": holder.allocator,
+            "at_the_floor": holder.has_no_lease,
+            "offices": allocator.epochs_won,
+            "granted": allocator.granted,
+            "garbage": self.unreadable,
             "unsent": self.unsent,
-            **{what.replace(" ", "_"): n for what, n in holder.counts.items()},
-            "by_name": self.purse.told(),
+            **{name.replace(" ", "_"): count for name, count in holder.counts.items()},
+            "by_name": self.spending.report(),
         }
 
     def stop(self) -> None:
-        pass
+        """The process ends."""
 
-    def _phase(self, phase: Phase) -> None:
+    def _phase_changed(self, phase: Phase) -> None:
         if phase is Phase.STOPPING and self.peers.port is not None:
-            self._do(self.keeper.leave(clock()))
+            self._carry_out(self.client.stop(boot_time_ms()))
 
     # time
 
-    def _needs(self) -> None:
-        self.wheel.call_at(self.wheel.now + NEEDS, self._needs)
-        now = clock()
-        self._part(now)
-        self.keeper.needs(now, self.purse.needs())
-        self._arm(now)
+    def _update_needs(self) -> None:
+        self.wheel.call_after(NEEDS_INTERVAL, self._update_needs)
+        now = boot_time_ms()
+        self._update_floor_share(now)
+        self.client.set_needs(now, self.spending.needs())
+        self._schedule(now)
 
     def _tick(self, due: float) -> None:
-        if due != self.due and self.due > self.wheel.now:
+        if due != self._due and self._due > self.wheel.now:
             return
-        now = clock()
+        now = boot_time_ms()
         if self.peers.port is not None:  # another process speaks for this member while it has the address
-            self._do(self.keeper.tick(now))
-        self._arm(now)
-
-    def _arm(self, now: float) -> None:
-        wait = max(self.wheel.tick, self.keeper.next_at() - now)
-        due = self.wheel.now + (wait if self.peers.port is not None else NEEDS)
-        if due < self.due or self.due <= self.wheel.now:
-            self.due = due
+            self._carry_out(self.client.tick(now))
+        self._schedule(now)
+
+    def _schedule(self, now: float) -> None:
+        """Schedules the next tick; timers are not taken back, an obsolete one does nothing."""
+        wait = max(self.wheel.tick, self.client.next_at() - now)
+        due = self.wheel.now + (wait if self.peers.port is not None else NEEDS_INTERVAL)
+        if due < self._due or self._due <= self.wheel.now:
+            self._due = due
             self.wheel.call_at(due, self._tick, due)
 
     # the wire
 
-    def heard(self, body: bytes) -> None:
+    def _message_received(self, body: bytes) -> None:
         try:
             message = self.decoder.decode(body)
         except (msgspec.DecodeError, msgspec.ValidationError) as e:
-            self.garbage += 1
-            if self.garbage == 1:
+            self.unreadable += 1
+            if self.unreadable == 1:
                 logger.warning(
                     "budgets: a message that can't be read, dropped, and others like it: {:.120}", str(e)
                 )
             return
-        now = clock()
-        self._do(self.keeper.heard(now, message))
-        self._arm(now)
-
-    def _do(self, acts: list[Any]) -> None:
-        for act in acts:
-            if isinstance(act, Say):
-                self.unsent += not self.peers.carry(act.to, PART, self.encoder.encode(act.message))
-            elif isinstance(act, Note):
-                level = "WARNING" if act.what in ("at the floor", "office lost", "whole lowered") else "INFO"
-                logger.log(level, "budgets: {}: {}", act.what, act.why)
-
-    # what is told
-
-    def asked(self, rest: str) -> tuple[int, dict[str, Any]]:
-        """GET /v1/budgets"""
-        now, keeper = clock(), self.keeper
-        holder, candidate, plan = keeper.holder, keeper.candidate, keeper.plan
-        told = self.purse.told()
-        for b in plan.budgets:
-            need, weight = holder.needs.get(b.name, (0, 1.0))
-            told[b.name] |= {"leased": holder.leased(now, b.name), "need": need, "weight": weight}
-        office = candidate.holds(now)
+        now = boot_time_ms()
+        self._carry_out(self.client.message_received(now, message))
+        self._schedule(now)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendMessage):
+                sent = self.peers.carry(action.to, CHANNEL, self.encoder.encode(action.message))
+                self.unsent += not sent
+            elif isinstance(action, Notice):
+                level = "WARNING" if action.kind in WARNINGS else "INFO"
+                logger.log(level, "budgets: {}: {}", action.kind.value, action.why)
+
+    # management calls
+
+    def _report_budgets(self, rest: str) -> Answer:
+        """GET /v1/budgets."""
+        now, client = boot_time_ms(), self.client
+        holder, allocator = client.holder, client.allocator
+        leader = allocator.is_leader(now)
         view: dict[str, Any] = {
-            "me": self.me,
+            "me": self.address,
             "member": self.peers.member.me.name,
             "at_ms": now,
-            "in_office": office,
-            "allocator": holder.at,
-            "term": candidate.term,
+            "in_office": leader,
+            "allocator": holder.allocator,
+            "term": allocator.term,
             "lease_left_ms": max(0.0, holder.until - now),
-            "voters": list(plan.voters),
-            "denied": candidate.denied,
-            "budgets": told,
+            "voters": list(client.plan.voters),
+            "denied": allocator.last_denial,
+            "budgets": self._report_by_name(now),
         }
-        if office:
-            books = candidate.books
-            view["books"] = {
-                "bound": {name: whole for name, (whole, _) in books.bound.items()},
-                "out": books.out,
-                "resting": books.resting,
-                "holders": [
-                    {"address": a.address, "out": a.out, "need": a.need, "target": a.target}
-                    for a in list(books.accounts.values())[:1_000]
-                ],
-            }
+        if leader:
+            view["books"] = self._report_ledger()
         return 200, view
 
-    def spendings(self, rest: str) -> tuple[int, dict[str, Any]]:
+    def _report_by_name(self, now: float) -> dict[str, Any]:
+        holder = self.client.holder
+        report = self.spending.report()
+        for name, figures in report.items():
+            need = holder.needs.get(name, NO_NEED)
+            figures |= {"leased": holder.leased(now, name), "need": need.slots, "weight": need.weight}
+        return report
+
+    def _report_ledger(self) -> dict[str, Any]:
+        ledger = self.client.allocator.ledger
+        holders = list(ledger.holders.values())[:MAX_SHOWN_HOLDERS]
+        return {
+            "bound": {name: limits.total for name, limits in ledger.limits.items()},
+            "out": ledger.leased,
+            "resting": ledger.cooling_slots,
+            "holders": [
+                {"address": h.address, "out": h.leased, "need": h.needs, "target": h.targets} for h in holders
+            ],
+        }
+
+    def _report_spendings(self, rest: str) -> Answer:
         """GET /v1/budgets/NAME: when the last ones were, by the machine's clock since its start."""
-        kept = self.purse.kept.get(rest) if isinstance(self.purse, Recorded) else None
-        if kept is None:
+        times = self.spending.times.get(rest) if isinstance(self.spending, RecordedSpending) else None
+        if times is None:
             return 404, {"error": f"no budget {rest!r:.40}"}
-        return 200, {"me": self.me, "spent_ms": list(kept)}
+        return 200, {"me": self.address, "spent_ms": list(times)}
 
 
 def make(table: Any, host: Host) -> Budgets:
+    """The component of an operator file's table."""
     peers = host.components.get("fleet")
     if not isinstance(peers, Peers):
         raise ValueError("needs `fleet`: they are divided among its members")
--- a/softswitch/net/peers.py
+++ b/softswitch/net/peers.py
@@ -143,7 +143,7 @@
         self.count: Counter[str] = Counter()
         self.encoder = msgspec.msgpack.Encoder()
         self.datagrams = msgspec.msgpack.Decoder(Datagram | Carried)
-        self.carried: dict[str, Callable[[bytes], None]] = {}  # who takes what is carried for a part
+        self.receivers: dict[str, Callable[[bytes], None]] = {}  # who takes what is carried for a part
         self.streams = msgspec.msgpack.Decoder(Stream)
         self.lines: dict[Line, None] = {}
         self.port: Any = None  # where datagrams come
@@ -362,7 +362,7 @@
             return self.garbage(str(e))
         self.count["datagrams in"] += 1
         if isinstance(message, Carried):
-            takes = self.carried.get(message.part)
+            takes = self.receivers.get(message.part)
             if takes is not None and (message.fleet, message.format) == (self.table.name, FORMAT):
                 takes(message.body)
             return None
--- a/softswitch/operator/tables.py
+++ b/softswitch/operator/tables.py
@@ -143,6 +143,6 @@
             raise ValueError("`budgets` needs `fleet`: they are divided among its members")
         if self.allocation is None:
             raise ValueError("`budgets` needs `allocation`, with `voters` at least")
-        from softswitch.budgets.plan import plan_of  # its floors must not sum to more than the whole
+        from softswitch.budgets.plan import make_plan  # its floors must not sum to more than the whole
 
-        plan_of(self.budgets, self.allocation)
+        make_plan(self.budgets, self.allocation)
--- a/softswitch/standin/faults/budget_model.py
+++ b/softswitch/standin/faults/budget_model.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from softswitch.budgets.lease_client import Keeper, Say
+from softswitch.budgets.lease_client import LeaseClient, SendMessage
+from softswitch.budgets.lease_holder import Need
 from softswitch.budgets.plan import Budget, Plan
 from softswitch.standin.faults.budget_simulation import address_of
 
@@ -44,7 +45,7 @@
 @dataclass
 class State:
     now: float
-    keepers: list[Keeper]
+    clients: list[LeaseClient]
     rates: tuple[float, ...]
     on_way: list[tuple[int, Any]] = field(default_factory=list)
     hot: int = 0  # who has the load
@@ -75,33 +76,33 @@
         rates = tuple((1 + d, 1 - d, 1.0)[n % 3] for n in range(self.members))
         state = State(0.0, [], rates)
         for n in range(self.members):
-            state.keepers.append(self._made(state, n))
+            state.clients.append(self._made(state, n))
         self._load(state)
         return state
 
-    def _made(self, state: State, n: int) -> Keeper:
+    def _made(self, state: State, n: int) -> LeaseClient:
         state.boots += 1
-        made = Keeper(self.plan, address_of(n), state.boots, 1, state.clock(n))
+        made = LeaseClient(self.plan, address_of(n), state.boots, 1, state.clock(n))
         fixed: Any = Fixed(state.boots)
-        made.candidate.rng = made.holder.rng = fixed
-        made.candidate.next_try = state.clock(n) + self.plan.promise + 100.0 * n
+        made.allocator.rng = made.holder.rng = fixed
+        made.allocator.next_campaign = state.clock(n) + self.plan.promise + 100.0 * n
         return made
 
     def _load(self, state: State) -> None:
-        for n, keeper in enumerate(state.keepers):
+        for n, client in enumerate(state.clients):
             slots = 6 if n == state.hot else 1
-            keeper.needs(state.clock(n), {b.name: (slots, 1.0) for b in self.plan.budgets})
+            client.set_needs(state.clock(n), {b.name: Need(slots) for b in self.plan.budgets})
 
     def _do(self, state: State, acts: list[Any]) -> None:
         for act in acts:
-            if isinstance(act, Say):
+            if isinstance(act, SendMessage):
                 state.on_way.append((self.index[act.to], act.message))
         del state.on_way[:-MOST_ON_WAY]
 
     def choices(self, state: State) -> Iterator[tuple[str, int]]:
         yield "time", 0
-        for n, keeper in enumerate(state.keepers):
-            if keeper.next_at() <= state.clock(n):
+        for n, client in enumerate(state.clients):
+            if client.next_at() <= state.clock(n):
                 yield "tick", n
         for m in range(len(state.on_way)):
             yield "arrives", m  # one that never does is one that was lost
@@ -115,15 +116,15 @@
         if what == "time":
             state.now += STEP
         elif what == "tick":
-            self._do(state, state.keepers[n].tick(state.clock(n)))
+            self._do(state, state.clients[n].tick(state.clock(n)))
         elif what == "arrives":
             to, message = state.on_way.pop(n)
-            self._do(state, state.keepers[to].heard(state.clock(to), message))
+            self._do(state, state.clients[to].message_received(state.clock(to), message))
         elif what == "lost":
             state.on_way.pop(n)
         elif what == "ends":
             state.crashes += 1
-            state.keepers[n] = self._made(state, n)
+            state.clients[n] = self._made(state, n)
             self._load(state)
         else:
             state.moves += 1
@@ -132,24 +133,26 @@
         self.check(state)
 
     def check(self, state: State) -> None:
-        offices = [n for n, k in enumerate(state.keepers) if k.votes and k.candidate.holds(state.clock(n))]
+        offices = [
+            n for n, k in enumerate(state.clients) if k.votes and k.allocator.is_leader(state.clock(n))
+        ]
         if len(offices) > 1:
             self.broken = f"members {offices} are in office at once"
         for b in self.plan.budgets:
             total = 0
-            for n, keeper in enumerate(state.keepers):
-                now_held = keeper.held(state.clock(n), b.name)
+            for n, client in enumerate(state.clients):
+                now_held = client.held(state.clock(n), b.name)
                 past = state.held.setdefault((n, b.name), [])
                 # Between two looks it held what it did at the first, until it changed or lapsed.
                 past.append((state.now, now_held))
-                while len(past) > 1 and past[1][0] <= state.now - b.over:
+                while len(past) > 1 and past[1][0] <= state.now - b.window:
                     past.pop(0)
                 if len(past) > 2 and past[-1][1] == past[-2][1] == past[-3][1]:
                     past.pop(-2)
-                total += max(held for at, held in past if at > state.now - b.over)
-            if total > b.whole:
+                total += max(held for at, held in past if at > state.now - b.window)
+            if total > b.total:
                 self.broken = (
-                    f"{b.name}: {total} slots could be used in {b.over:.0f} ms, the whole is {b.whole}"
+                    f"{b.name}: {total} slots could be used in {b.window:.0f} ms, the whole is {b.total}"
                 )
 
     def calm(self, state: State, ms: float, without: tuple[int, ...] = ()) -> None:
@@ -158,7 +161,7 @@
         while state.now < until:
             for _ in range(12):
                 for n in range(self.members):
-                    if n not in without and state.keepers[n].next_at() <= state.clock(n):
+                    if n not in without and state.clients[n].next_at() <= state.clock(n):
                         self.step(state, "tick", n)
                 if not state.on_way:
                     break
@@ -181,7 +184,7 @@
         state.moves = 0
         self.calm(state, 250.0)
         made["the load has moved"] = pickle.loads(pickle.dumps(state))
-        first = [n for n, k in enumerate(state.keepers) if k.candidate.holds(state.clock(n))]
+        first = [n for n, k in enumerate(state.clients) if k.allocator.is_leader(state.clock(n))]
         self.calm(state, 700.0, tuple(first))
         made["the allocator is cut off"] = state
         return made
--- a/softswitch/standin/faults/budget_simulation.py
+++ b/softswitch/standin/faults/budget_simulation.py
@@ -16,10 +16,10 @@
 
 import msgspec
 
-from softswitch.budgets.lease_client import Keeper, Note, Say
-from softswitch.budgets.messages import Want
+from softswitch.budgets.lease_client import LeaseClient, Notice, NoticeKind, SendMessage
+from softswitch.budgets.messages import LeaseRequest
 from softswitch.budgets.plan import Plan
-from softswitch.budgets.spending import Purse
+from softswitch.budgets.spending import Spending
 from softswitch.standin.faults.links import Links, On
 from softswitch.standin.faults.schedule import Fault, selected
 
@@ -57,8 +57,8 @@
     address: str
     clock: Clock
     plan: Plan
-    keeper: Any = None
-    purse: Purse | None = None
+    client: Any = None
+    spending: Spending | None = None
     up: bool = False
     boots: int = 0
     stopped_until: float = 0.0
@@ -110,7 +110,7 @@
         seed: int,
         faults: Sequence[Fault] = (),
         demand: Demand | None = None,
-        make: Callable[..., Any] = Keeper,
+        make: Callable[..., Any] = LeaseClient,
         strict: bool = True,
         drift: float | None = None,
         late: float = LATE,
@@ -131,7 +131,7 @@
         self.by_address = {n.address: n for n in self.nodes.values()}
         self.spent = {b.name: Spent() for b in plan.budgets}
         self.uses: dict[str, deque[float]] = {b.name: deque() for b in plan.budgets}
-        self.wholes = {b.name: b.whole for b in plan.budgets}  # that bind now
+        self.wholes = {b.name: b.total for b in plan.budgets}  # that bind now
         self.log: list[tuple[float, str]] = []
         for name, node in self.nodes.items():
             self.at((joins or {}).get(name, self.rng.uniform(0, 300)), self._start, node)
@@ -172,22 +172,22 @@
             return
         node.up, node.boots, node.inbox, node.stuck = True, node.boots + 1, [], []
         clock = node.clock
-        node.keeper = self.make(
+        node.client = self.make(
             node.plan, node.address, self.rng.getrandbits(62), self.rng.getrandbits(32), clock()
         )
-        keeper = node.keeper
-        node.purse = Purse(node.plan, lambda now, name: keeper.held(now, name), clock)
+        client = node.client
+        node.spending = Spending(node.plan, lambda now, name: client.held(now, name), clock)
         self._tick(node, node.boots)
         self._needs(node, node.boots)
 
     def _end(self, node: Node) -> None:
-        node.up, node.keeper, node.purse, node.inbox, node.stuck = False, None, None, [], []
+        node.up, node.client, node.spending, node.inbox, node.stuck = False, None, None, [], []
         node.catches = False
 
     def _needs(self, node: Node, boot: int) -> None:
         if node.up and node.boots == boot:
-            if node.stopped_until <= self.now and node.purse is not None:
-                node.keeper.needs(node.clock(), node.purse.needs())
+            if node.stopped_until <= self.now and node.spending is not None:
+                node.client.set_needs(node.clock(), node.spending.needs())
             self.at(self.now + ASK, self._needs, node, boot)
 
     def _tick(self, node: Node, boot: int) -> None:
@@ -195,15 +195,15 @@
             return None
         if node.stopped_until > self.now:
             return self.at(node.stopped_until, self._tick, node, boot)
-        self._do(node, node.keeper.tick(node.clock()))
-        due = node.clock.true(node.keeper.next_at())
+        self._do(node, node.client.tick(node.clock()))
+        due = node.clock.true(node.client.next_at())
         self.at(max(self.now + 1.0, min(due, self.now + 250.0)), self._tick, node, boot)
         return None
 
     def _arrive(self, node: Node, name: str) -> None:
         rate = self.demand(self.now, node.name, name)
         self.at(self.now + self.rng.expovariate(max(rate, 0.01)) * 1000, self._arrive, node, name)
-        if rate > 0 and node.up and node.purse is not None:
+        if rate > 0 and node.up and node.spending is not None:
             if node.stopped_until > self.now:
                 if sum(1 for item in node.inbox if item == name) < 40:
                     node.inbox.insert(0, name)  # it is served as the process goes on, before all else
@@ -211,35 +211,35 @@
                 self._call(node, name)
 
     def _call(self, node: Node, name: str) -> None:
-        assert node.purse is not None
+        assert node.spending is not None
         told = self.spent[name]
         told.wanted += 1
-        klass = node.plan.by_name[name].klass if name in node.plan.by_name else ""
-        if name in node.plan.by_name and not node.purse.admit(klass, 1.0):
+        klass = node.plan.by_name[name].call_class if name in node.plan.by_name else ""
+        if name in node.plan.by_name and not node.spending.admit(klass, 1.0):
             told.spent += 1
             self.uses[name].append(self.now)
 
     def _reload(self, node: Node, plan: Plan) -> None:
         node.plan = plan
-        if node.up and node.purse is not None:
-            self._do(node, node.keeper.now_is(node.clock(), plan))
-            node.purse.settle(node.keeper.plan)
+        if node.up and node.spending is not None:
+            self._do(node, node.client.change_plan(node.clock(), plan))
+            node.spending.set_plan(node.client.plan)
 
     # links
 
     def _do(self, node: Node, acts: list[Any]) -> None:
         for act in acts:
-            if isinstance(act, Say):
+            if isinstance(act, SendMessage):
                 if node.stopped_until > self.now:
                     node.stuck.append(act)
                 else:
                     self._send(node, act)
-            elif isinstance(act, Note):
-                self.log.append((self.now, f"{node.name}: {act.what}: {act.why}"))
-                self.lapses += act.what == "at the floor"
-                self.offices += act.what == "office taken"
+            elif isinstance(act, Notice):
+                self.log.append((self.now, f"{node.name}: {act.kind.value}: {act.why}"))
+                self.lapses += act.kind is NoticeKind.AT_THE_FLOOR
+                self.offices += act.kind is NoticeKind.ELECTED
 
-    def _send(self, src: Node, act: Say) -> None:
+    def _send(self, src: Node, act: SendMessage) -> None:
         src.bytes_out += len(ENCODER.encode(act.message)) + 60
         src.messages += 1
         dst = self.by_address.get(act.to)
@@ -258,13 +258,13 @@
         if not node.up:
             return
         if node.stopped_until > self.now:
-            if node.catches and isinstance(message, Want):
+            if node.catches and isinstance(message, LeaseRequest):
                 node.catches = False  # it had begun to answer this one as it was stopped
-                self._do(node, node.keeper.heard(node.clock(), message))
+                self._do(node, node.client.message_received(node.clock(), message))
             elif len(node.inbox) < INBOX:
                 node.inbox.append(message)
             return
-        self._do(node, node.keeper.heard(node.clock(), message))
+        self._do(node, node.client.message_received(node.clock(), message))
 
     # faults
 
@@ -274,7 +274,7 @@
             node = self.nodes[name]
             if fault.what in ("kill", "restart", "leave") and node.up:
                 if fault.what != "kill" and node.stopped_until <= self.now:
-                    self._do(node, node.keeper.leave(node.clock()))
+                    self._do(node, node.client.stop(node.clock()))
                 self._end(node)
                 if fault.for_s:
                     self.at(self.now + fault.for_s * 1000, self._start, node)
@@ -303,25 +303,25 @@
             if isinstance(item, str):
                 self._call(node, item)
             else:
-                self._do(node, node.keeper.heard(node.clock(), item))
+                self._do(node, node.client.message_received(node.clock(), item))
 
     # the checker
 
     def held(self, name: str) -> int:
-        return sum(n.keeper.held(n.clock(), name) for n in self.nodes.values() if n.up)
+        return sum(n.client.held(n.clock(), name) for n in self.nodes.values() if n.up)
 
     def _check(self) -> None:
         in_office = [
             n.name
             for n in self.nodes.values()
-            if n.up and n.keeper.votes and n.keeper.candidate.holds(n.clock())
+            if n.up and n.client.votes and n.client.allocator.is_leader(n.clock())
         ]
         if len(in_office) > 1:
             raise Broken(f"{self.now:.0f} ms: {' and '.join(in_office)} are in office at once")
         for b in self.plan.budgets:
             held, whole, told = self.held(b.name), self.wholes[b.name], self.spent[b.name]
             uses = self.uses[b.name]
-            while uses and uses[0] <= self.now - b.over + EPSILON:
+            while uses and uses[0] <= self.now - b.window + EPSILON:
                 uses.popleft()
             told.most, told.most_held = max(told.most, len(uses)), max(told.most_held, held)
             if held > whole or len(uses) > whole:
@@ -329,7 +329,7 @@
                 if self.strict:
                     raise Broken(
                         f"{self.now:.0f} ms: {b.name}: {held} slots held, {len(uses)} used in "
-                        f"{b.over:.0f} ms, the whole is {whole}"
+                        f"{b.window:.0f} ms, the whole is {whole}"
                     )
 
     def settled(self) -> bool:
@@ -337,11 +337,11 @@
         floors.
         """
         up = [n for n in self.nodes.values() if n.up and n.stopped_until <= self.now]
-        if sum(n.keeper.votes for n in up) < self.plan.majority:
-            return all(n.keeper.holder.fresh for n in up)
+        if sum(n.client.votes for n in up) < self.plan.quorum:
+            return all(n.client.holder.has_no_lease for n in up)
         return (
-            all(not n.keeper.holder.fresh for n in up)
-            and sum(n.keeper.votes and n.keeper.candidate.holds(n.clock()) for n in up) == 1
+            all(not n.client.holder.has_no_lease for n in up)
+            and sum(n.client.votes and n.client.allocator.is_leader(n.clock()) for n in up) == 1
         )
 
 
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -12,15 +12,24 @@
 from hypothesis import strategies as st
 from support.harness import ROOT
 
-from softswitch.budgets.allocator import Candidate
-from softswitch.budgets.division import divided
-from softswitch.budgets.lease_client import Keeper
-from softswitch.budgets.lease_holder import Holder
-from softswitch.budgets.messages import NOBODY, NOTHING, Grant, Line, Promised, See, Want
-from softswitch.budgets.plan import SHARES, BadPlan, Budget, Plan, lowest
-from softswitch.budgets.sliding_window import CELLS, Window
-from softswitch.budgets.spending import Purse
-from softswitch.net.budgets import Floors
+from softswitch.budgets.allocator import Allocator
+from softswitch.budgets.division import divide
+from softswitch.budgets.lease_client import LeaseClient
+from softswitch.budgets.lease_holder import LeaseHolder
+from softswitch.budgets.messages import (
+    NO_EPOCH,
+    NO_GRANT,
+    BudgetRequest,
+    LeaseGrant,
+    LeaseRequest,
+    Promise,
+    PromiseRequest,
+    Redirect,
+)
+from softswitch.budgets.plan import SHARES, Budget, Limits, Plan, PlanError, strictest_limits
+from softswitch.budgets.sliding_window import CELLS, SlidingWindow
+from softswitch.budgets.spending import Spending
+from softswitch.net.budgets import FloorShare
 from softswitch.standin.faults.budget_simulation import BudgetWorld, address_of, even, play
 from softswitch.standin.faults.schedule import Fault
 
@@ -39,7 +48,7 @@
 @given(st.integers(0, 500), st.lists(st.tuples(st.integers(0, 100), st.floats(0.1, 10)), max_size=12))
 def test_division_gives_no_more_than_there_is_nor_than_is_needed_and_leaves_nothing_wanted(whole, asked):
     needs, weights = [n for n, _ in asked], [w for _, w in asked]
-    parts = divided(whole, needs, weights)
+    parts = divide(whole, needs, weights)
     assert all(0 <= p <= n for p, n in zip(parts, needs, strict=True))
     assert sum(parts) == min(whole, sum(needs))
     # Max-min: who is cut has, for its weight, no less than anybody else but for a slot.
@@ -50,38 +59,40 @@
 
 @given(st.lists(st.floats(0, 400), min_size=1, max_size=80), st.integers(1, 12))
 def test_a_window_lets_no_more_through_than_the_exact_one_would(gaps, slots):
-    window, now, uses = Window(1000.0), 5_000.0, []
+    window, now, uses = SlidingWindow(1000.0), 5_000.0, []
     for gap in gaps:
         now += gap
         if window.used(now) < slots:
-            assert window.opens(now, slots) == 0.0
+            assert window.opens_in(now, slots) == 0.0
             window.use(now)
             uses.append(now)
             assert sum(u > now - 1000.0 for u in uses) <= slots
         else:
-            wait = window.opens(now, slots)
+            wait = window.opens_in(now, slots)
             assert 0 < wait <= 1000.0 * (1 + 1 / CELLS) + 1e-6
             assert deepcopy(window).used(now + wait + 1e-6) < slots
 
 
 def test_no_slots_never_open():
-    assert Window(1000.0).opens(20.0, 0) == 1000.0
+    assert SlidingWindow(1000.0).opens_in(20.0, 0) == 1000.0
 
 
 def test_a_plan_whose_floors_sum_to_more_than_the_whole_is_refused_with_the_sum():
-    with pytest.raises(BadPlan, match="quotes: the floors of 6 members sum to 66 slots, the whole is 60"):
+    with pytest.raises(PlanError, match="quotes: the floors of 6 members sum to 66 slots, the whole is 60"):
         plan(floor=11)
     for wrong in ({"voters": 0}, {"drift": 0.5}):
-        with pytest.raises(BadPlan):
+        with pytest.raises(PlanError):
             plan(**wrong)
-    with pytest.raises(BadPlan, match="`what` is one of"):
+    with pytest.raises(PlanError, match="`what` is one of"):
         Budget("x", "calls", 5)
-    with pytest.raises(BadPlan, match="twice"):
+    with pytest.raises(PlanError, match="twice"):
         Plan((Budget("x", "repeats", 5), Budget("x", "repeats", 6)), (), ("10.0.0.1:1",))
 
 
 def test_the_lowest_whole_and_the_highest_floor_of_all_files_bind():
-    assert lowest(plan(), [{"quotes": (40, 1)}, {"quotes": (80, 3), "other": (1, 0)}]) == {"quotes": (40, 3)}
+    assert strictest_limits(
+        plan(), [{"quotes": Limits(40, 1)}, {"quotes": Limits(80, 3), "other": Limits(1, 0)}]
+    ) == {"quotes": Limits(40, 3)}
 
 
 class Pocketed:
@@ -89,20 +100,20 @@
 
     def __init__(self, *budgets, held=3):
         self.now, self.held = 10_000.0, held
-        self.purse = Purse(
+        self.spending = Spending(
             Plan(budgets, (), ADDRESSES[:1], drift=0.0), lambda now, name: self.held, lambda: self.now
         )
 
 
 def test_a_purse_lets_in_what_is_held_and_tells_when_it_opens_again():
     p = Pocketed(Budget("a", "set-ups", 60, 0, 1000.0, "x"))
-    assert [p.purse.admit("x", 1.0) for _ in range(3)] == [0, 0, 0]
-    assert p.purse.admit("y", 1.0) == 0  # not bound
-    wait = p.purse.admit("x", 1.0)
+    assert [p.spending.admit("x", 1.0) for _ in range(3)] == [0, 0, 0]
+    assert p.spending.admit("y", 1.0) == 0  # not bound
+    wait = p.spending.admit("x", 1.0)
     assert 0 < wait <= 1000.0 * (1 + 1 / CELLS)
     p.now += wait
-    assert p.purse.admit("x", 1.0) == 0
-    told = p.purse.told()["a"]
+    assert p.spending.admit("x", 1.0) == 0
+    told = p.spending.report()["a"]
     assert (told["wanted"], told["spent"], told["refused"]) == (5, 4, 1)
 
 
@@ -110,29 +121,29 @@
     p = Pocketed(
         Budget("again", "repeats", 60, 0, 1000.0), Budget("e", "set-ups", 9, 0, 1000.0, "", "s-1"), held=1
     )
-    assert p.purse.may_attempt("x", "s-1", False)
-    assert p.purse.may_attempt("x", "s-2", True)
-    p.purse.attempt_sent("x", "s-1", False)
-    assert not p.purse.may_attempt("x", "s-1", False)
-    assert p.purse.may_attempt("x", "s-2", False)
-    p.purse.attempt_sent("x", "s-2", True)
-    assert not p.purse.may_attempt("x", "s-3", True)
-    assert p.purse.may_attempt("x", "s-3", False)
+    assert p.spending.may_attempt("x", "s-1", False)
+    assert p.spending.may_attempt("x", "s-2", True)
+    p.spending.attempt_sent("x", "s-1", False)
+    assert not p.spending.may_attempt("x", "s-1", False)
+    assert p.spending.may_attempt("x", "s-2", False)
+    p.spending.attempt_sent("x", "s-2", True)
+    assert not p.spending.may_attempt("x", "s-3", True)
+    assert p.spending.may_attempt("x", "s-3", False)
 
 
 def test_a_share_is_asked_for_by_how_much_there_is_to_do():
     p = Pocketed(Budget("cold", "cold", SHARES, 10, 1000.0), held=250)
-    assert p.purse.share("cold", "s-1", 9.0) == 0.25
-    assert p.purse.share("probes", "s-1", 9.0) == 9.0
-    assert p.purse.needs()["cold"][0] == 0
+    assert p.spending.share("cold", "s-1", 9.0) == 0.25
+    assert p.spending.share("probes", "s-1", 9.0) == 9.0
+    assert p.spending.needs()["cold"].slots == 0
     for _ in range(50):
-        p.purse.admit("x", 1.0)
+        p.spending.admit("x", 1.0)
     quiet = Pocketed(Budget("cold", "cold", SHARES, 10, 1000.0))
     for _ in range(5):
-        quiet.purse.admit("x", 1.0)
-    slots, weight = p.purse.needs()["cold"]
-    assert slots == SHARES
-    assert weight > 5 * quiet.purse.needs()["cold"][1]
+        quiet.spending.admit("x", 1.0)
+    cold = p.spending.needs()["cold"]
+    assert cold.slots == SHARES
+    assert cold.weight > 5 * quiet.spending.needs()["cold"].weight
 
 
 # On virtual time
@@ -184,7 +195,7 @@
 
 
 def held(world):
-    return {n.name: n.keeper.held(n.clock(), "quotes") for n in world.nodes.values() if n.up}
+    return {n.name: n.client.held(n.clock(), "quotes") for n in world.nodes.values() if n.up}
 
 
 def test_parts_follow_the_load_and_a_member_that_is_cut_off_falls_to_its_floor():
@@ -217,10 +228,10 @@
     )
     # Its need is seen in about 1 s; others are told within a renewal, what they give up rests a window, and
     # it asks again each SOON.
-    world.run(12_000 + 1_000 + plan().renew * 1.1 + 1_010 + 350)
+    world.run(12_000 + 1_000 + plan().renew_interval * 1.1 + 1_010 + 350)
     before = held(world)["n7"]
     assert before >= 7
-    world.run(20_000 + plan().owed + 1_000 * 1.02 + 2_500)
+    world.run(20_000 + plan().lease_bound + 1_000 * 1.02 + 2_500)
     assert held(world)["n7"] >= before + 4
 
 
@@ -229,7 +240,7 @@
     world = BudgetWorld(plan(), 6, 2, 3, demand=even(20.0), plans=[(10_000.0, "n4", lower)])
     world.run(10_000)
     assert world.held("quotes") > 50
-    world.run(10_000 + plan().owed)
+    world.run(10_000 + plan().lease_bound)
     world.wholes["quotes"] = 30
     world.run(25_000)
     assert 20 < world.held("quotes") <= 30
@@ -239,7 +250,7 @@
 def test_an_allocator_that_leaves_is_followed_by_another_and_nobody_falls_to_its_floor():
     world = BudgetWorld(plan(), 6, 2, 3, demand=even(20.0))
     world.run(11_900)
-    first = next(n.name for n in world.nodes.values() if n.keeper.candidate.holds(n.clock()))
+    first = next(n.name for n in world.nodes.values() if n.client.allocator.is_leader(n.clock()))
     faults = [Fault(at_s=12.0, what="leave", who=(first,))]
     world = BudgetWorld(plan(), 6, 2, 3, faults, demand=even(20.0))
     world.run(30_000)
@@ -249,42 +260,44 @@
 
 
 def test_a_message_of_another_list_of_voters_is_denied_and_none_is_kept_on_disk():
-    a, b = (Keeper(plan(voters=v), ADDRESSES[n], 1, 1, 0.0) for n, v in ((1, 2), (0, 3)))
+    a, b = (LeaseClient(plan(voters=v), ADDRESSES[n], 1, 1, 0.0) for n, v in ((1, 2), (0, 3)))
     (asked,) = {act.message for act in _until_asked(b)}
-    answer = a.heard(20_000.0, asked)
+    answer = a.message_received(20_000.0, asked)
     assert "another list of voters" in answer[0].message.why
 
 
-def _until_asked(keeper):
-    now = 0.0
-    while True:
-        now += 50.0
-        acts = [act for act in keeper.tick(now) if type(act.message).__name__ == "Ask"]
-        if acts:
-            return acts
+def _until_asked(client):
+    for step in range(1, 1_000):
+        actions = client.tick(step * 50.0)
+        requests = [action for action in actions if isinstance(action.message, PromiseRequest)]
+        if requests:
+            return requests
+    raise AssertionError("no promise was asked for in 50 s")
 
 
 # What drawn schedules seldom meet: one role at a time
 
 
-def office(made=None, now=10_000.0):
-    """A candidate that has just taken office, and its plan."""
+def elected(made=None, now=10_000.0):
+    """An allocator that has just been elected, and when."""
     made = made or plan(voters=1)
-    candidate = Candidate(made, ADDRESSES[0], 1, Random(1), now)
-    (ask,) = candidate.tick(now + 60_000.0, "")
-    assert candidate.promised(now + 60_001.0, Promised(ADDRESSES[0], ask.office, ask.round))
-    return candidate, now + 60_001.0
+    allocator = Allocator(made, ADDRESSES[0], 1, Random(1), now)
+    (ask,) = allocator.tick(now + 60_000.0, "")
+    assert allocator.promise_received(now + 60_001.0, Promise(ADDRESSES[0], ask.epoch, ask.round))
+    return allocator, now + 60_001.0
 
 
-def want(n=1, boot=1, seq=1, office=NOBODY, basis=NOTHING, held=0, need=50):
-    return Want(ADDRESSES[n], boot, seq, office, basis, (Line("quotes", 60, 1, held, need),))
+def lease_request(n=1, boot=1, seq=1, epoch=NO_EPOCH, basis=NO_GRANT, held=0, need=50):
+    return LeaseRequest(ADDRESSES[n], boot, seq, epoch, basis, (BudgetRequest("quotes", 60, 1, held, need),))
 
 
 def test_a_grant_runs_from_when_it_was_asked_for_however_late_it_comes():
     made = plan()
-    holder = Holder(made, ADDRESSES[1], 1, Random(1), 0.0)
-    _, said = holder.want(5_000.0)
-    grant = Grant(1, said.seq, (1, 9), ADDRESSES[0], (9, 1), said.basis, (("quotes", 20),), made.lease, 500.0)
+    holder = LeaseHolder(made, ADDRESSES[1], 1, Random(1), 0.0)
+    _, said = holder.request(5_000.0)
+    grant = LeaseGrant(
+        1, said.seq, (1, 9), ADDRESSES[0], (9, 1), said.basis, (("quotes", 20),), made.lease, 500.0
+    )
     assert not deepcopy(holder).granted(5_000.0 + made.lease, grant)
     assert holder.granted(5_000.0 + made.lease - 1.0, grant)
     assert holder.leased(5_000.0 + made.lease - 0.5, "quotes") == 20
@@ -293,10 +306,10 @@
 
 def test_a_grant_that_names_another_basis_or_another_life_is_not_taken():
     made = plan()
-    holder = Holder(made, ADDRESSES[1], 7, Random(1), 0.0)
-    _, said = holder.want(100.0)
+    holder = LeaseHolder(made, ADDRESSES[1], 7, Random(1), 0.0)
+    _, said = holder.request(100.0)
     for wrong in ({"basis": (9, 4)}, {"boot": 8}, {"seq": 99}):
-        grant = Grant(
+        grant = LeaseGrant(
             7, said.seq, (1, 9), ADDRESSES[0], (9, 5), said.basis, (("quotes", 20),), made.lease, 500.0
         )
         assert not holder.granted(200.0, msgspec.structs.replace(grant, **wrong))
@@ -304,93 +317,99 @@
 
 
 def test_a_floor_begins_a_window_after_the_start():
-    holder = Holder(plan(), ADDRESSES[1], 1, Random(1), 1_000.0)
+    holder = LeaseHolder(plan(), ADDRESSES[1], 1, Random(1), 1_000.0)
     assert holder.held(1_000.0 + 1_009.0, "quotes") == 0
     assert holder.held(1_000.0 + 1_010.0, "quotes") == 1
 
 
 def test_a_new_office_renews_what_an_echo_tells_and_raises_nothing_before_all_is_over():
-    candidate, now = office()
-    stranger = candidate.wanted(now, want(held=20, basis=(5, 3)))  # it may have been sent long before
-    assert isinstance(stranger, See)
-    assert stranger.office == candidate.office
-    renewed = candidate.wanted(now, want(seq=2, office=candidate.office, held=20, basis=(5, 3)))
-    assert dict(renewed.parts) == {"quotes": 20}
+    allocator, now = elected()
+    stranger = allocator.lease_requested(
+        now, lease_request(held=20, basis=(5, 3))
+    )  # it may have been sent long before
+    assert isinstance(stranger, Redirect)
+    assert stranger.epoch == allocator.epoch
+    renewed = allocator.lease_requested(
+        now, lease_request(seq=2, epoch=allocator.epoch, held=20, basis=(5, 3))
+    )
+    assert dict(renewed.slots) == {"quotes": 20}
     assert renewed.basis == (5, 3)
-    new = candidate.wanted(now, want(n=2, office=candidate.office))
-    assert dict(new.parts) == {"quotes": 0}
-    later = now + candidate.plan.owed + 1_011.0
-    candidate.until = later + 1.0
-    raised = candidate.wanted(later, want(n=2, seq=2, office=candidate.office, basis=new.id))
-    assert dict(raised.parts)["quotes"] > 0
+    new = allocator.lease_requested(now, lease_request(n=2, epoch=allocator.epoch))
+    assert dict(new.slots) == {"quotes": 0}
+    later = now + allocator.plan.lease_bound + 1_011.0
+    allocator.until = later + 1.0
+    raised = allocator.lease_requested(later, lease_request(n=2, seq=2, epoch=allocator.epoch, basis=new.id))
+    assert dict(raised.slots)["quotes"] > 0
 
 
 def test_what_a_life_before_holds_stays_in_the_books_until_it_is_surely_over():
-    candidate, now = office()
-    now += candidate.plan.owed + 1_011.0
-    candidate.until = now + 60_000.0
-    first = candidate.wanted(now, want(office=candidate.office, need=60))
-    out = dict(first.parts)["quotes"]
+    allocator, now = elected()
+    now += allocator.plan.lease_bound + 1_011.0
+    allocator.until = now + 60_000.0
+    first = allocator.lease_requested(now, lease_request(epoch=allocator.epoch, need=60))
+    out = dict(first.slots)["quotes"]
     assert out > 40
-    again = candidate.wanted(now + 100.0, want(boot=2, office=candidate.office, need=60))
-    assert dict(again.parts)["quotes"] <= 54 - out
-    over = now + candidate.plan.owed + 1.0
-    candidate.books.divide(over)
-    assert candidate.books.resting["quotes"] >= out - 1  # and rests for a window
-    assert candidate.books.free(over, "quotes") <= 54 - out
-    assert candidate.books.free(over + 1_011.0, "quotes") >= out
+    again = allocator.lease_requested(now + 100.0, lease_request(boot=2, epoch=allocator.epoch, need=60))
+    assert dict(again.slots)["quotes"] <= 54 - out
+    over = now + allocator.plan.lease_bound + 1.0
+    allocator.ledger.divide(over)
+    assert allocator.ledger.cooling_slots["quotes"] >= out - 1  # and rests for a window
+    assert allocator.ledger.available(over, "quotes") <= 54 - out
+    assert allocator.ledger.available(over + 1_011.0, "quotes") >= out
 
 
 def test_voters_that_point_at_each_other_are_not_asked_without_a_pause():
-    holder = Holder(plan(), ADDRESSES[4], 1, Random(1), 0.0)
-    holder.seen(0.0, See(NOBODY, ADDRESSES[0]))  # before anything was asked
+    holder = LeaseHolder(plan(), ADDRESSES[4], 1, Random(1), 0.0)
+    holder.redirected(0.0, Redirect(NO_EPOCH, ADDRESSES[0]))  # before anything was asked
     now, asked = 1_000.0, 0
     for n in range(2_000):
         now += 0.5
-        holder.seen(now, See(NOBODY, ADDRESSES[n % 2]))
-        if now >= holder.next_want:
-            holder.want(now)
+        holder.redirected(now, Redirect(NO_EPOCH, ADDRESSES[n % 2]))
+        if now >= holder.next_request:
+            holder.request(now)
             asked += 1
     assert 2 < asked <= 21
 
 
 def test_voters_with_other_times_deny_each_other():
-    a, b = (Keeper(plan(promise=p), ADDRESSES[n], 1, 1, 0.0) for n, p in ((1, 3_000.0), (0, 5_000.0)))
+    a, b = (LeaseClient(plan(promise=p), ADDRESSES[n], 1, 1, 0.0) for n, p in ((1, 3_000.0), (0, 5_000.0)))
     asked = _until_asked(b)[0].message
-    assert "other times" in a.heard(20_000.0, asked)[0].message.why
+    assert "other times" in a.message_received(20_000.0, asked)[0].message.why
 
 
 def test_what_a_budget_is_does_not_change_under_slots_that_are_out():
-    keeper = Keeper(plan(whole=60, floor=2), ADDRESSES[1], 1, 1, 0.0)
+    client = LeaseClient(plan(whole=60, floor=2), ADDRESSES[1], 1, 1, 0.0)
     longer = Budget("quotes", "set-ups", 240, 8, 4000.0)
     more = Budget("more", "repeats", 10, 1, 1000.0)
-    keeper.now_is(1.0, Plan((longer, more), ADDRESSES[:6], ADDRESSES[:3]))
-    assert keeper.plan.budgets == (Budget("quotes", "set-ups", 60, 2, 1000.0), Budget("more", "repeats", 10))
-    keeper.now_is(2.0, plan(whole=40, floor=1))
-    assert keeper.plan.by_name["quotes"] == Budget("quotes", "set-ups", 40, 1, 1000.0)
-    keeper.now_is(3.0, plan(whole=80, floor=5))
-    assert keeper.plan.by_name["quotes"] == Budget("quotes", "set-ups", 80, 1, 1000.0)
+    client.change_plan(1.0, Plan((longer, more), ADDRESSES[:6], ADDRESSES[:3]))
+    assert client.plan.budgets == (Budget("quotes", "set-ups", 60, 2, 1000.0), Budget("more", "repeats", 10))
+    client.change_plan(2.0, plan(whole=40, floor=1))
+    assert client.plan.by_name["quotes"] == Budget("quotes", "set-ups", 40, 1, 1000.0)
+    client.change_plan(3.0, plan(whole=80, floor=5))
+    assert client.plan.by_name["quotes"] == Budget("quotes", "set-ups", 80, 1, 1000.0)
 
 
 def test_the_largest_messages_fit_a_datagram():
     address, big = "255.255.255.255:65535", (1 << 62) - 1
-    lines = tuple(Line(f"{n:032d}", 10_000_000, 10_000_000, 10_000_000, 10_000_000, 1.5) for n in range(16))
+    lines = tuple(
+        BudgetRequest(f"{n:032d}", 10_000_000, 10_000_000, 10_000_000, 10_000_000, 1.5) for n in range(16)
+    )
     parts = tuple((line.name, 10_000_000) for line in lines)
     far, id = (1 << 52, big), (big, 1 << 52)
     for message in (
-        Want(address, big, 1 << 52, far, id, lines),
-        Grant(big, 1 << 52, far, address, id, id, parts, 1e5, 1e5),
+        LeaseRequest(address, big, 1 << 52, far, id, lines),
+        LeaseGrant(big, 1 << 52, far, address, id, id, parts, 1e5, 1e5),
     ):
         assert len(msgspec.msgpack.encode(message)) <= 1_300
 
 
 def test_floors_that_were_gained_rest_also_when_more_is_gained_soon_after():
-    floors = Floors(0.0, 4_000.0)
-    floors.now_is(0.0, 0.5)
-    assert floors.of(3_999.0, 4_000.0) == 0.0
-    assert floors.of(4_000.0, 4_000.0) == 0.5
-    floors.now_is(1_600.0, 1.0)
-    assert floors.of(1_600.0, 4_000.0) == 0.0
-    assert floors.of(5_600.0, 4_000.0) == 1.0
-    floors.now_is(9_000.0, 0.5)  # what is lost is lost at once
-    assert floors.of(9_000.0, 4_000.0) == 0.5
+    floors = FloorShare(0.0, 4_000.0)
+    floors.set(0.0, 0.5)
+    assert floors.usable(3_999.0, 4_000.0) == 0.0
+    assert floors.usable(4_000.0, 4_000.0) == 0.5
+    floors.set(1_600.0, 1.0)
+    assert floors.usable(1_600.0, 4_000.0) == 0.0
+    assert floors.usable(5_600.0, 4_000.0) == 1.0
+    floors.set(9_000.0, 0.5)  # what is lost is lost at once
+    assert floors.usable(9_000.0, 4_000.0) == 0.5
