--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -183,7 +183,7 @@
         "a voter promises itself to two",
         "leases are written off early",
         "floors are left out of the sum",
-        "all is free",
+        "all is available",
     ],
 )
 def test_a_planted_fault_is_found(name):
