--- a/benchmarks/replay_sockets.py
+++ b/benchmarks/replay_sockets.py
@@ -87,9 +87,8 @@
     observed = sum(t.codes[503] + t.codes[500] for t in tallies.values()) / tries
     total = sum(erlangs.values())
     lost = sum(s.lost_tries for s in streams)
-    held = (
-        sum(s.lost_seconds for s in streams) / max(1, lost) / HOLD
-    )  # how long calls without a circuit were held
+    # how long calls without a circuit were held
+    held = sum(s.lost_seconds for s in streams) / max(1, lost) / HOLD
     waits = loss.erlang_held(sum(circuits), total, held) / loss.erlang_b(sum(circuits), total)
     plain = loss.erlang_b(sum(circuits), total)
     more, need = {}, None
--- a/softswitch/budgets/allocator.py
+++ b/softswitch/budgets/allocator.py
@@ -33,10 +33,8 @@
 RENEW_SOON = 350.0  # ms after which a holder that has less than its target asks again
 MAX_ROUNDS = 4  # rounds of promises that may still be answered
 MAX_OUTSTANDING = 64  # grants of one holder that may still be held
-RANK_DELAY, MAX_RANDOM_DELAY = (
-    100.0,
-    150.0,
-)  # ms before a candidate tries: by its place in the list, and drawn
+# ms before a candidate tries: by its place in the list, and drawn
+RANK_DELAY, MAX_RANDOM_DELAY = 100.0, 150.0
 PROMISED_ELSEWHERE_DELAY = 100.0  # ms before it looks again whether its own voter is promised to another
 
 
--- a/softswitch/budgets/messages.py
+++ b/softswitch/budgets/messages.py
@@ -17,9 +17,8 @@
 Name = Annotated[str, Meta(min_length=1, max_length=32)]
 Slots = Annotated[int, Meta(ge=0, le=10_000_000)]
 Duration = Annotated[float, Meta(gt=0, le=MAX_DURATION)]  # ms
-Epoch = tuple[
-    Whole, Digest
-]  # an allocator's time in office: term, and a number drawn for it; none comes twice
+# an allocator's time in office: term, and a number drawn for it; none comes twice
+Epoch = tuple[Whole, Digest]
 GrantId = tuple[Digest, Whole]  # the number of the allocator's epoch, and the grant's place in it
 NO_EPOCH: Epoch = (0, 0)
 NO_GRANT: GrantId = (0, 0)
--- a/softswitch/core/timer_wheel.py
+++ b/softswitch/core/timer_wheel.py
@@ -64,9 +64,8 @@
     def _read(self) -> None:
         before = self.now
         self.now = max(before, self._clock())
-        stalled = (
-            self.now - max(before, self.idle_until) > self.tick
-        )  # not even the end of the idle time was seen
+        # not even the end of the idle time was seen
+        stalled = self.now - max(before, self.idle_until) > self.tick
         self.lag = max(0.0, self.now - before - self.tick) if stalled else 0.0
 
     def read_after_idle(self) -> None:
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -150,9 +150,8 @@
 
     def _note_read(self, size: int) -> None:
         now, lag = self.wheel.now, self.wheel.lag
-        waited_behind = (
-            self.more_unread and now - self.last_read_at <= lag + TURN_BUDGET
-        )  # else it came only now
+        # else it came only now
+        waited_behind = self.more_unread and now - self.last_read_at <= lag + TURN_BUDGET
         self.received_at = max(self.received_at, now - MAX_UNREAD_TIME) if waited_behind else now - lag
         self.more_unread = size >= READ_SIZE
         self.last_read_at = now
--- a/softswitch/process/shutdown.py
+++ b/softswitch/process/shutdown.py
@@ -42,9 +42,8 @@
         logger.info("asked to stop: answering what is open")
         if self.shared:
             lifecycle.hand_over(now)
-            self.reactor.callLater(
-                0, self.sip.port.stopListening
-            )  # what waits in its queue is taken in first
+            # what waits in its queue is taken in first
+            self.reactor.callLater(0, self.sip.port.stopListening)
         deadline = now + max(STILL_COMING_FOR, self._longest_deadline() + ANSWER_TIME)
         lifecycle.stop(now, deadline)
         self._close_when_done(now + STILL_COMING_FOR, deadline)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -324,9 +324,8 @@
 
 def test_a_new_office_renews_what_an_echo_tells_and_raises_nothing_before_all_is_over():
     allocator, now = elected()
-    stranger = allocator.lease_requested(
-        now, lease_request(held=20, basis=(5, 3))
-    )  # it may have been sent long before
+    # it may have been sent long before
+    stranger = allocator.lease_requested(now, lease_request(held=20, basis=(5, 3)))
     assert isinstance(stranger, Redirect)
     assert stranger.epoch == allocator.epoch
     renewed = allocator.lease_requested(
--- a/tests/test_dimension.py
+++ b/tests/test_dimension.py
@@ -175,9 +175,8 @@
             weights.append(weights[-1] * 8 / (min(k + 1, 10) + max(0, k + 1 - 10) / mpf("0.7")))
         want = sum(w * (k - 10) / mpf("0.7") for k, w in enumerate(weights) if k > 10) / sum(weights) / 8
     for circuits, erlangs, hold in ((10, 8, 0.2), (10, 12, 0.5), (10, 10, 1.0), (5, 2, 0.05)):
-        b = loss.erlang_b(
-            circuits, erlangs
-        )  # integrated by hand, with the wait's density before and after `hold`
+        # integrated by hand, with the wait's density before and after `hold`
+        b = loss.erlang_b(circuits, erlangs)
         none = 1 / loss.erlang_b(circuits - 1, erlangs)
         before = float(quad(lambda x, n=circuits, a=erlangs: mp.exp((a - n) * x), [0, hold]))
         after = exp((erlangs - circuits) * hold) / circuits
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -62,9 +62,8 @@
     for column in ("fulfilled", "throttled", "faulted", "abandoned"):
         assert sum(getattr(r, column) for r in rows) > 0, column
     assert b.switch.report_figures()["open_requests"] == len(b.switch.calls)
-    assert list(b.switch.report_figures()["operations"]) == [
-        c.name for c in known.classes
-    ]  # `strange` made no row
+    # `strange` made no row
+    assert list(b.switch.report_figures()["operations"]) == [c.name for c in known.classes]
     told = b.heard("call_established") + b.heard("call_failed")
     assert len({words[1] for words in told}) == len(told)  # one answer a call
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -80,9 +80,8 @@
     )
     x, z = peaks.demands["x"], peaked_traffic.switched(8, 2, 2)[1]
     assert x.lost / x.calls == pytest.approx(peaked_traffic.switched_blocking(16, 8, 2, 2)[0], rel=0.05)
-    assert x.lost / x.calls == pytest.approx(
-        peaked_traffic.wilkinson(16, 8, 8 * z), rel=0.65
-    )  # two moments are rougher
+    # two moments are rougher
+    assert x.lost / x.calls == pytest.approx(peaked_traffic.wilkinson(16, 8, 8 * z), rel=0.65)
     assert x.lost / x.calls > 5 * loss.erlang_b(16, 8)  # plain Erlang B would understate it so far
 
 
--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -121,9 +121,8 @@
     table.caller_active(0.0, "b")
     assert [message.connection for message in table.add(1.0, "1", "77", 16, "a")] == ["a"]
     assert table.advance(1.0 + 2 * RETRY_AFTER) == []  # nobody here ever said that it heard one
-    assert [message.connection for message in table.connection_closed(700.0, "a")] == [
-        "b"
-    ]  # but an end is an end
+    # but an end is an end
+    assert [message.connection for message in table.connection_closed(700.0, "a")] == ["b"]
     assert table.acknowledge("1")
     assert not table.acknowledge("1")
     table.add(800.0, "2", "77", 16, "b")
