--- a/softswitch/agent.py
+++ b/softswitch/agent.py
@@ -33,6 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
+    """One softswitch that the agent runs."""
+
     name: str
     config: str  # its BALANCER_CONFIG
     control: str = ""  # its SOFTSWITCH_CONTROL; empty: the repository's
@@ -65,6 +67,7 @@
         self.kill = self.due = None
 
     def start(self) -> None:
+        """Starts the process, unless it runs or is not wanted."""
         self.due = None
         if not self.wanted or self.state in ("running", "draining"):
             return
@@ -117,6 +120,7 @@
         self.transport.signalProcess("KILL")
 
     def processEnded(self, reason: Any) -> None:
+        """Twisted callback: the process has ended; it is started again if it is wanted."""
         ran, drained = monotonic() - self.since, self.state == "draining"
         if self.kill is not None:
             self.kill.cancel()
@@ -134,6 +138,7 @@
         self.due = reactor.callLater(wait, self.start)
 
     def status(self) -> dict[str, Any]:
+        """State, process id and what else the command line shows, as JSON types."""
         pid = self.transport.pid if self.state in ("running", "draining") else None
         return {
             "name": self.instance.name,
@@ -150,6 +155,7 @@
     delimiter, MAX_LENGTH = b"\n", 4_096
 
     def lineReceived(self, line: bytes) -> None:
+        """Twisted callback: one request, a JSON object on a line; the answer is one too."""
         try:
             said = orjson.loads(line)
             answer = self.factory.agent.asked(said["do"], said.get("name"))
@@ -158,10 +164,13 @@
         self.sendLine(orjson.dumps(answer))
 
     def lineLengthExceeded(self, line: bytes) -> None:
+        """Twisted callback: a request that is too long ends the connection."""
         self.transport.loseConnection()
 
 
 class Agent(Factory):
+    """Runs the instances, and answers the command line on a Unix socket."""
+
     protocol, noisy = AgentLine, False
 
     def __init__(self, instances: list[Instance]) -> None:
@@ -169,10 +178,12 @@
         self.watched = {i.name: Watched(i) for i in instances}
 
     def start(self) -> None:
+        """Starts all instances."""
         for watched in self.watched.values():
             watched.start()
 
     def asked(self, what: str, name: str | None) -> dict[str, Any]:
+        """Carries out one request. The answer has `error` if it was refused."""
         if name is not None and name not in self.watched:
             return {"error": f"no instance {name!r}"}
         chosen = [w for n, w in self.watched.items() if name in (None, n)]
@@ -205,6 +216,7 @@
 
 
 def run(path: str) -> int:
+    """Runs the agent by the file at `path` until it is stopped; the exit status."""
     socket, instances = read(path)
     agent = Agent(instances)
     try:
--- a/softswitch/fleet/member.py
+++ b/softswitch/fleet/member.py
@@ -116,6 +116,8 @@
 
 @dataclass(slots=True)
 class Suspicion:
+    """A member that is suspected to have failed. Times in ms of this process's clock."""
+
     incarnation: int
     began: float
     least: float
@@ -130,6 +132,7 @@
 
     @property
     def ends(self) -> float:
+        """When it is declared dead: the sooner, the more other members' probes have failed too."""
         share = min(1.0, log10(len(self.sharers) + 1) / log10(CONFIRMATIONS + 1))
         return max(self.held, self.began + self.longest - share * (self.longest - self.least))
 
@@ -611,4 +614,5 @@
         return found
 
     def known(self) -> Iterable[Record]:
+        """All records, of ended members and of the own one too."""
         return self.table.records.values()
--- a/softswitch/fleet/member_table.py
+++ b/softswitch/fleet/member_table.py
@@ -27,6 +27,7 @@
 
 
 def bucket_of(key: str) -> int:
+    """The bucket of a member's key, in which its digest is summed up."""
     return blake2b(key.encode(), digest_size=1).digest()[0] % BUCKETS
 
 
@@ -73,6 +74,7 @@
         return old
 
     def drop(self, key: str) -> None:
+        """Removes a member's record."""
         record = self.records.pop(key, None)
         if record is None:
             return
@@ -108,6 +110,7 @@
         return tuple(n for n, digest in enumerate(buckets) if digest != self.buckets[n])
 
     def within(self, buckets: Iterable[int]) -> tuple[Record, ...]:
+        """All records in these buckets."""
         return tuple(self.records[key] for n in buckets for key in self.inside[n])
 
     def ages(self, now: float, records: Iterable[Record]) -> tuple[int, ...]:
--- a/softswitch/fleet/messages.py
+++ b/softswitch/fleet/messages.py
@@ -50,6 +50,7 @@
 
     @property
     def key(self) -> str:
+        """Name and address: what tells members apart."""
         return f"{self.name}@{self.address}"
 
     @property
@@ -90,6 +91,8 @@
 
 
 class Ack(Struct, frozen=True, array_like=True, tag=2):
+    """The answer to a probe."""
+
     head: Head
     seq: Whole
     news: Some = ()
@@ -144,6 +147,8 @@
 
 
 class Refused(Struct, frozen=True, array_like=True, tag=9):
+    """The exchange was refused, for this reason."""
+
     reason: Annotated[str, Meta(max_length=200)]
 
 
--- a/softswitch/measure/record.py
+++ b/softswitch/measure/record.py
@@ -29,6 +29,7 @@
 
 
 def histogram(encoded: str | None = None) -> HdrHistogram:
+    """An empty histogram of durations in ms, or the one that was encoded."""
     if encoded:
         return HdrHistogram.decode(encoded)
     return HdrHistogram(1, LONGEST_MS, DIGITS)
@@ -66,6 +67,7 @@
     held_squares: float = 0.0  # of seconds
 
     def turn(self, now: float, by: int) -> None:
+        """Counts the calls under way up or down, and the time at the count before."""
         self.integral += self.up * (now - self.at)
         self.at, self.up = now, max(0, self.up + by)
         if self.up > self.peak:
@@ -106,6 +108,7 @@
     # from the switch
 
     def came(self, now: float, dest: int, klass: str, redial: bool) -> None:
+        """A call has arrived; `now` in ms, `dest` its destination's number, `klass` its class."""
         if now >= self.until:
             self.turn(now)
         seen = self.arrivals.get((dest, klass))
--- a/softswitch/measure/recordfile.py
+++ b/softswitch/measure/recordfile.py
@@ -92,6 +92,7 @@
 
 
 def frame(payload: bytes, at: int) -> bytes:
+    """The bytes of one frame: length, checksum over payload and position, payload."""
     return FRAME.pack(len(payload), xxh64_intdigest(payload, at)) + payload
 
 
@@ -110,6 +111,7 @@
         self.at = 0
 
     def write(self, entry: dict[str, Any]) -> None:
+        """Appends one entry, and starts a new file where this one is full. OSError if the disk refuses."""
         payload = orjson.dumps(entry, default=encoded)
         if self.file is not None and self.at + len(payload) + FRAME.size > self.most:
             self.close()
@@ -151,6 +153,7 @@
         os.fsync(self.file.fileno())
 
     def close(self) -> None:
+        """Closes the file; the next entry opens it again."""
         file, self.file = self.file, None
         if file is not None:
             file.close()
--- a/softswitch/measure/recording.py
+++ b/softswitch/measure/recording.py
@@ -111,14 +111,17 @@
     # as a part of the softswitch (components.Component)
 
     def start(self) -> None:
+        """Logs where entries go; the intervals are timed by the switch's events."""
         every = self.record.interval / 1000
         logger.info("traffic record: an entry each {:g} s to {}", every, self.writer.path)
 
     def reload(self, table: Any, settings: Any) -> str:
+        """Takes the classes' objectives. Returns the table's name if a change of it needs a restart."""
         self.aims = {c.name: c.latency_objective for c in settings.classes}
         return "" if table == self.table else "record"
 
     def figures(self) -> dict[str, Any]:
+        """Nothing: the record has a file of its own."""
         return {}
 
     def stop(self) -> None:
@@ -129,6 +132,7 @@
 
 
 def make(table: Any, host: Host) -> Recording:
+    """Makes the component from the operator file's table. An existing record is checked first."""
     path = host.folder / table.file
     try:
         if path.exists():
--- a/softswitch/net/call_history.py
+++ b/softswitch/net/call_history.py
@@ -31,6 +31,7 @@
         host.calls["/v1/calls/"] = ComponentCall("GET", self.asked)
 
     def asked(self, rest: str) -> tuple[int, dict[str, Any]]:
+        """Answers `GET /v1/calls/ID`: status and body."""
         call = CONNECTIONS if rest == "links" else rest.lower()
         if call and not CALL_ID.match(call):
             return 400, {"error": "16 hex digits of a call are wanted, or `links`"}
@@ -39,6 +40,7 @@
         return (200, told) if told else (404, gone)
 
     def start(self) -> None:
+        """Logs what is kept, and begins to write where a file is named."""
         logger.info("calls: the lives of the last {} are kept", self.table.keep)
         if self.path:
             self._tick()
@@ -69,17 +71,21 @@
             self.writing = False
 
     def reload(self, table: Any, settings: Any) -> str:
+        """Takes no settings. Returns the table's name if a change of it needs a restart."""
         return "" if table == self.table else "calls"
 
     def figures(self) -> dict[str, Any]:
+        """Counts of calls kept and dropped."""
         return {"lives_kept": len(self.history.calls), "lives_dropped": self.history.dropped}
 
     def stop(self) -> None:
+        """Writes what has changed since the last write."""
         if self.path:
             self._write(self._lines(len(self.history.changed)))
 
 
 def make(table: Any, host: Host) -> CallBook:
+    """Makes the component from the operator file's table. ValueError if the file's folder is missing."""
     if table.file and not (Path(host.folder) / table.file).parent.is_dir():
         raise ValueError(f"`file`: no such folder: {(Path(host.folder) / table.file).parent}")
     return CallBook(table, host)
--- a/softswitch/net/peers.py
+++ b/softswitch/net/peers.py
@@ -65,6 +65,7 @@
         self.peers = peers
 
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Twisted callback: one datagram has arrived."""
         self.peers.datagram(data)
 
 
@@ -77,21 +78,25 @@
         self.peers, self.said, self.timer = peers, said, None
 
     def connectionMade(self) -> None:
+        """Twisted callback: the exchange begins, with the request if this end opened it."""
         self.peers.lines[self] = None
         self.timer = self.peers.host.reactor.callLater(EXCHANGE_BY, self.transport.abortConnection)
         if self.said is not None:
             self.sendString(self.peers.encoder.encode(self.said))
 
     def connectionLost(self, reason: object = None) -> None:
+        """Twisted callback: the exchange is over."""
         self.peers.lines.pop(self, None)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
     def lengthLimitExceeded(self, length: int) -> None:
+        """Twisted callback: the other end announced a message that is too long."""
         self.peers.garbage("an exchange's message is too long")
         self.transport.abortConnection()
 
     def stringReceived(self, data: bytes) -> None:
+        """Twisted callback: one whole message has arrived."""
         try:
             message = self.peers.streams.decode(data)
         except (msgspec.DecodeError, msgspec.ValidationError) as e:
@@ -110,25 +115,32 @@
 
 
 class Opener(ClientFactory):
+    """Opens one exchange with another member, to send it a request."""
+
     noisy = False
 
     def __init__(self, peers: Peers, said: Compare) -> None:
         self.peers, self.said = peers, said
 
     def buildProtocol(self, addr: object) -> Line:
+        """Twisted callback: the protocol of the connection that was opened."""
         return Line(self.peers, self.said)
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Twisted callback: the other member could not be reached."""
         self.peers.count["exchanges that found nobody"] += 1
 
 
 class Acceptor(Factory):
+    """Accepts the exchanges that other members open."""
+
     noisy = False
 
     def __init__(self, peers: Peers) -> None:
         self.peers = peers
 
     def buildProtocol(self, addr: object) -> Line | None:
+        """Twisted callback: the protocol of an accepted connection; None closes it, at the bound."""
         if len(self.peers.lines) >= MOST_EXCHANGES:
             self.peers.count["exchanges turned away"] += 1
             return None
@@ -239,6 +251,7 @@
     # as a part
 
     def start(self) -> None:
+        """Binds the address, joins the fleet and begins to probe."""
         self.switch.lifecycle.on_change.append(self._phase)
         logger.info(
             "fleet: {} in fleet {}, site {!r}, {} seeds",
@@ -252,6 +265,7 @@
         self.wheel.call_at(self.wheel.now + 1_000.0, self._sizes)
 
     def reload(self, table: Any, settings: Any) -> str:
+        """Takes the settings that changed. Returns the table's name if a change of it needs a restart."""
         self.size.of_file = settings.fleet_size
         self._do(self.member.now_is(self.wheel.now, self.host.version, settings_digest(settings)))
         self.told_size = settings.fleet_size  # as the switch has it now
@@ -259,6 +273,7 @@
         return "" if table == self.table else "fleet"
 
     def figures(self) -> dict[str, Any]:
+        """Counts for `GET /metrics` and the view: members by state, messages, exchanges."""
         count = self.member.table.count
         counts = dict(self.count) | self.member.counts  # a copy in one step: a thread may add to it meanwhile
         return {
@@ -273,6 +288,7 @@
         }
 
     def stop(self) -> None:
+        """Closes the sockets; a planned stop was announced by the lifecycle before."""
         self._close()
 
     # the address
@@ -347,6 +363,7 @@
     # what comes in
 
     def datagram(self, data: bytes) -> None:
+        """Takes in one datagram, within the limit of datagrams of one interval."""
         now = self.wheel.now
         if now - self.span >= EACH:
             self.span, self.taken_in = now, 0
@@ -370,11 +387,13 @@
         return None
 
     def garbage(self, why: str) -> None:
+        """Counts a message that can't be decoded, and logs the first one."""
         self.count["messages that can't be read"] += 1
         if self.count["messages that can't be read"] == 1:
             logger.warning("fleet: a message that can't be read, dropped, and others like it: {:.120}", why)
 
     def exchanged(self, message: Any) -> Any:
+        """The answer of this member to a message of an exchange; None ends the exchange."""
         answer, actions = self.member.asked(self.wheel.now, message)
         self._do(actions)
         return answer
@@ -473,6 +492,7 @@
 
 
 def make(table: Any, host: Host) -> Peers:
+    """Makes the component from the operator file's table. ValueError if the member's name is not usable."""
     name = host.name if not table.member else table.member
     if not 0 < len(name) <= 64:
         raise ValueError(f"`member`: {name!r:.70} is no name of 1 to 64 characters")
--- a/softswitch/operator/load.py
+++ b/softswitch/operator/load.py
@@ -33,6 +33,7 @@
 
 
 def of_text(text: str, name: str) -> Operator:
+    """Evaluates the operator file's text. BadOperatorFile names the place and the remedy."""
     if len(text) > MOST_BYTES:
         raise BadOperatorFile(f"{name}: {len(text)} bytes; at most {MOST_BYTES} are read, so keep data out")
     module, until = starlark.Module(), monotonic() + MOST_SECONDS
--- a/softswitch/storage/snapshot.py
+++ b/softswitch/storage/snapshot.py
@@ -26,7 +26,8 @@
 class Files(Protocol):
     """What is asked of the disk; tests put one in between that fails, or is slow."""
 
-    def read(self, path: Path, most: int) -> bytes: ...
+    def read(self, path: Path, most: int) -> bytes:
+        """The first `most` bytes. FileNotFoundError if there is no file."""
 
     def write(self, path: Path, data: bytes) -> None:
         """Written and synced; the file is not there whole before it returns."""
@@ -34,17 +35,20 @@
     def replace(self, old: Path, new: Path) -> None:
         """Renamed, and the folder synced."""
 
-    def remove(self, path: Path) -> None: ...
+    def remove(self, path: Path) -> None:
+        """Removes the file if it is there."""
 
 
 class Disk:
     """The disk itself."""
 
     def read(self, path: Path, most: int) -> bytes:
+        """See `Files.read`."""
         with open(path, "rb") as file:
             return file.read(most)
 
     def write(self, path: Path, data: bytes) -> None:
+        """See `Files.write`."""
         fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
             at = 0
@@ -55,6 +59,7 @@
             os.close(fd)
 
     def replace(self, old: Path, new: Path) -> None:
+        """See `Files.replace`."""
         os.replace(old, new)
         folder = os.open(new.parent, os.O_RDONLY | os.O_CLOEXEC)
         try:
@@ -63,6 +68,7 @@
             os.close(folder)
 
     def remove(self, path: Path) -> None:
+        """See `Files.remove`."""
         path.unlink(missing_ok=True)
 
 
--- a/softswitch/telemetry.py
+++ b/softswitch/telemetry.py
@@ -63,6 +63,7 @@
         switch.on_duration = self.measured
 
     def measured(self, what: Duration, ms: float) -> None:
+        """Records one duration, in ms."""
         self.times[what].record(ms)
 
     def stop(self) -> None:
@@ -79,12 +80,14 @@
     last = -60.0
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Passes on a warning of the OpenTelemetry library, one in 60 s at the most."""
         if record.levelno >= logging.WARNING and record.created - OneLine.last >= 60.0:
             OneLine.last = record.created
             logger.warning("telemetry: {}", record.getMessage().splitlines()[0][:200])
 
 
 def start(name: str, switch: Switch) -> Telemetry | None:
+    """Starts the export if the environment names a collector. ValueError if what it names is not usable."""
     endpoint = os.environ.get(ENDPOINT, "")
     if not endpoint:
         return None
