--- a/softswitch/standin/faults/schedule.py
+++ b/softswitch/standin/faults/schedule.py
@@ -17,7 +17,6 @@
 from msgspec import Meta, Struct
 
 LINKS = ("cut", "cut one way", "slow", "lose", "double", "reorder", "spoil", "limit")
-PROCESSES = ("kill", "stop", "restart", "leave")
 DISKS = ("disk full", "disk read-only", "disk slow")
 What = Literal[
     "cut",
