--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,66 +1,15 @@
 """The switch and its wheel, with no wire: a clock by hand, a caller and engines that only write down."""
 
 import pytest
-from support.policy_driver import settings
+from support.switch_bench import A, B, Bench
 
 from softswitch import interface as i
 from softswitch.core import predecessor
 from softswitch.core.call import FailureReason, SetupRequest
 from softswitch.core.call_table import MAX_CALLS
-from softswitch.core.switch import ANSWER_MARGIN, Switch
+from softswitch.core.switch import ANSWER_MARGIN
 from softswitch.core.timer_wheel import TimerWheel
 
-A, B = "s-0000000a", "s-0000000b"
-
-
-CALLED = ("send_setup", "cancel_setup", "send_release", "call_established", "call_failed", "call_released")
-
-
-class Bench:
-    """Caller, engines and clock in one; `said` holds what the switch told any of them."""
-
-    calls_survive = False
-
-    def __init__(self, servers=(A, B), **changes):
-        self.now, self.said = 1000.0, []
-        self.wheel = TimerWheel(5.0, lambda: self.now)
-        self.switch = Switch(settings(**changes), 1, self.wheel, self)
-        self.switch.start()
-        ready = (i.Endpoint(s, n, i.EndpointState.READY) for n, s in enumerate(servers))
-        self.list_changed(*ready, kind=i.UpdateKind.COMPLETE)
-
-    def list_changed(self, *endpoints, kind=i.UpdateKind.CHANGES):
-        self.switch.endpoints_changed(i.EndpointsChanged(kind, endpoints))
-
-    def endpoint_unavailable(self, server):
-        """Nothing waits to be written here."""
-
-    def __getattr__(self, name):
-        if name not in CALLED:
-            raise AttributeError(name)
-
-        def note(*words):
-            plain = [w if isinstance(w, str | int | bytes | FailureReason) else None for w in words]
-            self.said.append((name, *[w for w in plain if w is not None]))
-
-        return note
-
-    def call(self, n=1, timeout=3000.0, destination_cell=0, call_class="plain"):
-        return self.switch.request_setup(
-            SetupRequest(f"{n:016x}", call_class, "77", timeout, b"d", destination_cell), self
-        )
-
-    def run(self, ms):
-        until = self.now + ms
-        while self.now < until:
-            self.now += 5.0
-            self.wheel.read_clock()
-            self.wheel.run_due()
-
-    def heard(self, name):
-        return [words for words in self.said if words[0] == name]
-
-
 ONE = f"{1:016x}"
 
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -5,7 +5,7 @@
 
 import pytest
 from support.policy_driver import settings
-from test_core import A, Bench
+from support.switch_bench import A, Bench
 
 from softswitch.core.figures import MAX_VANISHED_CLASSES, Figures
 from softswitch.core.lifecycle import (
--- a/tests/test_read_scheduling.py
+++ b/tests/test_read_scheduling.py
@@ -2,7 +2,7 @@
 had a management call wait for 4.1 s.
 """
 
-from test_core import Bench
+from support.switch_bench import Bench
 from twisted.internet.testing import StringTransport
 
 from softswitch.net.sip_connection import MAX_UNREAD_TIME, READ_SIZE, TURN_BUDGET
