Show that a call whose attempt was never written is answered as failed

Symptom: an engine's connection does not come up within the caller's patience; the set-up waits in the link's queue, nothing of it is written, and the caller gets a 500 (an attempt may have run) in place of a 503 with advice.

--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -370,6 +370,19 @@
         nothing_more(s, "e0", [1])
 
 
+def test_a_call_whose_attempt_was_never_written_is_rejected_at_its_deadline():
+    """The attempt waits for a connection that does not come up until the caller's patience is over."""
+    with Stage(engines=1, settings=SLOW) as s:
+        s.play("e0 wait 50")
+        door = s.doors.pop("e0")
+        filling = fill(door)
+        s.parties.pop("e0").sock.close()
+        s.play("c0 wait 100\nc0 send INVITE 1 X-Patience=700\nc0 expect SIP/2.0 503.*{1}.*X-Later-Ms")
+        for sock in filling:
+            sock.close()
+        door.close()
+
+
 @pytest.mark.parametrize("leave", [cancel, close, reset])
 def test_left_while_the_set_up_lay_unread(leave):
     with Stage(engines=1) as s:
