Reject calls whose attempt was never written when their time is over

Symptom: 500 (an attempt may have run) to callers whose set-up waited for a connection that did not come up, or for an engine that did not read, until their patience was over.

Cause: to the module an attempt is in flight from the moment it is asked for; that it waits in the link's queue and is withdrawn unwritten was known to the link alone.

Mend: the call keeps whether any attempt was written, and the one place through which module, guard and deadline end a call names the end by that; it replaces the guard's own test. Holds for every wait before the write, as nothing can run before it.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -183,6 +183,7 @@
     attempt: int = -1  # number of the last attempt
     server: str | None = None  # where an attempt is in flight, or the call is established
     sent_at: float = 0.0
+    written: bool = False  # whether any attempt was written to an engine: until then nothing can have run
     retry_at: float = 0.0  # no attempt before this: retry_delay
     established_at: float | None = None
     first_server: str = ""  # where its first attempt went
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -199,9 +199,15 @@
     # the end of calls
 
     def _fail(self, call_id: str, reason: FailureReason, retry_after: float) -> None:
-        """The call is answered as not established; an attempt in flight is given up."""
+        """The call is answered as not established; an attempt in flight is given up.
+
+        The decision module and the guard can't know that an attempt waits in vain for its connection: here
+        the end is named by what was written.
+        """
         call = self.calls.get(call_id)
         if call is not None and not call.established:
+            if reason is FailureReason.FAILED and not call.written:
+                reason, retry_after = FailureReason.REJECTED, self.settings.retry_after
             self._answer_failed(call, reason, retry_after)
             self._give_up_rest(call, i.Outcome.TIMEOUT)
 
@@ -251,12 +257,8 @@
     def _answer_overdue(self, call_id: str) -> None:
         """Guards the answer in time, whatever the module does."""
         call = self.calls.get(call_id)
-        if call is None or call.established:
-            return
-        self.counters[Count.GUARD_OVERDUE] += 1
-        if call.never_sent:  # late or not: nothing has run
-            self._fail_without_module(call, FailureReason.REJECTED, self.settings.retry_after)
-        else:
+        if call is not None and not call.established:
+            self.counters[Count.GUARD_OVERDUE] += 1
             self._fail_without_module(call, FailureReason.FAILED)
 
     def _measure(self, duration: Duration, ms: float) -> None:
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -173,7 +173,7 @@
         """The call can't be kept though its caller still waits: it is answered, and all of it is over."""
         call = self.calls.get(call_id)
         if call is not None and call.caller is by and not call.established:
-            reason = FailureReason.REJECTED if call.never_sent else FailureReason.FAILED
+            reason = FailureReason.FAILED if call.written else FailureReason.REJECTED
             self._fail_without_module(call, reason)
 
     # from the peer process
@@ -295,6 +295,7 @@
         """An attempt of this call was written completely to its engine."""
         call = self.calls.get(call_id)
         if call is not None:
+            call.written = True
             self.figures.for_class(call.request.call_class).relayed += 1
 
     def engine_died(self, server: str, before: float = inf) -> None:
@@ -329,7 +330,7 @@
         """At the end of a planned stop: what is still owed an answer gets one."""
         for call in list(self.calls.values()):
             if not call.established:
-                safe = call.idempotent or call.never_sent
+                safe = call.idempotent or not call.written
                 reason = FailureReason.REJECTED if safe else FailureReason.FAILED
                 self._fail_without_module(call, reason, self.settings.max_retry_after)
 
--- a/tests/support/switch_bench.py
+++ b/tests/support/switch_bench.py
@@ -26,6 +26,11 @@
     def list_changed(self, *endpoints, kind=i.UpdateKind.CHANGES):
         self.switch.endpoints_changed(i.EndpointsChanged(kind, endpoints))
 
+    def send_setup(self, server, call):
+        """It is written at once."""
+        self.said.append(("send_setup", server))
+        self.switch.attempt_written(call.id)
+
     def endpoint_unavailable(self, server):
         """Nothing waits to be written here."""
 
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -371,7 +371,12 @@
 
 
 def test_a_call_whose_attempt_was_never_written_is_rejected_at_its_deadline():
-    """The attempt waits for a connection that does not come up until the caller's patience is over."""
+    """A connection does not come up, or its engine does not read, until the caller's patience is over.
+
+    What happened: the module has an attempt in flight and can't know that the set-up still waits in the
+    link's queue, so it failed the call; the caller heard 'SIP/2.0 500 Server Failure' though the engine's
+    listener had accepted no connection and no byte had gone to any engine.
+    """
     with Stage(engines=1, settings=SLOW) as s:
         s.play("e0 wait 50")
         door = s.doors.pop("e0")
