Hand over to the next process however long the path of TMPDIR is

Symptom: 'handover: not offered: path too long' at the start, and the next process ended with 'Address already in use': no replacement with a $TMPDIR of over some 65 bytes.

Cause: the path was held against 100 bytes of a Unix socket's address. Mend: a path that does not fit is named by the descriptor of its folder, on both sides, so no length is left that matters.

--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -35,7 +35,7 @@
 SOCKET_PREFIX = "willowhitch"  # of the Unix sockets' names, in every version
 MAX_SOCKETS_TRIED = 4  # stale files among them
 MAX_LISTENERS = 4
-MAX_PATH = 100  # bytes of a Unix socket's path
+MAX_ADDRESS = 107  # bytes of a Unix socket's address
 MAX_LINE = 1_024  # bytes
 ANSWER_TIMEOUT = 1.5  # s that a predecessor may take to hand over
 REPORT_INTERVAL = 100.0  # ms between two reports of how many connections are held
@@ -69,6 +69,24 @@
     return listener
 
 
+class SocketDirectory:
+    """The directory of the Unix sockets, whose own path may be longer than their address can be."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self._descriptor: int | None = None  # kept open from the first time that the path is too long
+
+    def address_of(self, name: str) -> str:
+        """The address of the socket with this name."""
+        path = self.path / name
+        if len(os.fsencode(path)) <= MAX_ADDRESS:
+            return str(path)
+        # An operator's TMPDIR must not keep a process from being replaced: named by descriptor it is short.
+        if self._descriptor is None:
+            self._descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+        return f"/proc/self/fd/{self._descriptor}/{name}"
+
+
 @implementer(IFileDescriptorReceiver)
 class Channel(LineReceiver):
     """One end of what two processes of one softswitch send each other."""
@@ -148,7 +166,8 @@
             return
         self.path = self.paths.pop(0)
         try:
-            self.handover.reactor.connectUNIX(str(self.path), self, timeout=ANSWER_TIMEOUT)
+            address = self.handover.directory.address_of(self.path.name)
+            self.handover.reactor.connectUNIX(address, self, timeout=ANSWER_TIMEOUT)
         except Exception as e:  # Unix sockets are refused here
             logger.warning("handover: no Unix socket, started as on a plain day: {}", e)
             self.handover.search_ended(None)
@@ -172,7 +191,7 @@
         self.reactor = reactor
         self.switch = switch
         self.sip = sip
-        self.directory = Path(directory)
+        self.directory = SocketDirectory(Path(directory))
         self.ports: dict[str, Any] = {}  # what listens here, by name; Twisted ports
         self.channel: Channel | None = None  # to the other process
         self.is_predecessor = False  # the other process is the one that replaces this one
@@ -199,7 +218,9 @@
     def predecessors(self, address: Address) -> list[Path]:
         """Sockets of processes that may serve this address, the newest first."""
         try:
-            sockets = [p for p in self.directory.glob(self._socket_prefix(address) + "*") if p.is_socket()]
+            sockets = [
+                p for p in self.directory.path.glob(self._socket_prefix(address) + "*") if p.is_socket()
+            ]
             return sorted(sockets, key=lambda path: -path.stat().st_mtime)[:MAX_SOCKETS_TRIED]
         except OSError:
             return []
@@ -244,12 +265,10 @@
 
     def offer(self, address: Address) -> None:
         """Others may take over from here on."""
-        path = self.directory / f"{self._socket_prefix(address)}{os.getpid()}"
+        name = f"{self._socket_prefix(address)}{os.getpid()}"
         try:
-            if len(str(path)) > MAX_PATH:
-                raise ValueError("path too long")
-            path.unlink(missing_ok=True)
-            self.reactor.listenUNIX(str(path), self, mode=0o600)
+            (self.directory.path / name).unlink(missing_ok=True)
+            self.reactor.listenUNIX(self.directory.address_of(name), self, mode=0o600)
         except Exception as e:  # the feature steps aside, never the softswitch
             logger.warning("handover: not offered: {}", e)
 
