Run the tests side by side, a file to a worker, half the cores

The list of known failures is read by each worker and checked by the process that starts them; tests hold that.

--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
-	$(PY) -m pytest $(ARGS)
+	$(PY) -m pytest -n auto --dist loadfile $(ARGS)  # workers: half the cores, see tests/conftest.py
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,41 @@
-"""Drawn tests draw the same each time: one verdict for one tree. Known failures are let through by name."""
+"""Drawn tests draw the same each time: one verdict for one tree. Known failures are let through by name.
+
+Tests run side by side, a file to a worker process; the list of known failures is read by each of them.
+"""
+
+import os
 
 import pytest
 from hypothesis import settings
 from support import known_failures
 
+CORES_PER_WORKER = 2  # a test of the network keeps two processes busy: itself and the program
+
 settings.register_profile("same", derandomize=True, database=None, deadline=None)
 settings.load_profile("same")
 
 
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_auto_num_workers(config):
+    return max(1, (os.cpu_count() or 1) // CORES_PER_WORKER)
+
+
+def check_known_failures(config, tests):
+    """Ends the run where the list names what is none of the tests. A part of the tests may lack them."""
+    if config.args_source == config.ArgsSource.ARGS:
+        return
+    try:
+        known_failures.check_tests(config.known_failures, tests)
+    except known_failures.ListError as e:
+        pytest.exit(str(e), pytest.ExitCode.USAGE_ERROR)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node, ids):
+    """Called in the process that starts the workers: they can't tell a part of the tests from all."""
+    check_known_failures(node.config, set(ids))
+
+
 def pytest_configure(config):
     listed = known_failures.FILE.read_text() if known_failures.FILE.exists() else ""
     try:
@@ -17,11 +45,8 @@
 
 
 def pytest_collection_modifyitems(config, items):
-    if config.args_source != config.ArgsSource.ARGS:  # a part of the tests may lack them
-        try:
-            known_failures.check_tests(config.known_failures, {item.nodeid for item in items})
-        except known_failures.ListError as e:
-            raise pytest.UsageError(str(e)) from None
+    if not hasattr(config, "workerinput"):
+        check_known_failures(config, {item.nodeid for item in items})
     for item in items:
         failure = config.known_failures.get(item.nodeid)
         if failure is not None:
--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -77,6 +77,19 @@
     assert got == code and says in said, said
 
 
+@pytest.mark.parametrize(
+    ("listed", "code", "says"),
+    [
+        (BAD, 0, "known failure 1 failed in this run"),
+        (GOOD, 1, "1 failed"),
+        (BAD + GONE, 4, "entry 2: no such test: tests/test_it.py::test_gone; name it as"),
+    ],
+)
+def test_workers_side_by_side_keep_to_the_list(tmp_path, listed, code, says):
+    got, said = run(tmp_path, listed, "-n", "2", "--dist", "loadfile")
+    assert got == code and says in said, (got, said)
+
+
 def test_a_part_of_the_tests_may_be_run_though_the_known_failure_is_not_among_them(tmp_path):
     code, said = run(tmp_path, BAD, "tests/test_it.py::test_good")
     assert code == 0 and "known failure 1 not run in this run" in said, said
