Write a waiting release before a new attempt of its call, and never in its place

Symptom: an engine that does not read for longer than the quiet time heard SETUP, SETUP and no RELEASE of a call whose first attempt was given up; the circuit of the first stands until the engine falls silent. A withdrawn set-up and an engine's new address lost the release as well.

Cause: one queue of the link held set-ups and releases by the id of their call. Mend: a queue of each kind, releases written first. It holds as no set-up can be written while a release of any call waits.

--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -37,7 +37,6 @@
 ANY_STATE = b"\0"  # parameter of a probe
 
 Report = tuple[float, ...]
-Queued = Call | Release  # a call setup, which can still be withdrawn, or a release
 
 
 @dataclass(slots=True)
@@ -85,7 +84,10 @@
         self.address = address
         self.connection: EngineConnection | None = None
         self.is_closing = False
-        self.queue: dict[str, Queued] = {}  # by call, what waits to be written
+        # What waits to be written, by call. Releases go first: the one of an attempt that was given up may
+        # wait beside a new attempt of the same call, which must neither replace nor overtake it.
+        self.queued_releases: dict[str, Release] = {}
+        self.queued_setups: dict[str, Call] = {}  # these can still be withdrawn
         self.in_flight: set[str] = set()  # call setups written to the connection that is up
         # Releases of established calls, the oldest first. A connection that is reset takes them with it, and
         # nothing else would tell the engine.
@@ -123,7 +125,7 @@
             self.open()
 
     def _is_needed(self) -> bool:
-        return bool(self.queue) or self.pool.is_wanted(self.server)
+        return self._queue_length > 0 or self.pool.is_wanted(self.server)
 
     def buildProtocol(self, addr: object) -> EngineConnection:
         """Called by Twisted."""
@@ -135,7 +137,7 @@
         process_is_gone = reason.check(NobodyListens)  # and its calls with it
         if process_is_gone:
             # Before setups go elsewhere: they may come back here at once, to wait for the next process.
-            self.queue = {call: queued for call, queued in self.queue.items() if isinstance(queued, Call)}
+            self.queued_releases.clear()
         self.return_queued_setups()
         if process_is_gone:
             self.switch.engine_died(self.server)
@@ -191,46 +193,55 @@
 
     # what goes to the engine
 
-    def send(self, call: str, queued: Queued) -> None:
+    @property
+    def _queue_length(self) -> int:
+        return len(self.queued_releases) + len(self.queued_setups)
+
+    def send_setup(self, call: Call) -> None:
         """Writes it as soon as a connection is up and read."""
-        if len(self.queue) >= MAX_QUEUED:
-            if isinstance(queued, Call):
-                self.switch.attempt_unreachable(self.server, call)
-            else:  # its call stays established there until the engine ends it
-                self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
+        if self._queue_length >= MAX_QUEUED:
+            self.switch.attempt_unreachable(self.server, call.id)
+            return
+        self.queued_setups[call.id] = call
+        self._flush_or_open()
+
+    def send_release(self, release: Release) -> None:
+        """Writes it as soon as a connection is up and read."""
+        if self._queue_length >= MAX_QUEUED:  # its call stays established there until the engine ends it
+            self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
             return
-        self.queue[call] = queued
+        self.queued_releases[release.call] = release
+        self._flush_or_open()
+
+    def _flush_or_open(self) -> None:
         self._flush()
         if self.connection is None:
             self.open()
 
     def withdraw_setup(self, call: str) -> bool:
         """Takes back a call setup that was never written."""
-        if isinstance(self.queue.get(call), Call):
-            del self.queue[call]
-            return True
-        return False
+        return self.queued_setups.pop(call, None) is not None
 
     def return_queued_setups(self) -> None:
         """The engine takes nothing new: call setups that still wait here go elsewhere."""
-        for call in [call for call, queued in self.queue.items() if isinstance(queued, Call)]:
-            del self.queue[call]
-            self.switch.attempt_unreachable(self.server, call)
+        for call in list(self.queued_setups):
+            if self.withdraw_setup(call):
+                self.switch.attempt_unreachable(self.server, call)
 
     def take_over_queue(self, predecessor: EngineLink) -> None:
         """What was queued for an earlier address of the engine goes to this one."""
-        self.queue = predecessor.queue | self.queue
-        predecessor.queue = {}
+        self.queued_releases = predecessor.queued_releases | self.queued_releases
+        self.queued_setups = predecessor.queued_setups | self.queued_setups
+        predecessor.queued_releases = {}
+        predecessor.queued_setups = {}
 
     def _flush(self) -> None:
         """Writes what waited, as far as it is read."""
-        while self.connection is not None and not self._backpressured and self.queue:
-            call = next(iter(self.queue))
-            queued = self.queue.pop(call)
-            if isinstance(queued, Call):
-                self._write_setup(queued)
+        while self.connection is not None and not self._backpressured and self._queue_length:
+            if self.queued_releases:
+                self._write_release(self.queued_releases.pop(next(iter(self.queued_releases))))
             else:
-                self._write_release(queued)
+                self._write_setup(self.queued_setups.pop(next(iter(self.queued_setups))))
 
     def _write_setup(self, call: Call) -> None:
         self.in_flight.add(call.id)
@@ -269,7 +280,7 @@
     def _requeue_unacknowledged(self) -> None:
         for call, sent in self.unacknowledged.items():
             self.switch.counters[Count.ENGINE_RELEASES_RESENT] += 1
-            self.queue.setdefault(call, sent.release)
+            self.queued_releases.setdefault(call, sent.release)
         self.unacknowledged.clear()
 
     # what comes from the engine
--- a/softswitch/net/engine_pool.py
+++ b/softswitch/net/engine_pool.py
@@ -59,19 +59,19 @@
         if link is None:
             self.switch.attempt_unreachable(server, call.id)
         else:
-            link.send(call.id, call)
+            link.send_setup(call)
 
     def cancel_setup(self, server: str, call: str) -> None:
         """Takes back a setup that is not answered."""
         link = self.links.get(server)
         if link and not link.withdraw_setup(call):
-            link.send(call, Release(call, CAUSE_CANCELLED))
+            link.send_release(Release(call, CAUSE_CANCELLED))
 
     def send_release(self, server: str, call: str, cause: int) -> None:
         """Ends a call there."""
         link = self.links.get(server)
         if link:
-            link.send(call, Release(call, cause))
+            link.send_release(Release(call, cause))
 
     def endpoint_unavailable(self, server: str) -> None:
         """The list says so: call setups that are not written yet go elsewhere."""
--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -64,10 +64,10 @@
     """
     bench = LinkBench()
     connection, call = bench.connected(), bench.taken()
-    bench.link.send(ONE, call)
+    bench.link.send_setup(call)
     bench.link.set_backpressured(True)
-    bench.link.send(ONE, Release(ONE, CANCELLED))
-    bench.link.send(ONE, call)
+    bench.link.send_release(Release(ONE, CANCELLED))
+    bench.link.send_setup(call)
     bench.link.set_backpressured(False)
     assert connection.written == [("SETUP", ONE), ("RELEASE", ONE), ("SETUP", ONE)]
     assert bench.link.in_flight == {ONE}
@@ -76,10 +76,10 @@
 def test_a_new_attempt_that_is_withdrawn_leaves_the_release_of_the_one_before():
     bench = LinkBench()
     connection, call = bench.connected(), bench.taken()
-    bench.link.send(ONE, call)
+    bench.link.send_setup(call)
     bench.link.set_backpressured(True)
-    bench.link.send(ONE, Release(ONE, CANCELLED))
-    bench.link.send(ONE, call)
+    bench.link.send_release(Release(ONE, CANCELLED))
+    bench.link.send_setup(call)
     assert bench.link.withdraw_setup(ONE)
     assert not bench.link.withdraw_setup(ONE)
     bench.link.set_backpressured(False)
@@ -89,8 +89,8 @@
 def test_an_engine_that_moves_takes_both_along_in_their_order():
     bench = LinkBench()
     call = bench.taken()
-    bench.link.send(ONE, Release(ONE, CANCELLED))
-    bench.link.send(ONE, call)
+    bench.link.send_release(Release(ONE, CANCELLED))
+    bench.link.send_setup(call)
     moved = EngineLink(bench, bench.switch, A, ("127.0.0.1", 2))
     moved.take_over_queue(bench.link)
     connection = Connection(bench.now)
@@ -103,10 +103,10 @@
     bench = LinkBench()
     call = bench.taken()
     for n in range(10, MAX_QUEUED + 10):
-        bench.link.send(f"{n:016x}", Release(f"{n:016x}", CANCELLED))
-    bench.link.send(ONE, call)
+        bench.link.send_release(Release(f"{n:016x}", CANCELLED))
+    bench.link.send_setup(call)
     assert bench.switch.counters["attempt connect_failed"] == 1
-    bench.link.send(TWO, Release(TWO, CANCELLED))
+    bench.link.send_release(Release(TWO, CANCELLED))
     assert bench.switch.counters[Count.ENGINE_RELEASES_DROPPED] == 1
 
 
@@ -125,7 +125,7 @@
 def test_a_release_that_its_connection_took_along_is_written_again_within_its_time(age, acknowledged, again):
     bench = LinkBench()
     first = bench.connected()
-    bench.link.send(ONE, Release(ONE, CANCELLED))
+    bench.link.send_release(Release(ONE, CANCELLED))
     if acknowledged:
         bench.link.message_received(decode_message(encode_message(MessageType.ACKNOWLEDGE, ONE)))
     bench.run(age)
@@ -140,7 +140,7 @@
     bench = LinkBench()
     first = bench.connected()
     for n in (1, 2, 3):  # written 400 ms apart
-        bench.link.send(f"{n:016x}", Release(f"{n:016x}", CANCELLED))
+        bench.link.send_release(Release(f"{n:016x}", CANCELLED))
         bench.run(400.0)
     bench.link.connection_down(first)
     assert [call for _, call in bench.connected().written] == [f"{2:016x}", f"{3:016x}"]
@@ -149,8 +149,8 @@
 def test_the_release_of_an_attempt_is_not_kept_as_the_end_of_its_connection_gives_it_up_too():
     bench = LinkBench()
     first, call = bench.connected(), bench.taken()
-    bench.link.send(ONE, call)
-    bench.link.send(ONE, Release(ONE, CANCELLED))
+    bench.link.send_setup(call)
+    bench.link.send_release(Release(ONE, CANCELLED))
     bench.link.connection_down(first)
     assert bench.connected().written == []
 
@@ -215,7 +215,7 @@
 def test_a_message_of_no_call_is_no_acknowledgement():
     bench = LinkBench()
     first = bench.connected()
-    bench.link.send(ONE, Release(ONE, CANCELLED))
+    bench.link.send_release(Release(ONE, CANCELLED))
     bench.link.message_received(decode_message(encode_message(MessageType.ACKNOWLEDGE, NO_CALL)))
     bench.link.connection_down(first)
     assert bench.connected().written == [("RELEASE", ONE)]
