Add soaks from seeds, and a checker of every rule on the wire

Need: faults in how things end come from overlaps that nobody writes down: signals in series, replacements during drains, engines that hang, a silent board, crowds. The HTTP call of the drills moves to a module that both use.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(PY) -m pip -q install -e '.[dev]'
 	touch .venv/ready
 
-.PHONY: demo test
+.PHONY: demo soak test
 demo: .venv/ready  ## a softswitch among stand-ins on loopback: a live table for 20 s, then a traffic report
 	$(PY) -m softswitch.cli demo
 
@@ -18,3 +18,7 @@
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
 	$(PY) -m pytest -n auto --dist loadfile $(ARGS)  # workers: half the cores, see tests/conftest.py
+
+SEEDS = 50
+soak: .venv/ready  ## long soaks by hand, two at a time: `make soak SEEDS=100`
+	$(PY) -m softswitch.cli soak --seed 1 --seeds $(SEEDS) --jobs 2
--- a/softswitch/cli/__init__.py
+++ b/softswitch/cli/__init__.py
@@ -23,6 +23,7 @@
     "config": ("config", "check and show an operator file"),
     "demo": ("demo", "a softswitch among stand-ins on loopback, for a bounded time"),
     "fleet": ("fleet", "what softswitches say of their fleet; drills and runs with faults between them"),
+    "soak": ("soak", "real softswitches among stand-ins, drawn from a seed, held against every rule"),
     "traffic": ("traffic", "what a traffic record holds"),
     "trunks": ("trunks", "dimension trunk groups: blocking, circuits, estimate, plan, what-if, plots"),
 }
--- a/softswitch/standin/faults/drill.py
+++ b/softswitch/standin/faults/drill.py
@@ -22,8 +22,6 @@
 
 import msgspec
 import orjson
-from twisted.internet.protocol import ClientFactory, Protocol
-
 from softswitch import environment
 from softswitch.standin.caller import Callers
 from softswitch.standin.engine import EngineSettings
@@ -32,6 +30,7 @@
 from softswitch.standin.faults.relay import CHECK, Relay
 from softswitch.standin.faults.schedule import Fault, selected
 from softswitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
+from softswitch.standin.http_query import Query, if_ok
 from softswitch.standin.traffic import StreamSettings
 import contextlib
 
@@ -116,39 +115,6 @@
         return msgspec.json.encode([e.fault for e in self.events])
 
 
-class Asked(Protocol):
-    """One view that is asked for."""
-
-    def __init__(self, path: str, done: Callable[[Any], None]) -> None:
-        self.path, self.done, self.data = path, done, b""
-
-    def connectionMade(self) -> None:
-        self.transport.write(f"GET {self.path} HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n".encode())
-
-    def dataReceived(self, data: bytes) -> None:
-        self.data += data
-
-    def connectionLost(self, reason: object = None) -> None:
-        head, _, body = self.data.partition(b"\r\n\r\n")
-        try:
-            self.done(orjson.loads(body) if b" 200 " in head.split(b"\r\n")[0] + b" " else None)
-        except orjson.JSONDecodeError:
-            self.done(None)
-
-
-class Asker(ClientFactory):
-    noisy = False
-
-    def __init__(self, path: str, done: Callable[[Any], None]) -> None:
-        self.path, self.done = path, done
-
-    def buildProtocol(self, addr: object) -> Asked:
-        return Asked(self.path, self.done)
-
-    def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        self.done(None)
-
-
 def day_of(softswitches: int, seconds: float, seed: int, rate: float, engines: int = 3) -> Day:
     hold = {"price-check": 1.6, "save-quote": 2.4}
     return Day(
@@ -442,7 +408,7 @@
             if self.meant[n] == "run" and n not in self.asking:
                 self.asking[n] = self.now()
                 self.looks += 1
-                factory = Asker("/v1/fleet", partial(self._answered, n))
+                factory = Query("GET /v1/fleet", if_ok(partial(self._answered, n)))
                 self.reactor.connectTCP(*self.mgmt_at[n], factory, timeout=ASKED)
             elif n in self.asking and self.now() - self.asking[n] > 5.0:
                 del self.asking[n]
@@ -461,7 +427,9 @@
                     if book.what in ("set-ups", "repeats")
                 ]
                 for path, done in asked:
-                    self.reactor.connectTCP(*self.mgmt_at[n], Asker(path, done), timeout=ASKED)
+                    self.reactor.connectTCP(
+                        *self.mgmt_at[n], Query(f"GET {path}", if_ok(done)), timeout=ASKED
+                    )
         self.reactor.callLater(ADDED, self._add_up)
 
     def _holds(self, n: int, view: Any) -> None:
--- /dev/null
+++ b/softswitch/standin/soak/checker.py
@@ -0,0 +1,297 @@
+"""Judges what is seen on the wire, from outside, against the rules that every softswitch keeps.
+
+It knows no socket and reads no clock: whoever owns the wire tells it what was seen, with the time in seconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import inf
+
+ANSWER_ALLOWANCE = 0.5  # s after the patience in which an answer only earns nothing; later the call is lost
+ORDER_ALLOWANCE = 0.1  # s in which events of two connections may be read in another order than they came
+DRAIN_ALLOWANCE = 2.0  # s after a drain was told, in which new attempts may still come
+TOLD_AFTER = 7.0  # s after which an event of the board counts as told, whatever became of it
+RELEASE_WITHIN = 1.0  # s from an engine's release to the caller's
+RELEASE_AT_LAST = 8.0  # s, where no release could be sent
+COUNTED_AFTER_STOP = 0.7  # s after SIGTERM; what comes later and is unanswered at SIGKILL is lost
+# S by which a set-up may cross the end of its connection: it can't be told then whether it was read.
+CROSSING = 0.05
+KEPT_EVENTS = 24  # of one call, for the report of a broken rule
+KEPT_CALLS = 20_000  # that are over, for what comes late
+
+
+class Rule(StrEnum):
+    """What has to hold."""
+
+    ANSWERED = "no answer before the patience ended"
+    ONE_ANSWER = "a second final answer"
+    LOST = "unanswered at the end of its connection"
+    ONE_ATTEMPT = "two attempts out at once"
+    QUIET_TIME = "an attempt within the quiet time"
+    ATTEMPTS = "more attempts than the settings allow"
+    REPEATED = "repeated though an attempt may have run"
+    DRAINED = "a set-up over 2 s after the drain"
+    RELEASED = "release not passed on in time"
+    DESCRIPTORS = "more descriptors than the limit"
+    MEMORY = "more memory than the limit"
+    EXIT = "ended otherwise than with 0"
+    READY = "not ready in time"
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A rule that did not hold, and the last events of what it did not hold for."""
+
+    rule: Rule
+    at: float
+    who: str  # a call, or a softswitch
+    detail: str
+    events: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt, as its engine sees it."""
+
+    engine: str
+    came: float
+    ended: float | None = None
+    may_have_run: bool = True
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """One call, as its caller and the engines see it."""
+
+    sent: float
+    patience: float
+    idempotent: bool
+    process: str
+    answered: float | None = None
+    left: float | None = None  # its caller waits no longer, or was judged
+    established: bool = False
+    attempts: list[Attempt] = field(default_factory=list)
+    released_by_engine: float | None = None
+    released_to_caller: float | None = None
+    events: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_EVENTS))
+
+
+class Checker:
+    """Owner of all that was seen, and of the rules that were broken."""
+
+    def __init__(self, clear_wait: float, max_attempts: int) -> None:
+        self.clear_wait = clear_wait  # s
+        self.max_attempts = max_attempts
+        self.calls: dict[str, CallRecord] = {}
+        self.broken: list[Broken] = []
+        self.taken = 0
+        self.answers = 0
+        self.late = 0  # answers within ANSWER_ALLOWANCE of the end of the patience
+        self.crossed = 0  # set-ups that crossed the end of their connection
+        self.attempts = 0
+        self.releases = 0
+        self.drained: dict[str, float] = {}  # by engine, when it was told
+        self.stopped: dict[str, float] = {}  # by process, when SIGTERM went to it
+        self._last_start = -inf  # of any softswitch
+        self._unsettled_until = -inf  # callers' connections come and go, or the board is silent
+        self._awaited: deque[tuple[float, str]] = deque()  # releases: (by when, call)
+        self._doubles: deque[tuple[float, str, Attempt]] = deque()  # attempts that came beside this one
+
+    # the surroundings
+
+    def process_started(self, at: float) -> None:
+        """A softswitch was started: it is told of the engines anew."""
+        self._last_start = max(self._last_start, at)
+        self.unsettled(at, at + RELEASE_AT_LAST)
+
+    def stop_requested(self, at: float, process: str) -> None:
+        """The first SIGTERM."""
+        self.stopped.setdefault(process, at)
+        self.unsettled(at, at + RELEASE_AT_LAST)
+
+    def unsettled(self, at: float, until: float) -> None:
+        """Connections come and go until then: a release may find none to go out on."""
+        self._unsettled_until = max(self._unsettled_until, at, until)
+
+    def board_silent(self, until: float) -> None:
+        """What the board has to tell may not arrive before."""
+        self._last_start = max(self._last_start, until)
+
+    def engine_drained(self, at: float, engine: str) -> None:
+        """The board told that it takes nothing new."""
+        self.drained[engine] = at
+
+    def engine_back(self, engine: str) -> None:
+        """The board told that it takes calls."""
+        self.drained.pop(engine, None)
+
+    # callers
+
+    def setup_sent(self, at: float, call: str, patience: float, idempotent: bool, process: str) -> None:
+        """A set-up was written to a connection."""
+        self.taken += 1
+        self.calls[call] = CallRecord(at, patience, idempotent, process)
+        self._note(at, call, f"set-up, waits {patience:.3f} s")
+        if len(self.calls) > KEPT_CALLS:
+            del self.calls[next(iter(self.calls))]
+
+    def answered(self, at: float, call: str, code: int, lag: float) -> None:
+        """A final answer came; `lag`: s by which this reading may be late."""
+        record = self._note(at, call, f"answer {code}")
+        if record is None:
+            return
+        if record.answered is not None:
+            self._break(Rule.ONE_ANSWER, at, call, f"{code} after another")
+            return
+        record.answered = at
+        record.established = code == 200
+        if record.left is None:
+            self.answers += 1
+            late = at - record.sent - record.patience
+            self.late += late > lag
+            if late > ANSWER_ALLOWANCE + lag:
+                self._break(Rule.ANSWERED, at, call, f"{late * 1000:.0f} ms late")
+
+    def patience_over(self, at: float, call: str) -> None:
+        """The caller gives up, ANSWER_ALLOWANCE after its patience."""
+        record = self._note(at, call, "given up")
+        if record is not None and record.answered is None and record.left is None:
+            record.left = at
+            self._break(Rule.ANSWERED, at, call, "nothing came")
+
+    def connection_ended(self, at: float, calls: list[str], killed: bool) -> None:
+        """A caller's connection is over with these set-ups unanswered. `killed`: by SIGKILL."""
+        for call in calls:
+            record = self._note(at, call, "connection over")
+            if record is None or record.answered is not None or record.left is not None:
+                continue
+            record.left = at
+            stopped = self.stopped.get(record.process)
+            counted = stopped is None or record.sent - stopped > COUNTED_AFTER_STOP
+            if killed and not counted:
+                continue  # the page excuses what came before
+            if not killed and at - record.sent < CROSSING:
+                self.crossed += 1
+                continue
+            self._break(Rule.LOST, at, call, "by SIGKILL" if killed else "closed")
+
+    def caller_released(self, at: float, call: str) -> None:
+        """The caller was told that the call is over."""
+        record = self._note(at, call, "caller told of the release")
+        if record is not None and record.released_to_caller is None:
+            record.released_to_caller = at
+
+    # engines
+
+    def attempt(self, at: float, call: str, engine: str, lag: float) -> None:
+        """A set-up came to an engine; `lag`: as in `answered`."""
+        self.attempts += 1
+        self._check_drain(at - lag, call, engine)
+        record = self._note(at, call, f"attempt at {engine}")
+        if record is None:
+            return
+        before = record.attempts[-1] if record.attempts else None
+        record.attempts.append(Attempt(engine, at))
+        if len(record.attempts) > self.max_attempts:
+            self._break(Rule.ATTEMPTS, at, call, f"{len(record.attempts)} of {self.max_attempts}")
+        if before is None:
+            return
+        if before.ended is None:  # its end may be read after this, from another connection
+            self._doubles.append((at, call, before))
+        elif before.may_have_run and at - before.ended + lag < self.clear_wait:
+            gap = (at - before.ended) * 1000
+            self._break(Rule.QUIET_TIME, at, call, f"{gap:.0f} ms after the end of the one before")
+        if not record.idempotent and any(a.may_have_run for a in record.attempts[:-1]):
+            self._break(Rule.REPEATED, at, call, f"attempt {len(record.attempts)}")
+
+    def _check_drain(self, at: float, call: str, engine: str) -> None:
+        told = self.drained.get(engine)
+        if told is None:
+            return
+        # A process that was started since, or a silent board, may hear of it later.
+        unsure = self._last_start + TOLD_AFTER > told
+        allowed = max(told, self._last_start) + (TOLD_AFTER if unsure else 0.0) + DRAIN_ALLOWANCE
+        if at > allowed:
+            self._break(Rule.DRAINED, at, call, f"{at - told:.2f} s after the drain of {engine}")
+
+    def attempt_ended(self, at: float, call: str, engine: str, what: str, may_have_run: bool = True) -> None:
+        """The attempt is over: withdrawn, answered, refused, or its connection ended."""
+        record = self._note(at, call, f"{what} at {engine}")
+        for attempt in record.attempts if record is not None else ():
+            if attempt.engine == engine and attempt.ended is None:
+                attempt.ended = at
+                attempt.may_have_run = may_have_run
+
+    def engine_released(self, at: float, call: str) -> None:
+        """An engine wrote the release of an established call to a connection that is up."""
+        record = self._note(at, call, "released by its engine")
+        if record is None or not record.established or record.released_by_engine is not None:
+            return
+        self.releases += 1
+        record.released_by_engine = at
+        self._awaited.append((at + RELEASE_WITHIN, call))
+
+    # processes
+
+    def sampled(self, at: float, process: str, descriptors: int, memory_mb: float, limits: Limits) -> None:
+        """What a process has now."""
+        if descriptors > limits.descriptors:
+            self._break(Rule.DESCRIPTORS, at, process, f"{descriptors} of {limits.descriptors}")
+        if memory_mb > limits.memory_mb:
+            self._break(Rule.MEMORY, at, process, f"{memory_mb:.0f} of {limits.memory_mb} MB")
+
+    def exited(self, at: float, process: str, code: int) -> None:
+        """A process ended by itself."""
+        if code != 0:
+            self._break(Rule.EXIT, at, process, f"with {code}")
+
+    def not_ready(self, at: float, process: str, within: float) -> None:
+        """A process was not ready in time."""
+        self._break(Rule.READY, at, process, f"within {within:.0f} s")
+
+    def advance(self, now: float, lag: float) -> None:
+        """Time went on: what was to come by now is judged. `lag`: as in `answered`."""
+        for _ in range(len(self._awaited)):
+            by, call = self._awaited.popleft()
+            if now <= by + lag:
+                self._awaited.append((by, call))
+            else:
+                self._judge_release(now, by, call)
+        while self._doubles and now - self._doubles[0][0] > ORDER_ALLOWANCE + lag:
+            self._judge_double(*self._doubles.popleft(), lag)
+
+    def _judge_release(self, now: float, by: float, call: str) -> None:
+        record = self.calls.get(call)
+        if record is None or record.released_by_engine is None or record.released_to_caller is not None:
+            return
+        at_last = record.released_by_engine + RELEASE_AT_LAST
+        if by < at_last and self._unsettled_until > record.released_by_engine:
+            self._awaited.append((at_last, call))  # connections came and went: the longer time holds
+        else:
+            self._break(Rule.RELEASED, now, call, f"not within {now - record.released_by_engine:.1f} s")
+
+    def _judge_double(self, at: float, call: str, first: Attempt, lag: float) -> None:
+        if first.ended is None or first.ended > at + lag:
+            self._break(Rule.ONE_ATTEMPT, at, call, f"one was still out at {first.engine}")
+
+    def _note(self, at: float, call: str, what: str) -> CallRecord | None:
+        record = self.calls.get(call)
+        if record is not None:
+            record.events.append(f"{at:.3f} {what}")
+        return record
+
+    def _break(self, rule: Rule, at: float, who: str, detail: str) -> None:
+        record = self.calls.get(who)
+        events = tuple(record.events) if record is not None else ()
+        self.broken.append(Broken(rule, at, who, detail, events))
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a process may use."""
+
+    descriptors: int
+    memory_mb: int
--- /dev/null
+++ b/softswitch/standin/soak/plan.py
@@ -0,0 +1,222 @@
+"""What one soak does, drawn from its seed: sizes, settings, signals, engines' faults, discovery, crowds.
+
+The same seed draws the same plan. Times are in seconds, those of the settings in ms.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+from random import Random
+from typing import Any
+
+LONGEST_COUNTED = 3.0  # s; a longer deadline counts as this at a stop
+LONGEST_COUNTED_REPLACED = 5.0  # s, where another process has taken over
+STOP_ALLOWANCE = 0.7  # s more until SIGKILL may come
+FIRST_EPISODE = 2.0  # s from the start
+EPISODE_GAP = (6.0, 9.0)  # s between two series of signals at one softswitch
+TICKS = (1.0, 2.0, 5.0, 10.0, 20.0)  # ms
+IDEMPOTENCY = ("read_like", "non_idempotent", "other")
+
+
+class Signals(StrEnum):
+    """A series of signals to one softswitch."""
+
+    RELOAD_TWICE = "SIGHUP during SIGHUP"
+    STOP_TWICE = "SIGTERM twice"
+    RELOAD_STOP = "SIGHUP, then SIGTERM"
+    STOP_IN_START = "SIGTERM during the start"
+    REPLACE = "replacement"
+    REPLACE_DRAINED = "replacement during a drain"
+
+
+class EngineFault(StrEnum):
+    """What an engine does."""
+
+    HANG = "hangs"
+    RESET = "resets its connections"
+    DRAIN = "drains, goes and comes back cold"
+
+
+@dataclass(frozen=True, slots=True)
+class CallClassPlan:
+    """One class of calls."""
+
+    name: str
+    aim: float  # ms
+    hard_limit: float  # ms
+    idempotency: str
+    worth: float
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether an attempt may be repeated though one may have run."""
+        return self.idempotency == "read_like"
+
+    def lane(self) -> dict[str, Any]:
+        """As the settings have it."""
+        return {
+            "name": self.name,
+            "aim": self.aim,
+            "hard_limit": self.hard_limit,
+            "idempotency": self.idempotency,
+            "credit": self.worth,
+            "late_value": 0.2,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Episode:
+    """A series of signals to one softswitch."""
+
+    at: float
+    softswitch: int
+    signals: Signals
+    gap: float  # s between the first signal, or the start, and the second
+
+
+@dataclass(frozen=True, slots=True)
+class EngineEpisode:
+    """A fault of one engine."""
+
+    at: float
+    engine: int
+    fault: EngineFault
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """Connections that nobody wants, and set-ups all at once."""
+
+    at: float
+    idle: int
+    half_written: int
+    setups: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One soak."""
+
+    seed: int
+    seconds: float
+    softswitches: int
+    engines: int
+    rate: float  # calls a second, over all softswitches
+    tick: float
+    classes: tuple[CallClassPlan, ...]
+    clear_wait: float
+    max_attempts: int
+    may_cancel: bool
+    probes: bool
+    retry_after: bool
+    descriptors: int
+    memory_mb: int
+    signals: tuple[Episode, ...]
+    faults: tuple[EngineEpisode, ...]
+    silent_board: tuple[tuple[float, float], ...]  # (from, for)
+    crowds: tuple[Crowd, ...]
+
+    def kill_after(self, replaced: bool) -> float:
+        """Seconds after SIGTERM at which SIGKILL comes: the page's earliest."""
+        counted = LONGEST_COUNTED_REPLACED if replaced else LONGEST_COUNTED
+        return min(counted, max(c.hard_limit for c in self.classes) / 1000) + STOP_ALLOWANCE
+
+    def settings(self) -> dict[str, Any]:
+        """The softswitches' settings, as the platform's configuration has them."""
+        return {
+            "family": "trunks",
+            "fleet_size": self.softswitches,
+            "family_info": {
+                "network_form": "groups",
+                "own_number": -1,
+                "clear_wait": self.clear_wait,
+                "repeat": 500.0,
+                "holding": [2000.0] * len(self.classes),
+            },
+            "lanes": [c.lane() for c in self.classes],
+            "limits": {
+                "may_cancel": self.may_cancel,
+                "probes": self.probes,
+                "send_cap": self.max_attempts,
+                "retry_after": self.retry_after,
+                "max_retry_after": 2000.0,
+            },
+            "rules": {"cold": 2000.0, "cold_from": 0.3, "overload_factor": 3.0, "overload_for": 1000.0},
+            "stats": {"fields": ["x0", "x1", "qps"], "how": "answers"},
+            "tick": self.tick,
+        }
+
+    def report(self) -> dict[str, Any]:
+        """All of it, for a JSON object."""
+        return asdict(self)
+
+
+def draw(seed: int, seconds: float) -> Plan:
+    """The plan of this seed."""
+    rng = Random(f"soak {seed}")
+    softswitches, engines = rng.randint(1, 3), rng.randint(2, 4)
+    classes = tuple(_draw_class(rng, n) for n in range(rng.randint(1, 3)))
+    return Plan(
+        seed=seed,
+        seconds=seconds,
+        softswitches=softswitches,
+        engines=engines,
+        rate=rng.uniform(10.0, 60.0),
+        tick=rng.choice(TICKS),
+        classes=classes,
+        clear_wait=rng.choice((0.0, 200.0, 350.0)),
+        max_attempts=rng.randint(1, 6),
+        may_cancel=rng.random() < 0.5,
+        probes=rng.random() < 0.7,
+        retry_after=rng.random() < 0.7,
+        descriptors=rng.choice((128, 256)),
+        memory_mb=rng.choice((48, 64)),
+        signals=_draw_signals(rng, softswitches, seconds),
+        faults=_draw_faults(rng, engines, seconds),
+        silent_board=_draw_silences(rng, seconds),
+        crowds=_draw_crowds(rng, seconds),
+    )
+
+
+def _draw_class(rng: Random, n: int) -> CallClassPlan:
+    hard_limit = rng.uniform(700.0, 5000.0)
+    aim = hard_limit * rng.uniform(0.3, 0.9)
+    return CallClassPlan(f"class-{n}", aim, hard_limit, rng.choice(IDEMPOTENCY), rng.uniform(0.5, 5.0))
+
+
+def _draw_signals(rng: Random, softswitches: int, seconds: float) -> tuple[Episode, ...]:
+    """The last one ends before the soak does."""
+    episodes = []
+    for n in range(softswitches):
+        at = FIRST_EPISODE + rng.uniform(0.0, EPISODE_GAP[0])
+        while at < seconds - EPISODE_GAP[0]:
+            episodes.append(Episode(at, n, rng.choice(list(Signals)), rng.uniform(0.0, 0.3)))
+            at += rng.uniform(*EPISODE_GAP)
+    return tuple(sorted(episodes, key=lambda e: e.at))
+
+
+def _draw_faults(rng: Random, engines: int, seconds: float) -> tuple[EngineEpisode, ...]:
+    """One engine is spared, or there would be nobody to serve."""
+    faults = []
+    for n in range(1, engines):
+        at = rng.uniform(1.0, 6.0)
+        while at < seconds - 5.0:
+            fault = EngineEpisode(at, n, rng.choice(list(EngineFault)), rng.uniform(0.5, 4.0))
+            faults.append(fault)
+            at += fault.seconds + rng.uniform(3.0, 8.0)
+    return tuple(sorted(faults, key=lambda f: f.at))
+
+
+def _draw_silences(rng: Random, seconds: float) -> tuple[tuple[float, float], ...]:
+    if rng.random() < 0.5:
+        return ()
+    return ((rng.uniform(2.0, max(2.0, seconds - 8.0)), rng.uniform(1.0, 6.0)),)
+
+
+def _draw_crowds(rng: Random, seconds: float) -> tuple[Crowd, ...]:
+    if rng.random() < 0.5:
+        return ()
+    at = rng.uniform(2.0, max(2.0, seconds - 4.0))
+    return (Crowd(at, rng.randint(100, 2000), rng.randint(50, 500), rng.randint(100, 600)),)
--- /dev/null
+++ b/softswitch/standin/soak/world.py
@@ -0,0 +1,236 @@
+"""Stand-ins of a soak: they report to the checker what they see, and have the faults of the plan."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Protocol
+
+from softswitch.net.engine_codec import MessageType, Parameter
+from softswitch.standin.board import Board, BoardSide, Listed
+from softswitch.standin.caller import CallerLine, Callers
+from softswitch.standin.engine import Engine, EngineSettings, EngineSide
+from softswitch.standin.soak.checker import ANSWER_ALLOWANCE, Checker
+from softswitch.standin.soak.plan import CallClassPlan
+from softswitch.standin.traffic import StreamSettings
+
+LAG_EVERY = 0.01  # s between two looks at the clock
+LAG_KEPT = 100  # looks: a second of them
+HUNG_CALL_RETRY = 0.2  # s until a hung engine's call is tried again to be ended
+
+
+class LagMeter:
+    """How late the stand-ins read what comes: the longest turn of their event loop in the last second."""
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+        self._late: deque[float] = deque(maxlen=LAG_KEPT)
+        self._due = 0.0
+
+    def start(self) -> None:
+        """Looks from now on."""
+        self._due = self.reactor.seconds() + LAG_EVERY
+        self.reactor.callLater(LAG_EVERY, self._look)
+
+    def _look(self) -> None:
+        self._late.append(max(0.0, self.reactor.seconds() - self._due))
+        self.start()
+
+    @property
+    def lag(self) -> float:
+        """Seconds."""
+        now_late: float = max(0.0, self.reactor.seconds() - self._due)
+        longest: float = max(self._late, default=0.0)
+        return LAG_EVERY + max(now_late, longest)
+
+
+class SoakEngine(Engine):
+    """An engine that hangs, resets and reports."""
+
+    def __init__(self, reactor: Any, settings: EngineSettings, seed: int, checker: Checker, lag: LagMeter):
+        super().__init__(reactor, settings, seed)
+        self.checker = checker
+        self.lag = lag
+        self.hung = False
+        self.attempts: dict[str, EngineSide] = {}  # that are out, by call
+        self.written_releases: dict[str, int] = {}  # since a connection was opened last: call, cause
+
+    def _attempt_over(self, call: str, what: str, may_have_run: bool = True) -> None:
+        if self.attempts.pop(call, None) is not None:
+            now = self.reactor.seconds()
+            self.checker.attempt_ended(now, call, self.set.name, what, may_have_run)
+
+    def heard(self, line: EngineSide, kind: int, call: str, said: dict[int, bytes]) -> None:
+        """A message came; a hung engine does nothing with it."""
+        if kind == MessageType.SETUP:
+            self.checker.attempt(self.reactor.seconds(), call, self.set.name, self.lag.lag)
+            self.attempts[call] = line
+        elif kind == MessageType.RELEASE:
+            self._attempt_over(call, "withdrawn")
+        if not self.hung:
+            super().heard(line, kind, call, said)
+
+    def opened(self, line: EngineSide) -> None:
+        """A connection is up: releases that had none go out.
+
+        Those that were written go out once more, as the protocol says: on the next connection as well.
+        """
+        for call in self.unsaid:
+            self.checker.engine_released(self.reactor.seconds(), call)
+        super().opened(line)
+        again, self.written_releases = self.written_releases, {}
+        for call, cause in again.items():
+            line.say(MessageType.RELEASE, call, (Parameter.CAUSE, bytes((cause,))))
+
+    def closed(self, line: EngineSide) -> None:
+        """A connection is over, and the attempts on it."""
+        for call in [call for call, at in self.attempts.items() if at is line]:
+            self._attempt_over(call, "connection over")
+        super().closed(line)
+
+    def reset_connections(self) -> None:
+        """Hangs up on everybody; the process goes on."""
+        for line in list(self.lines):
+            for call in [call for call, at in self.attempts.items() if at is line]:
+                self._attempt_over(call, "connection reset")
+            line.transport.abortConnection()
+
+    def _state(self) -> None:
+        if self.hung:
+            self.beat = self.reactor.callLater(self.set.state_every, self._state)
+        else:
+            super()._state()
+
+    def _refuse(self, line: EngineSide, call: str, cause: int, note: bytes) -> None:
+        self._attempt_over(call, "refused", may_have_run=False)
+        super()._refuse(line, call, cause, note)
+
+    def _answer(self, call: str, description: bytes) -> None:
+        if call in self.calls:
+            self._attempt_over(call, "answered")
+        super()._answer(call, description)
+
+    def _ends(self, call: str) -> None:
+        if self.hung and call in self.calls:
+            self.calls[call].end = self.reactor.callLater(HUNG_CALL_RETRY, self._ends, call)
+        else:
+            super()._ends(call)
+
+    def _tell_end(self, line: EngineSide, call: str, cause: int) -> None:
+        if self.lines:
+            self.checker.engine_released(self.reactor.seconds(), call)
+            self.written_releases[call] = cause
+        super()._tell_end(line, call, cause)
+
+
+class SilentSide(BoardSide):
+    """A softswitch's connection to a board that falls silent now and then."""
+
+    def say(self, number: int, kind: int, payload: bytes = b"") -> None:
+        """Nothing is said while the board is silent."""
+        assert isinstance(self.board, SoakBoard)
+        if not self.board.silent:
+            super().say(number, kind, payload)
+
+
+class SoakBoard(Board):
+    """A board that falls silent, and tells what was missed afterwards."""
+
+    silent = False
+
+    def buildProtocol(self, addr: object) -> BoardSide:
+        """Called by Twisted."""
+        return SilentSide(self)
+
+    def fall_silent(self) -> None:
+        """Connections stay, and bring nothing."""
+        self.silent = True
+        self._missed_from = self.number
+
+    def speak_again(self) -> None:
+        """What was missed is told."""
+        self.silent = False
+        for number, kind, payload in self.events:
+            if number > self._missed_from:
+                for line in self.lines:
+                    line.say(number, kind, payload)
+
+    def change_health(self, engine: SoakEngine, health: str, born_ms: int = 0) -> None:
+        """Tells everybody of an engine's health."""
+        assert engine.at is not None
+        self.change(Listed(engine.set.name, engine.at, engine.set.cell, health, born_ms))
+
+
+class SoakCallers(Callers):
+    """The callers of one softswitch. They use an open connection for as long as it is there."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        address: tuple[str, int],
+        seed: int,
+        checker: Checker,
+        lag: LagMeter,
+        process: Callable[[], str],
+        was_killed: Callable[[], bool],
+    ) -> None:
+        super().__init__(reactor, address, seed)
+        self.checker = checker
+        self.lag = lag
+        self.process = process  # which process takes new connections
+        self.was_killed = was_killed  # whether SIGKILL went to a process just now
+        self.connected_to = ""
+
+    def up(self, line: CallerLine) -> None:
+        """A connection is up."""
+        self.connected_to = self.process()
+        super().up(line)
+
+    def down(self, line: CallerLine) -> None:
+        """The connection is over: what was sent on it is never answered."""
+        if self.line is line:
+            self.checker.connection_ended(self.reactor_now(), list(self.waiting), self.was_killed())
+        super().down(line)
+
+    def reactor_now(self) -> float:
+        """Seconds."""
+        return float(self.clock_.seconds())
+
+    def place_call(self, call_class: CallClassPlan, destination: int, patience: float) -> None:
+        """One call, unless no connection is up."""
+        if self.line is None:
+            return
+        self.patience = patience
+        self.place(StreamSettings(call_class.name, 1.0, destination, number=str(destination)))
+        call = f"{self.last:016x}"
+        now = self.reactor_now()
+        self.checker.setup_sent(now, call, patience, call_class.idempotent, self.connected_to)
+        self.waiting[call].timer.reset(patience + ANSWER_ALLOWANCE)
+
+    def _given_up(self, call: str) -> None:
+        self.checker.patience_over(self.reactor_now(), call)
+        super()._given_up(call)
+
+    def heard(self, line: CallerLine, first: str, headers: dict[str, str], body: bytes) -> None:
+        """A message came."""
+        now, call = self.reactor_now(), headers.get("call-id", "")
+        if first.startswith("BYE"):
+            self.checker.caller_released(now, call)
+        elif first.startswith("SIP/") and headers.get("cseq", "").endswith("INVITE"):
+            code = int(first.split(" ")[1])
+            if code >= 200:
+                self.checker.answered(now, call, code, self.lag.lag)
+        super().heard(line, first, headers, body)
+
+
+class CrowdConnection(Protocol):
+    """A connection that nobody uses, or that a half of a message came on."""
+
+    def __init__(self, first_bytes: bytes) -> None:
+        self.first_bytes = first_bytes
+
+    def connectionMade(self) -> None:
+        """Called by Twisted."""
+        self.transport.write(self.first_bytes)
