Let failed probes of suspects say nothing of a member's own health

Symptom: of 10,000 drawn schedules of the fleet view four had not settled 12 s after the last fault; members that were killed stayed suspects with all others for 7 s and more after every view was the same.

Cause: a suspicion is held while half of the last four probes found nobody; suspects are probed on, so with a third dead the dead kept the living in doubt. Mend: a failed probe of a suspect does not count. It holds as one that is really away fails with those it does not suspect yet, and counts as cut off once it suspects half.

--- a/softswitch/fleet/member.py
+++ b/softswitch/fleet/member.py
@@ -282,7 +282,8 @@
                     )
         if p is not None and now >= p.ends:
             self.probe = None
-            self.recent.append(False)
+            if not self._is_suspect(p.key):  # no news of a suspect: it says nothing of this process's health
+                self.recent.append(False)
             # Helpers that are there and heard nothing have said so; those that said nothing make one doubt
             # oneself.
             missed = p.helpers - p.nacks
@@ -299,6 +300,10 @@
             self.counts["probes"] += 1
             self._ping(target_key, self.probe.seq)
 
+    def _is_suspect(self, key: str) -> bool:
+        record = self.table.records.get(key)
+        return record is not None and record.state is State.SUSPECT
+
     def _next_target(self) -> str | None:
         """Each of the others once a round, in an order drawn anew for each: so the time until a failure is
         seen by someone is bounded, whatever the dice.
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -268,6 +268,25 @@
         assert o.settled and not o.broken and not o.false_gone and not o.planned_gone, (seed, o)
 
 
+@pytest.mark.parametrize("seed", [279, 5741, 6157, 8391])
+def test_a_schedule_that_left_many_dead_settles(seed):
+    """Of 10,000 drawn schedules these four had not settled at their end, 12 s after the last fault.
+
+    What happened: a third of the members or more was killed. All agreed soon that these were suspects
+    (seed 279: from 31.9 s on), and called them gone only at 39.1 to 40.4 s. A member holds a suspicion
+    while half of its last four probes found nobody, as it may be the one that is away; but suspects are
+    probed on, so the dead themselves kept all the others in doubt of their own health. Seed 6157, with
+    four of nine dead, loss and starved members, still takes longer.
+    """
+    rng = random.Random(seed)
+    n, places = rng.randint(3, 14), rng.randint(1, 4)
+    sites = {f"n{k}": "abcd"[k % places] for k in range(n)}
+    faults = drawn(seed, list(sites), sites, 40.0)
+    lose, starved = rng.choice((0.0, 0.0, 0.0, 0.1)), rng.choice((0.0, 0.0, 0.0, 0.2))
+    o = play(n, places, 40.0, seed, faults, lose=lose, starved=starved)
+    assert o.settled and not o.broken and not o.false_gone and not o.planned_gone, (seed, o)
+
+
 def test_a_seed_replays_exactly():
     sites = {f"n{k}": "ab"[k % 2] for k in range(8)}
     runs = []
