--- a/softswitch/log_rate_limit.py
+++ b/softswitch/log_rate_limit.py
@@ -37,6 +37,7 @@
         self._places: dict[tuple[str, int], _Place] = {}
 
     def __call__(self, record: Record) -> bool:
+        """Whether this record is to be written."""
         now = self._clock()
         key = (record["name"] or "", record["line"])
         place = self._places.setdefault(key, _Place(now))
--- a/softswitch/net/peers.py
+++ b/softswitch/net/peers.py
@@ -36,7 +36,7 @@
     Stream,
 )
 from softswitch.fleet.size import Size
-from softswitch.storage.snapshot import BadSnapshot, Snapshot
+from softswitch.storage.snapshot import Snapshot, SnapshotError
 
 LONGEST = 1_400  # bytes of a datagram
 LONGEST_EXCHANGE = 4 << 20  # bytes of one message of an exchange
@@ -213,8 +213,8 @@
             found = self.snapshot.read()
             saved = msgspec.msgpack.decode(found[1], type=Saved) if found else None
             if saved is not None and saved.fleet != self.table.name:
-                raise BadSnapshot(f"{self.snapshot.path}: of fleet {saved.fleet!r}")
-        except (OSError, BadSnapshot, msgspec.DecodeError, msgspec.ValidationError) as e:
+                raise SnapshotError(f"{self.snapshot.path}: of fleet {saved.fleet!r}")
+        except (OSError, SnapshotError, msgspec.DecodeError, msgspec.ValidationError) as e:
             self.count["snapshots unreadable"] += 1
             logger.warning("fleet: snapshot not read, the softswitch serves on from its seeds: {}", e)
             return None
--- a/softswitch/standin/board.py
+++ b/softswitch/standin/board.py
@@ -25,6 +25,7 @@
     share: float = 1.0
 
     def record(self) -> bytes:
+        """The entry as the wire has it."""
         return RECORD.pack(
             int(self.name[2:], 16),
             bytes(map(int, self.address[0].split("."))),
@@ -58,6 +59,7 @@
         self.board, self.data, self.after = board, b"", -1
 
     def dataReceived(self, data: bytes) -> None:
+        """Called by Twisted: the number of the last event that the softswitch has."""
         self.data += data
         if self.after < 0 and len(self.data) >= 8:
             self.after = int.from_bytes(self.data[:8], "big")
@@ -67,9 +69,11 @@
             self.board.lines[self] = None
 
     def connectionLost(self, reason: object = None) -> None:
+        """Called by Twisted."""
         self.board.lines.pop(self, None)
 
     def say(self, number: int, kind: int, payload: bytes = b"") -> None:
+        """Sends one event."""
         self.transport.write(pack(">I", HEAD.size + len(payload)) + HEAD.pack(number, kind) + payload)
 
 
@@ -91,9 +95,11 @@
         return b"".join(one.record() for one in self.listed.values())
 
     def buildProtocol(self, addr: object) -> BoardSide:
+        """Called by Twisted."""
         return BoardSide(self)
 
     def listen(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
+        """Listens, and keeps the connections alive from now on."""
         self.port = self.reactor.listenTCP(port, self, interface=host)
         self._beat()
         return host, self.port.getHost().port
@@ -104,6 +110,7 @@
             line.say(self.number, NOTHING)
 
     def stop(self) -> None:
+        """Closes everything."""
         self.beat.cancel()
         self.port.stopListening()
         for line in list(self.lines):
--- a/softswitch/standin/caller.py
+++ b/softswitch/standin/caller.py
@@ -33,11 +33,13 @@
     codes: Counter[int] = field(default_factory=Counter)
 
     def add(self, other: Tally) -> None:
+        """Adds the figures of another."""
         for name in FIGURES:
             setattr(self, name, getattr(self, name) + getattr(other, name))
         self.codes.update(other.codes)
 
     def told(self) -> dict[str, Any]:
+        """The figures, for a JSON object."""
         return {name: getattr(self, name) for name in FIGURES} | {
             "codes": {str(code): n for code, n in sorted(self.codes.items())}
         }
@@ -73,13 +75,16 @@
         self.headers: dict[str, str] = {}
 
     def connectionMade(self) -> None:
+        """Called by Twisted."""
         self.transport.setTcpNoDelay(True)
         self.callers.up(self)
 
     def connectionLost(self, reason: object = None) -> None:
+        """Called by Twisted."""
         self.callers.down(self)
 
     def lineReceived(self, line: bytes) -> None:
+        """Called by Twisted: a line of a message head."""
         text = line.decode("latin-1")
         if not self.first:
             self.first = text
@@ -94,6 +99,7 @@
                 self._whole(b"")
 
     def rawDataReceived(self, data: bytes) -> None:
+        """Called by Twisted: a part of a body."""
         self.body += data
         if len(self.body) >= self.length:
             rest, body = self.body[self.length :], self.body[: self.length]
@@ -106,6 +112,7 @@
         self.callers.heard(self, first, headers, body)
 
     def say(self, first: str, call: str, method: str, *more: str, body: bytes = b"") -> None:
+        """Sends one message."""
         lines = (
             first,
             "Via: SIP/2.0/TCP standin",
@@ -153,21 +160,26 @@
         self.on_up: Callable[[], None] | None = None
 
     def connect(self) -> None:
+        """Opens the connection, and opens it anew whenever it ends."""
         self.clock_.connectTCP(*self.address, self, timeout=2.0)
 
     def buildProtocol(self, addr: object) -> CallerLine:
+        """Called by Twisted."""
         self.resetDelay()
         return CallerLine(self)
 
     def up(self, line: CallerLine) -> None:
+        """A connection is up."""
         self.line = line
         line.say("OPTIONS sip:ping@net SIP/2.0", "00" * 8, "OPTIONS")
 
     def down(self, line: CallerLine) -> None:
+        """A connection is over."""
         if self.line is line:
             self.line = None
 
     def stop(self) -> None:
+        """Waits for nothing any more, and closes."""
         self.stopTrying()
         for one in self.waiting.values():
             if one.timer.active():
@@ -177,6 +189,7 @@
 
     @property
     def open(self) -> int:
+        """Tries that wait for an answer, or for their time to be placed."""
         return len(self.waiting) + self.redials_due
 
     def place(self, stream: StreamSettings, tally: Tally | None = None, nth: int = 0) -> None:
@@ -231,6 +244,7 @@
         self.place(one.stream, one.tally, one.nth + 1)
 
     def heard(self, line: CallerLine, first: str, headers: dict[str, str], body: bytes) -> None:
+        """A message is complete."""
         call, method = headers.get("call-id", ""), headers.get("cseq", "").split(" ")[-1]
         if not first.startswith("SIP/"):
             if first.startswith("BYE"):
--- a/softswitch/standin/engine.py
+++ b/softswitch/standin/engine.py
@@ -95,13 +95,16 @@
         self.engine = engine
 
     def connectionMade(self) -> None:
+        """Called by Twisted."""
         self.transport.setTcpNoDelay(True)
         self.engine.opened(self)
 
     def connectionLost(self, reason: object = None) -> None:
+        """Called by Twisted."""
         self.engine.closed(self)
 
     def stringReceived(self, data: bytes) -> None:
+        """Called by Twisted: a message is complete."""
         try:
             message = decode_message(data, ACCEPTED)
         except ValueError as e:
@@ -111,6 +114,7 @@
         self.engine.heard(self, message.type, message.call, message.parameters)
 
     def say(self, kind: int, call: str, *parameters: tuple[int, bytes]) -> None:
+        """Sends one message, unless the connection is over."""
         if self.transport.connected:
             self.sendString(encode_message(kind, call, *parameters))
 
@@ -149,6 +153,7 @@
         self.waiting: dict[str, EngineSide] = {}  # set-ups in the processor's queue
 
     def listen(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
+        """Listens, and tells its state from now on."""
         self.port = self.reactor.listenTCP(port, self, interface=host, backlog=64)
         self._state()
         self.at = host, self.port.getHost().port
@@ -215,12 +220,14 @@
         self.waiting.clear()
 
     def buildProtocol(self, addr: object) -> EngineSide:
+        """Called by Twisted."""
         return EngineSide(self)
 
     # circuits and processor
 
     @property
     def free(self) -> int:
+        """Circuits that no call has."""
         return self.set.circuits - self.used
 
     def _use(self, circuits: int) -> None:
@@ -258,6 +265,7 @@
     # the wire
 
     def report(self) -> bytes:
+        """The load report."""
         each = self.set.work * self.slow * (1 + self.set.answer_work + self.set.release_work)
         left = max(0.0, 1 - self.queued / max(self.set.longest_wait, 1e-9))
         return b"x0:%d;x1:%d;qps:%.1f" % (self.free, self.set.circuits, left / each if each else 10_000)
@@ -268,6 +276,7 @@
             line.say(MessageType.STATE, NO_CALL, (Parameter.REPORT, self.report()))
 
     def opened(self, line: EngineSide) -> None:
+        """A connection is up: it hears the state first, then releases that had none to go out on."""
         self.lines[line] = None
         line.say(MessageType.STATE, NO_CALL, (Parameter.REPORT, self.report()))
         unsaid, self.unsaid = self.unsaid, {}
@@ -283,6 +292,7 @@
             self._forget(call)
 
     def heard(self, line: EngineSide, kind: int, call: str, said: dict[int, bytes]) -> None:
+        """A message came from a softswitch."""
         if kind == MessageType.SETUP:
             self.count["set-ups"] += 1
             self.watch("set-up", call)
--- a/softswitch/standin/faults/drill.py
+++ b/softswitch/standin/faults/drill.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import resource
 import signal
@@ -22,6 +23,7 @@
 
 import msgspec
 import orjson
+
 from softswitch import environment
 from softswitch.standin.caller import Callers
 from softswitch.standin.engine import EngineSettings
@@ -32,7 +34,6 @@
 from softswitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
 from softswitch.standin.http_query import Query, if_ok
 from softswitch.standin.traffic import StreamSettings
-import contextlib
 
 LOOK = 0.1  # s between two looks at all views
 ADDED = 0.4  # s between two times that budgets are added up
@@ -76,6 +77,7 @@
     above: list[str] = field(default_factory=list)  # budgets of which more than the whole was seen
 
     def told(self) -> dict[str, Any]:
+        """What was seen, for a JSON object."""
         faults = [
             {
                 "what": e.fault.what,
@@ -112,10 +114,12 @@
         }
 
     def schedule(self) -> bytes:
+        """The faults as they were played, in the form of a schedule file."""
         return msgspec.json.encode([e.fault for e in self.events])
 
 
 def day_of(softswitches: int, seconds: float, seed: int, rate: float, engines: int = 3) -> Day:
+    """A day of two classes at a rate in calls a second; holding times are short, so that many calls end."""
     hold = {"price-check": 1.6, "save-quote": 2.4}
     return Day(
         engines=tuple(
@@ -194,9 +198,11 @@
     # the processes
 
     def configured(self, n: int) -> dict[str, Any]:
+        """The management address, at this process's own host."""
         return {"mgmt": f"{self.mgmt_at[n][0]}:{self.mgmt_at[n][1]}"}
 
     def operator_text(self, n: int) -> str:
+        """The operator file: the fleet, reached through a relay for each of the others, and the budgets."""
         if not self.view:
             return self.tables
         dial = {}
@@ -265,9 +271,11 @@
         return made
 
     def should_run(self, n: int) -> bool:
+        """Whether it is a fault if this one has ended."""
         return self.meant[n] != "ended"
 
     def caller_of(self, nth: int) -> Callers | None:
+        """The callers of one that runs; one may get a larger share."""
         up = [c for n, c in enumerate(self.callers) if self.meant[n] == "run" and c.line is not None]
         if self.heavy and up and self.draws.random() < self.heavy:
             return up[int(self.now() // self.moves_s) % len(up) if self.moves_s else 0]
@@ -287,6 +295,7 @@
     # the faults
 
     def now(self) -> float:
+        """Seconds of the day."""
         return float(self.reactor.seconds()) - self.began
 
     def _begin(self, fault: Fault) -> None:
--- a/softswitch/storage/snapshot.py
+++ b/softswitch/storage/snapshot.py
@@ -6,20 +6,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from pathlib import Path
 from struct import Struct
 from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
-import contextlib
 
 MAGIC = b"whsn"
 HEAD = Struct(">4sHHIQ")  # magic, kind, version, length, checksum of kind, version and what follows
 MOST = 8 << 20  # bytes of one record
 
 
-class BadSnapshot(Exception):
+class SnapshotError(Exception):
     """A file that can't be used; the text says why. It is left as it is."""
 
 
@@ -82,22 +82,22 @@
 
     def read(self, versions: tuple[int, ...] = ()) -> tuple[int, bytes] | None:
         """Version and record; None if there is no file. `versions`: older ones that the caller can read too.
-        BadSnapshot if it is not what was written, or of another version; OSError if the disk refuses.
+        SnapshotError if it is not what was written, or of another version; OSError if the disk refuses.
         """
         try:
             data = self.files.read(self.path, MOST + HEAD.size + 1)
         except FileNotFoundError:
             return None
         if len(data) < HEAD.size:
-            raise BadSnapshot(f"{self.path}: cut short at {len(data)} bytes")
+            raise SnapshotError(f"{self.path}: cut short at {len(data)} bytes")
         magic, kind, version, length, checksum = HEAD.unpack_from(data)
         record = data[HEAD.size :]
         if magic != MAGIC or kind != self.kind:
-            raise BadSnapshot(f"{self.path}: no snapshot of this kind")
+            raise SnapshotError(f"{self.path}: no snapshot of this kind")
         if len(record) != length or checksum != _checksum(kind, version, record):
-            raise BadSnapshot(f"{self.path}: spoilt, its checksum is another")
+            raise SnapshotError(f"{self.path}: spoilt, its checksum is another")
         if version != self.version and version not in versions:
-            raise BadSnapshot(f"{self.path}: of version {version}, {self.version} is read here")
+            raise SnapshotError(f"{self.path}: of version {version}, {self.version} is read here")
         return version, record
 
     def write(self, record: bytes) -> None:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -17,7 +17,7 @@
 from softswitch.fleet.size import Size
 from softswitch.standin.faults.fleet_simulation import World, play
 from softswitch.standin.faults.schedule import BadSchedule, Fault, drawn, of_json, selected
-from softswitch.storage.snapshot import BadSnapshot, Disk, Snapshot
+from softswitch.storage.snapshot import Disk, Snapshot, SnapshotError
 
 
 def record(name, state=State.ALIVE, incarnation=1, boot=7, **more):
@@ -454,11 +454,11 @@
     for n in range(len(whole)):
         for data in (whole[:n], whole[:n] + bytes((whole[n] ^ 1,)) + whole[n + 1 :]):
             path.write_bytes(data)
-            with pytest.raises(BadSnapshot):
+            with pytest.raises(SnapshotError):
                 Snapshot(path, 1, 1).read()
             assert path.read_bytes() == data
     path.write_bytes(whole)
-    with pytest.raises(BadSnapshot, match="of version 1, 2 is read here"):
+    with pytest.raises(SnapshotError, match="of version 1, 2 is read here"):
         Snapshot(path, 1, 2).read()
     assert Snapshot(path, 1, 2).read(versions=(1,)) == (1, b"what was known")
 
