--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -512,6 +512,29 @@
         assert any(said is not None and said.startswith(f"RELEASE {call_id(1)}") for said in told), told
 
 
+def test_a_release_that_the_old_process_left_unread_is_fetched_by_the_new_one():
+    """An engine writes the release to the connection of its set-up, which goes down unread with its process.
+
+    It sends it on the next connection that is opened as well, but the new process has had its own for long,
+    and opened none. The soak met it once in 44,932 releases (seed 42): a call of a process that was
+    replaced, released as that process came to its end.
+    """
+    with Replaced(engines=1, settings=STAYS) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200")
+        s.parties["e1"] = s.parties.pop("e0")
+        s.replace()
+        s.ready()
+        s.heard("the next process takes the callers")
+        s.play("c1 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\nc1 expect 200")
+        s.old.send_signal(signal.SIGSTOP)
+        s.play("e1 send RELEASE 1 31=16")
+        s.parties["e2"] = s.parties.pop("e0")  # stays open; the next one is e0
+        s.old.kill()
+        killed = time.monotonic()
+        s.play("e0 send RELEASE 1 31=16\nc1 expect ^BYE .*Call-ID: {1}")
+        assert time.monotonic() - killed < 1.0  # later the new process finds its own connection silent here
+
+
 def test_no_connection_is_lost_at_the_door_while_the_process_is_replaced():
     # counts callers that are refused, reset or closed with no answer, connecting without pause
     with Replaced() as s:
