Fetch releases that a replaced process leaves unread at its end

Cause: an engine sends such a release on the next connection that is opened, and the process that replaced the other had opened its own before.

--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -339,6 +339,11 @@
         """Whether one more connection makes sense now."""
         return self.connection is not None and self.pool.is_wanted(self.server)
 
+    def listen_once(self) -> None:
+        """Opens one more connection for a while, for releases that were written to another's."""
+        if self.connection is not None and not self.is_closing:
+            self.missed_releases.open_connection()
+
     def connect(self, listener: ClientFactory) -> None:
         """Opens one more connection to the engine."""
         self.pool.connect(self.address, listener)
--- a/softswitch/net/engine_pool.py
+++ b/softswitch/net/engine_pool.py
@@ -13,6 +13,7 @@
 from softswitch.net.engine_link import EngineLink
 
 SWEEP_INTERVAL = 100.0  # ms between two looks at the links
+FETCH_DELAY = 50.0  # ms in which engines see the end of another process's connections
 CAUSE_CANCELLED = 16  # of the release that takes an attempt back
 
 Address = tuple[str, int]
@@ -78,6 +79,17 @@
         if server in self.links:
             self.links[server].return_queued_setups()
 
+    def predecessor_gone(self) -> None:
+        """The process that this one replaced has ended: releases that it left unread are fetched.
+
+        An engine sends them on the next connection that is opened, and ours have been open for long.
+        """
+        self.switch.wheel.call_after(FETCH_DELAY, self._fetch_releases)
+
+    def _fetch_releases(self) -> None:
+        for link in self.links.values():
+            link.listen_once()
+
     def _sweep(self) -> None:
         now = self.switch.wheel.now
         self.switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -197,6 +197,7 @@
         self.is_predecessor = False  # the other process is the one that replaces this one
         self.max_connections = sip.connections.max_connections  # of both processes together
         self.reported_connections = -1  # to the successor
+        self.on_predecessor_gone: Callable[[], None] | None = None  # called as the predecessor has ended
         # Called once with what was given, while the predecessor is searched for.
         self.on_search_end: Callable[[Descriptors | None], None] | None = None
         self.handlers: dict[str, Callable[[Channel, Message], None]] = {
@@ -336,6 +337,8 @@
             self._successor_gone()
         else:
             self.sip.connections.max_connections = self.max_connections
+            if self.on_predecessor_gone is not None:
+                self.on_predecessor_gone()
 
     def _successor_gone(self) -> None:
         self.is_predecessor = False
--- a/softswitch/net/listening_connection.py
+++ b/softswitch/net/listening_connection.py
@@ -131,5 +131,9 @@
         rarely = now - self.since > OFTEN_FOR
         self.switch.wheel.call_after(RARELY_EVERY if rarely else OPEN_EVERY, self._listen)
         if self.link.may_listen:
-            self.switch.counters[Count.ENGINE_LISTENING_CONNECTIONS] += 1
-            self.link.connect(ListeningConnection(self.link))
+            self.open_connection()
+
+    def open_connection(self) -> None:
+        """Opens one connection that listens."""
+        self.switch.counters[Count.ENGINE_LISTENING_CONNECTIONS] += 1
+        self.link.connect(ListeningConnection(self.link))
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -122,7 +122,9 @@
         directory = os.environ.get("TMPDIR", "")
         if not directory or shared:
             return None
-        return Handover(self.reactor, self.switch, self.sip, directory)
+        handover = Handover(self.reactor, self.switch, self.sip, directory)
+        handover.on_predecessor_gone = self.engines.predecessor_gone
+        return handover
 
     def _build_control(self, settings: ControlSettings, room: int) -> Any:
         from softswitch.net.call_control import CallControlServer  # and its packages, where it listens
