Keep the new process's link apart in the tests of replacements

Seen: one run of all tests beside load failed test_the_next_process_takes_over...: 'RELEASE 5' where SET_UP {7} was expected at e0. Cause, from that run: as the old process ends the new one opens one connection more to each engine (the mend of unread releases); the harness keeps one connection under each engine's name and dropped the link, which closed it, so that a release not acknowledged yet was written again. An engine may have four connections; the test was wrong to take the newest for the link.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -373,6 +373,13 @@
         self.parties.clear()
         self.old = self.start()
 
+    def keep_link(self):
+        """The new process's connection to e0 is e2 from now on.
+
+        As the old one ends, it opens one more, which is e0 then: an engine may have four.
+        """
+        self.parties["e2"] = self.parties.pop("e0")
+
     def ready(self):
         until = time.monotonic() + 6
         while True:
@@ -423,6 +430,7 @@
             e1 send RELEASE 2 31=16
             c1 expect nothing 100
             """)
+        s.keep_link()
         s.old.send_signal(signal.SIGTERM)
         s.play("""
             c0 wait 150
@@ -442,7 +450,7 @@
             c1 expect ^BYE .*Call-ID: {3}
             """)
         assert s.old.wait(2) == 0  # early: nothing is left there
-        s.play("c2 send INVITE 7\ne0 expect SET_UP {7}")
+        s.play("c2 send INVITE 7\ne2 expect SET_UP {7}")
 
 
 def test_a_release_that_was_not_acknowledged_goes_to_callers_of_the_next_process():
@@ -528,7 +536,7 @@
         s.play("c1 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\nc1 expect 200")
         s.old.send_signal(signal.SIGSTOP)
         s.play("e1 send RELEASE 1 31=16")
-        s.parties["e2"] = s.parties.pop("e0")  # stays open; the next one is e0
+        s.keep_link()
         s.old.kill()
         killed = time.monotonic()
         s.play("e0 send RELEASE 1 31=16\nc1 expect ^BYE .*Call-ID: {1}")
@@ -570,9 +578,10 @@
         s.heard("the next process takes the callers")
         assert "not offered" not in s.said()
         s.play("e1 send RELEASE 1 31=16\nc0 expect ^BYE .*Call-ID: {1}\nc0 send OK 1")
+        s.keep_link()
         s.old.send_signal(signal.SIGTERM)
         assert s.old.wait(6) == 0
-        s.play("c1 send INVITE 2\ne0 expect SET_UP {2}")
+        s.play("c1 send INVITE 2\ne2 expect SET_UP {2}")
 
 
 @pytest.mark.parametrize("what", ["stale", "mute", "long", "missing"])
