--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Drawn tests draw the same each time: one verdict for one tree. Known failures are let through by name.
 
-Tests run side by side, a file to a worker process; the list of known failures is read by each of them.
+With `-n auto` tests run side by side, half as many workers as cores; each worker reads the list of known
+failures.
 """
 
 import os
