Give stand-ins addresses of their own; the soak reports what happened around a broken rule

The soak keeps a timeline for each softswitch (processes, signals, connections) and prints it beside a broken rule: the events of a call alone could not tell who was connected, or who read an engine's release.

--- a/softswitch/standin/faults/drill.py
+++ b/softswitch/standin/faults/drill.py
@@ -25,13 +25,14 @@
 import orjson
 
 from softswitch import environment
+from softswitch.standin.addresses import own_hosts
 from softswitch.standin.caller import Callers
 from softswitch.standin.engine import EngineSettings
 from softswitch.standin.faults.audit import Audit
 from softswitch.standin.faults.links import Links
 from softswitch.standin.faults.relay import CHECK, Relay
 from softswitch.standin.faults.schedule import Fault, selected
-from softswitch.standin.fleet import ClassSettings, Day, Fleet, own_hosts
+from softswitch.standin.fleet import ClassSettings, Day, Fleet
 from softswitch.standin.http_query import Query, if_ok
 from softswitch.standin.traffic import StreamSettings
 
--- a/softswitch/standin/faults/relay.py
+++ b/softswitch/standin/faults/relay.py
@@ -11,6 +11,7 @@
 
 from twisted.internet.protocol import ClientFactory, DatagramProtocol, Factory, Protocol
 
+from softswitch.standin.addresses import own_host
 from softswitch.standin.faults.links import Links, Way
 
 CHECK = 0.1  # s between two looks whether a connection is cut
@@ -133,15 +134,16 @@
 
     def listen(self) -> tuple[str, int]:
         """Datagrams and connections at one port."""
+        host = own_host()
         for _ in range(20):
-            self.udp = self.reactor.listenUDP(0, Datagrams(self), "127.0.0.1", maxPacketSize=65_536)
+            self.udp = self.reactor.listenUDP(0, Datagrams(self), host, maxPacketSize=65_536)
             port: int = self.udp.getHost().port
             try:
-                self.tcp = self.reactor.listenTCP(port, Acceptor(self), 16, "127.0.0.1")
+                self.tcp = self.reactor.listenTCP(port, Acceptor(self), 16, host)
             except Exception:  # the same number is taken there
                 self.udp.stopListening()
                 continue
-            return "127.0.0.1", port
+            return host, port
         raise OSError("no port is free for datagrams and connections both")
 
     def queued(self, way: Way, size: int) -> float:
--- a/softswitch/standin/fleet.py
+++ b/softswitch/standin/fleet.py
@@ -8,13 +8,11 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
 from pathlib import Path
 from time import time
 from typing import Any
@@ -23,11 +21,13 @@
 from twisted.internet import reactor as installed
 
 from softswitch import environment
+from softswitch.standin.addresses import own_host
 from softswitch.standin.board import Board, Listed
 from softswitch.standin.caller import Callers, Tally
 from softswitch.standin.engine import Engine, EngineSettings
 from softswitch.standin.traffic import StreamSettings, merged
 
+SIP_PORT = 5_060  # at an address of each softswitch's own
 ROOT = Path(__file__).resolve().parent.parent.parent
 READY_WITHIN = 20.0  # seconds for all softswitches to answer their test
 ENDED_WITHIN = 8.0  # seconds for them to end once asked; then they are killed
@@ -122,25 +122,6 @@
         return sums
 
 
-def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
-
-
-MADE = count()
-
-
-def own_hosts(most: int) -> list[str]:
-    """Loopback addresses of this run's own: fixed ports there collide neither with another run's, nor with
-    what the system gives to connections that go out, as a port that was free a moment ago may.
-    """
-    pid = os.getpid()
-    block = f"127.{64 + pid % 128}.{(pid >> 7) % 256}"
-    return [f"{block}.{1 + (next(MADE) % 250)}" for _ in range(most)]
-
-
 class Fleet:
     """Plays one day. `on_second` is called about once a second with this object."""
 
@@ -175,17 +156,17 @@
         return self._result()
 
     def _start(self) -> None:
-        listed = [Listed(e.set.name, e.listen(), e.set.cell) for e in self.engines]
+        listed = [Listed(e.set.name, e.listen(own_host()), e.set.cell) for e in self.engines]
         self.board = Board(self.reactor, listed)
-        board = self.board.listen()
+        board = self.board.listen(own_host())
         for n in range(self.day.softswitches):
-            port = free_port()
+            host = own_host()
             config = Path(self.dir.name, f"n{n}.json")
             config.write_bytes(
                 orjson.dumps(
                     {
                         "name": f"n{n}",
-                        "listen": f"127.0.0.1:{port}",
+                        "listen": f"{host}:{SIP_PORT}",
                         "seed": f"{self.day.seed * 31 + n:016x}",
                         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                         "board": f"{board[0]}:{board[1]}",
@@ -201,7 +182,7 @@
             self.programs.append(self.program(n))
             callers = Callers(
                 self.reactor,
-                ("127.0.0.1", port),
+                (host, SIP_PORT),
                 self.day.seed * 65537 + n,
                 self.day.patience,
                 self.day.tries,
--- a/softswitch/standin/soak/checker.py
+++ b/softswitch/standin/soak/checker.py
@@ -10,6 +10,8 @@
 from enum import StrEnum
 from math import inf
 
+from softswitch.standin.soak.timeline import Timeline, softswitch_of
+
 ANSWER_ALLOWANCE = 0.5  # s after the patience in which an answer only earns nothing; later the call is lost
 ORDER_ALLOWANCE = 0.1  # s in which events of two connections may be read in another order than they came
 DRAIN_ALLOWANCE = 2.0  # s after a drain was told, in which new attempts may still come
@@ -50,6 +52,7 @@
     who: str  # a call, or a softswitch
     detail: str
     events: tuple[str, ...] = ()
+    surroundings: tuple[str, ...] = ()  # of its softswitch, from the set-up on
 
 
 @dataclass(slots=True)
@@ -86,6 +89,7 @@
         self.clear_wait = clear_wait  # s
         self.max_attempts = max_attempts
         self.calls: dict[str, CallRecord] = {}
+        self.timeline = Timeline()
         self.broken: list[Broken] = []
         self.taken = 0
         self.answers = 0
@@ -134,13 +138,13 @@
         """A set-up was written to a connection."""
         self.taken += 1
         self.calls[call] = CallRecord(at, patience, idempotent, process)
-        self._note(at, call, f"set-up, waits {patience:.3f} s")
+        self.note(at, call, f"set-up, waits {patience:.3f} s")
         if len(self.calls) > KEPT_CALLS:
             del self.calls[next(iter(self.calls))]
 
     def answered(self, at: float, call: str, code: int, lag: float) -> None:
         """A final answer came; `lag`: s by which this reading may be late."""
-        record = self._note(at, call, f"answer {code}")
+        record = self.note(at, call, f"answer {code}")
         if record is None:
             return
         if record.answered is not None:
@@ -157,7 +161,7 @@
 
     def patience_over(self, at: float, call: str) -> None:
         """The caller gives up, ANSWER_ALLOWANCE after its patience."""
-        record = self._note(at, call, "given up")
+        record = self.note(at, call, "given up")
         if record is not None and record.answered is None and record.left is None:
             record.left = at
             self._break(Rule.ANSWERED, at, call, "nothing came")
@@ -165,7 +169,7 @@
     def connection_ended(self, at: float, calls: list[str], killed: bool) -> None:
         """A caller's connection is over with these set-ups unanswered. `killed`: by SIGKILL."""
         for call in calls:
-            record = self._note(at, call, "connection over")
+            record = self.note(at, call, "connection over")
             if record is None or record.answered is not None or record.left is not None:
                 continue
             record.left = at
@@ -180,7 +184,7 @@
 
     def caller_released(self, at: float, call: str) -> None:
         """The caller was told that the call is over."""
-        record = self._note(at, call, "caller told of the release")
+        record = self.note(at, call, "caller told of the release")
         if record is not None and record.released_to_caller is None:
             record.released_to_caller = at
 
@@ -190,7 +194,7 @@
         """A set-up came to an engine; `lag`: as in `answered`."""
         self.attempts += 1
         self._check_drain(at - lag, call, engine)
-        record = self._note(at, call, f"attempt at {engine}")
+        record = self.note(at, call, f"attempt at {engine}")
         if record is None:
             return
         before = record.attempts[-1] if record.attempts else None
@@ -219,7 +223,7 @@
 
     def attempt_ended(self, at: float, call: str, engine: str, what: str, may_have_run: bool = True) -> None:
         """The attempt is over: withdrawn, answered, refused, or its connection ended."""
-        record = self._note(at, call, f"{what} at {engine}")
+        record = self.note(at, call, f"{what} at {engine}")
         for attempt in record.attempts if record is not None else ():
             if attempt.engine == engine and attempt.ended is None:
                 attempt.ended = at
@@ -227,7 +231,7 @@
 
     def engine_released(self, at: float, call: str) -> None:
         """An engine wrote the release of an established call to a connection that is up."""
-        record = self._note(at, call, "released by its engine")
+        record = self.note(at, call, "released by its engine")
         if record is None or not record.established or record.released_by_engine is not None:
             return
         self.releases += 1
@@ -277,7 +281,8 @@
         if first.ended is None or first.ended > at + lag:
             self._break(Rule.ONE_ATTEMPT, at, call, f"one was still out at {first.engine}")
 
-    def _note(self, at: float, call: str, what: str) -> CallRecord | None:
+    def note(self, at: float, call: str, what: str) -> CallRecord | None:
+        """An event of a call, for the report; None: no such call is known."""
         record = self.calls.get(call)
         if record is not None:
             record.events.append(f"{at:.3f} {what}")
@@ -285,8 +290,11 @@
 
     def _break(self, rule: Rule, at: float, who: str, detail: str) -> None:
         record = self.calls.get(who)
-        events = tuple(record.events) if record is not None else ()
-        self.broken.append(Broken(rule, at, who, detail, events))
+        if record is None:
+            self.broken.append(Broken(rule, at, who, detail))
+            return
+        surroundings = self.timeline.between(softswitch_of(record.process), record.sent, at)
+        self.broken.append(Broken(rule, at, who, detail, tuple(record.events), surroundings))
 
 
 @dataclass(frozen=True, slots=True)
--- a/softswitch/standin/soak/run.py
+++ b/softswitch/standin/soak/run.py
@@ -22,9 +22,10 @@
 from twisted.internet.task import deferLater
 
 from softswitch import environment
+from softswitch.standin.addresses import own_hosts
 from softswitch.standin.board import Listed
 from softswitch.standin.engine import EngineSettings
-from softswitch.standin.fleet import ROOT, own_hosts
+from softswitch.standin.fleet import ROOT
 from softswitch.standin.http_query import HTTP_OK, Query
 from softswitch.standin.soak.checker import Broken, Checker, Limits
 from softswitch.standin.soak.plan import Crowd, EngineEpisode, EngineFault, Episode, Plan, Signals
@@ -100,12 +101,13 @@
         self.soak = soak
         self.n = n
         self.host = host
+        self.name = f"n{n}"
         self.address = (host, SIP_PORT)
         self.engines = [self._engine(k) for k in range(soak.plan.engines)]
-        listed = [Listed(e.set.name, e.listen(), e.set.cell) for e in self.engines]
+        listed = [Listed(e.set.name, e.listen(host), e.set.cell) for e in self.engines]
         self.board = SoakBoard(soak.reactor, listed)
-        self.board_address = self.board.listen()
-        self.folder = Path(soak.dir.name, f"n{n}")
+        self.board_address = self.board.listen(host)
+        self.folder = Path(soak.dir.name, self.name)
         self.folder.mkdir()
         self.config = self.folder / "config.json"
         self.processes: list[Process] = []
@@ -126,19 +128,23 @@
         hold = {c.name: HOLD for c in plan.classes}
         settings = EngineSettings(f"s-{number + 1:08x}", k, 500, hold=hold, work=SETUP_WORK)
         seed = plan.seed * 7919 + number
-        return SoakEngine(self.soak.reactor, settings, seed, self.soak.checker, self.soak.lag)
+        return SoakEngine(self.soak.reactor, settings, seed, self.soak.checker, self.soak.lag, self.name)
 
     def _killed_just_now(self) -> bool:
         times = [p.killed_at for p in self.processes if p.killed_at is not None]
         return bool(times) and self.soak.now() - max(times) < JUST_NOW
 
+    def note(self, event: str) -> None:
+        """An event of this softswitch, for the report of a broken rule."""
+        self.soak.checker.timeline.note(self.soak.now(), self.name, event)
+
     def write_config(self, advice: float = 2000.0) -> None:
         """The configuration, with another advice to callers where it changes."""
         plan = self.soak.plan
         settings = plan.settings()
         settings["limits"]["max_retry_after"] = advice
         made = {
-            "name": f"n{self.n}",
+            "name": self.name,
             "listen": "{}:{}".format(*self.address),
             "seed": f"{plan.seed * 31 + self.n:016x}",
             "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.descriptors},
@@ -166,8 +172,9 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
-        process = Process(f"n{self.n}.{len(self.processes)}", program, mgmt)
+        process = Process(f"{self.name}.{len(self.processes)}", program, mgmt)
         self.processes.append(process)
+        self.note(f"{process.name} started")
         self.soak.checker.process_started(self.soak.now())
         return process
 
@@ -177,6 +184,7 @@
         while self.soak.now() < until and process.running:
             if await self.soak.ask(process, "GET /v1/readyz") == HTTP_OK:
                 self.serving = process.name
+                self.note(f"{process.name} ready")
                 return True
             await self.soak.sleep(POLL)
         self.soak.checker.not_ready(self.soak.now(), process.name, within)
@@ -197,6 +205,7 @@
         process.stopping = True
         soak.checker.stop_requested(soak.now(), process.name)
         asked = soak.now()
+        self.note(f"{process.name} SIGTERM")
         process.program.send_signal(signal.SIGTERM)
         if second_after is not None:
             await soak.sleep(second_after)
@@ -207,7 +216,9 @@
         if process.running:
             process.killed_at = soak.now()
             process.program.kill()
+            self.note(f"{process.name} SIGKILL")
             return
+        self.note(f"{process.name} ended")
         code = process.program.returncode
         if not (early and code in ENDED_IN_START):
             soak.checker.exited(soak.now(), process.name, code)
@@ -257,8 +268,10 @@
             engine.reset_connections()
         elif fault.fault is EngineFault.HANG:
             engine.hung = True
+            self.note(f"{engine.set.name} hangs")
             await self.soak.sleep(fault.seconds)
             engine.hung = False
+            self.note(f"{engine.set.name} goes on")
         else:
             await self._drain(engine, fault.seconds)
 
--- a/softswitch/standin/soak/world.py
+++ b/softswitch/standin/soak/world.py
@@ -14,6 +14,7 @@
 from softswitch.standin.engine import Engine, EngineSettings, EngineSide
 from softswitch.standin.soak.checker import ANSWER_ALLOWANCE, Checker
 from softswitch.standin.soak.plan import CallClassPlan
+from softswitch.standin.soak.timeline import softswitch_of
 from softswitch.standin.traffic import StreamSettings
 
 LAG_EVERY = 0.01  # s between two looks at the clock
@@ -46,11 +47,25 @@
         return LAG_EVERY + max(now_late, longest)
 
 
+def _port(line: EngineSide) -> int:
+    port: int = line.transport.getPeer().port
+    return port
+
+
 class SoakEngine(Engine):
     """An engine that hangs, resets and reports."""
 
-    def __init__(self, reactor: Any, settings: EngineSettings, seed: int, checker: Checker, lag: LagMeter):
+    def __init__(
+        self,
+        reactor: Any,
+        settings: EngineSettings,
+        seed: int,
+        checker: Checker,
+        lag: LagMeter,
+        softswitch: str,
+    ) -> None:
         super().__init__(reactor, settings, seed)
+        self.softswitch = softswitch  # that it serves
         self.checker = checker
         self.lag = lag
         self.hung = False
@@ -77,19 +92,30 @@
 
         Those that were written go out once more, as the protocol says: on the next connection as well.
         """
+        self._note(line, "connection opened")
         for call in self.unsaid:
             self.checker.engine_released(self.reactor.seconds(), call)
         super().opened(line)
         again, self.written_releases = self.written_releases, {}
         for call, cause in again.items():
+            self._note_release(line, call, "release written once more")
             line.say(MessageType.RELEASE, call, (Parameter.CAUSE, bytes((cause,))))
 
     def closed(self, line: EngineSide) -> None:
         """A connection is over, and the attempts on it."""
+        self._note(line, "connection over")
         for call in [call for call, at in self.attempts.items() if at is line]:
             self._attempt_over(call, "connection over")
         super().closed(line)
 
+    def _note(self, line: EngineSide, event: str) -> None:
+        """An event of a connection; its port tells it from the others."""
+        event = f"{self.set.name} from {_port(line)}: {event}"
+        self.checker.timeline.note(self.reactor.seconds(), self.softswitch, event)
+
+    def _note_release(self, line: EngineSide, call: str, event: str) -> None:
+        self.checker.note(self.reactor.seconds(), call, f"{event} to {_port(line)}")
+
     def reset_connections(self) -> None:
         """Hangs up on everybody; the process goes on."""
         for line in list(self.lines):
@@ -122,6 +148,8 @@
         if self.lines:
             self.checker.engine_released(self.reactor.seconds(), call)
             self.written_releases[call] = cause
+            written_on = line if line in self.lines else next(iter(self.lines))
+            self._note_release(written_on, call, "release written")
         super()._tell_end(line, call, cause)
 
 
@@ -186,14 +214,19 @@
     def up(self, line: CallerLine) -> None:
         """A connection is up."""
         self.connected_to = self.process()
+        self._note(f"caller connected, to {self.connected_to}")
         super().up(line)
 
     def down(self, line: CallerLine) -> None:
         """The connection is over: what was sent on it is never answered."""
+        self._note("caller's connection over")
         if self.line is line:
             self.checker.connection_ended(self.reactor_now(), list(self.waiting), self.was_killed())
         super().down(line)
 
+    def _note(self, event: str) -> None:
+        self.checker.timeline.note(self.reactor_now(), softswitch_of(self.process()), event)
+
     def reactor_now(self) -> float:
         """Seconds."""
         return float(self.clock_.seconds())
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -23,6 +23,7 @@
 from wsproto.connection import ConnectionState
 from wsproto.events import CloseConnection, Ping, RejectConnection, Request, TextMessage
 
+from softswitch.standin.addresses import own_host
 from support.settings import INFO
 
 KINDS = {
@@ -49,9 +50,9 @@
     return f"{address[0]}:{address[1]}"
 
 
-def listener():
+def listener(host):
     s = socket.socket()
-    s.bind(("127.0.0.1", 0))
+    s.bind((host, 0))
     s.listen(64)
     return s
 
@@ -156,6 +157,7 @@
 
     def __init__(self, stage, sock):
         self.sock, self.data, self.got, self.numbers = sock, b"", [], {}
+        self.acknowledged = []  # releases of this engine, by the ids of their calls
         self.send("STATE 0 21=x0:1000;x1:1000")
 
     def feed(self, data):
@@ -167,7 +169,9 @@
                 code, n = struct.unpack(">BH", rest[:3])
                 value, rest = rest[3 : 3 + n], rest[3 + n :]
                 words.append(f"{code}={value[0] if code == 31 else value.decode('latin-1')}")
-            if kind != CODES["HEARD"]:
+            if kind == CODES["HEARD"]:
+                self.acknowledged.append(call)
+            else:
                 yield " ".join(words)
 
     def send(self, words):
@@ -209,7 +213,7 @@
         record = struct.pack(
             ">I4sHBBBHIQ",
             n,
-            bytes((127, 0, 0, 1)),
+            socket.inet_aton(self.stage.host),
             self.stage.doors[name].getsockname()[1],
             STATES[state],
             0,
@@ -227,10 +231,12 @@
     def __init__(
         self, engines=2, settings=None, control="", config=None, env=None, command=("-m", "softswitch")
     ):
-        self.doors = {f"e{n}": listener() for n in range(engines)} | {"b": listener(), "b2": listener()}
+        # Its own: a program that still dials a port of a stand-in that has closed reaches no other's.
+        self.host = own_host()
+        self.doors = {name: listener(self.host) for name in (*(f"e{n}" for n in range(engines)), "b", "b2")}
         self.command = command
         self.parties, self.hook, self.dir = {}, None, tempfile.TemporaryDirectory()
-        spare = [listener(), listener(), listener()]
+        spare = [listener(self.host) for _ in range(3)]
         self.sip, self.web, self.mgmt = (s.getsockname() for s in spare)
         for s in spare:
             s.close()
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -10,6 +10,8 @@
 import pytest
 from support.harness import INFO, ROOT, Sip, Stage, call_id, written
 
+from softswitch.standin.addresses import own_host
+
 SHORT = {"lanes": [{"name": "x", "aim": 500.0, "credit": 1.0, "hard_limit": 900.0}]}
 SLOW = {"limits": INFO["limits"] | {"connect_timeout": 8000.0}}
 
@@ -172,7 +174,7 @@
 def unheard(kind):
     """An address at which a notice board is down, or accepts and says nothing, or does not even accept."""
     door = socket.socket()
-    door.bind(("127.0.0.1", 0))
+    door.bind((own_host(), 0))
     if kind != "down":
         door.listen(8)
     return door, (fill(door) if kind == "never up" else [])
@@ -610,7 +612,9 @@
 def board_record(stage, ident, door, state, cell):
     """One line of the board's list, for an engine of any id at any of the stage's addresses."""
     port = stage.doors[door].getsockname()[1]
-    return struct.pack(">I4sHBBBHIQ", ident, bytes((127, 0, 0, 1)), port, state, 0, 0, cell, 1000, 0).hex()
+    return struct.pack(
+        ">I4sHBBBHIQ", ident, socket.inet_aton(stage.host), port, state, 0, 0, cell, 1000, 0
+    ).hex()
 
 
 def changes(stage, number, *records):
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -14,7 +14,7 @@
 import pytest
 from support.harness import ROOT, Stage, written
 
-from softswitch.standin.fleet import own_hosts
+from softswitch.standin.addresses import own_hosts
 
 PATIENCE = 20.0  # s for a condition to come true
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from support.harness import Stage, call_id
+from support.harness import Stage, call_id, written
 from support.settings import INFO
 
 STAYS = {"limits": INFO["limits"] | {"may_cancel": False}}  # a call that others overtake is not sent anew
@@ -357,10 +357,10 @@
 
     def replace(self):
         spare = socket.socket()
-        spare.bind(("127.0.0.1", 0))
+        spare.bind((self.host, 0))
         self.mgmt_old, self.mgmt = self.mgmt, spare.getsockname()
         spare.close()
-        return self.start({"BALANCER_MGMT": f"127.0.0.1:{self.mgmt[1]}"})
+        return self.start({"BALANCER_MGMT": written(self.mgmt)})
 
     def start_after_stop(self):
         """Stops the process, and starts the one that is to be replaced."""
@@ -645,7 +645,7 @@
     with Stage(engines=1) as s:
         s.play("b expect after 3")
         record = struct.pack(
-            ">I4sHBBBHIQ", 0, bytes((127, 0, 0, 1)), s.doors["e0"].getsockname()[1], 0, 0, 0, 0, 1000, 0
+            ">I4sHBBBHIQ", 0, socket.inet_aton(s.host), s.doors["e0"].getsockname()[1], 0, 0, 0, 0, 1000, 0
         )
         frame = struct.pack(">QB", 4, 2) + record
         trickle(s.party("b"), struct.pack(">I", len(frame)) + frame)
--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -3,6 +3,7 @@
 from twisted.internet.task import Clock
 
 from softswitch.net.engine_codec import MessageType, Parameter
+from softswitch.standin.addresses import own_host
 from softswitch.standin.engine import Engine, EngineSettings
 
 
@@ -33,7 +34,7 @@
     clock, born = Room(), []
     engine = Engine(clock, EngineSettings("s-00000001", 0, bears=20.0, cold=6.0, **more), 1)
     engine.on_born = lambda e: born.append(clock.seconds())
-    engine.listen()
+    engine.listen(own_host())
     return clock, engine, born
 
 
