Count the pieces of a message as a sign of life of its link

Callers saw: attempts on a link reset while its engine was answering in small pieces. Cause: the heartbeat counted messages, so one that takes over 2.1 s was silence. Pieces count now, for 5 s of one message.

--- a/softswitch/net/engine_connection.py
+++ b/softswitch/net/engine_connection.py
@@ -20,6 +20,7 @@
 )
 from softswitch.net.twisted_internals import read_now
 
+MESSAGE_TIMEOUT = 5_000.0  # ms in which pieces of one message are a sign of life, as with callers' messages
 SHOWN_BYTES = 11  # of a message that was cut short, in the history: its length, type and call
 
 
@@ -38,6 +39,9 @@
     def message_received(self, message: EngineMessage) -> None:
         """A message is complete."""
 
+    def piece_received(self) -> None:
+        """A piece of a message came."""
+
     def partial_release_received(self, release: Release) -> None:
         """No more will come of a release that was begun."""
 
@@ -55,9 +59,9 @@
         self.switch = owner.switch
         self.opened_at = self.switch.wheel.now
         self.is_corrupt = False  # given up by us: the engine may not know
-        self.incomplete_since: float | None = (
-            None  # when the last piece came of a message that is not complete
-        )
+        # When the last piece came of a message that is not complete, and the first.
+        self.incomplete_since: float | None = None
+        self.message_began_at: float | None = None
 
     def connectionMade(self) -> None:
         """Called by Twisted."""
@@ -70,13 +74,23 @@
         if self.is_corrupt:
             return
         super().dataReceived(data)
-        self.incomplete_since = self.switch.wheel.now if self.recvd else None
+        self._note_piece(self.switch.wheel.now)
+
+    def _note_piece(self, now: float) -> None:
+        if not self.recvd or self.is_corrupt:
+            self.incomplete_since = self.message_began_at = None
+            return
+        self.incomplete_since = now
+        if self.message_began_at is None:
+            self.message_began_at = now
+        if now - self.message_began_at <= MESSAGE_TIMEOUT:
+            self.owner.piece_received()
 
     def stringReceived(self, data: bytes) -> None:
         """Called by Twisted: a message is complete."""
         if self.is_corrupt:
             return
-        self.incomplete_since = None
+        self.incomplete_since = self.message_began_at = None
         try:
             message = decode_message(data)
         except EngineMessageError as e:
--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -347,6 +347,10 @@
         report = self._report(message)
         self.switch.released_by_engine(self.server, message.call, message.cause, message.note, report)
 
+    def piece_received(self) -> None:
+        """A piece of a message came: the connection is no silent one."""
+        self.heartbeat.message_received(self.switch.wheel.now)
+
     def partial_release_received(self, release: Release) -> None:
         """A release whose end did not come.
 
--- a/softswitch/net/listening_connection.py
+++ b/softswitch/net/listening_connection.py
@@ -91,6 +91,10 @@
         self.connection = None
         self._up.pop(connection, None)
 
+    def piece_received(self) -> None:
+        """A piece of a message came."""
+        self.link.engine_active()
+
     def set_backpressured(self, backpressured: bool) -> None:
         """Nothing waits to be written here."""
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -656,3 +656,14 @@
         s.play("c0 expect 200 .*d{200,200}$")
         assert "cut short" not in s.said()
         assert "bad frame" not in s.said()
+
+
+def test_an_answer_in_pieces_for_longer_than_a_silent_link_is_kept_is_read_to_its_end():
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1 X-Patience=8000\ne0 expect SET_UP {1}")
+        said = struct.pack(">B", 9) + bytes.fromhex(f"{1:016x}") + struct.pack(">BH", 33, 200) + 200 * b"d"
+        for byte in struct.pack(">H", len(said)) + said:
+            s.party("e0").sock.sendall(bytes((byte,)))
+            time.sleep(0.012)  # 2.5 s in all; 2.1 s without a message were taken for silence
+        s.play("c0 expect 200 .*d{200,200}$")
+        assert "connection closed" not in s.said()  # the link's; the board is silent here
