Let failed probes of suspects say nothing of a member's own health

Cause, by a trace of each second: four of five living members probed each 4.5 s, nine times slower than the healthy, so dead members were not come to. Ruled out on a copy: pacing answered probes by the plain period (not settled). Suspects' failed probes now leave health alone, as they already left the last four probes.

--- a/softswitch/fleet/member.py
+++ b/softswitch/fleet/member.py
@@ -283,11 +283,7 @@
         if p is not None and now >= p.ends:
             self.probe = None
             if not self._is_suspect(p.key):  # no news of a suspect: it says nothing of this process's health
-                self.recent.append(False)
-            # Helpers that are there and heard nothing have said so; those that said nothing make one doubt
-            # oneself.
-            missed = p.helpers - p.nacks
-            self.health = min(WORST, self.health + (missed if p.helpers else 1))
+                self._probe_failed(p)
             self._accuse(now, p.key)
         if now >= self.next_probe and self.probe is None and not self.leaving:
             target_key = self._next_target()
@@ -300,6 +296,14 @@
             self.counts["probes"] += 1
             self._ping(target_key, self.probe.seq)
 
+    def _probe_failed(self, probe: Probe) -> None:
+        """Helpers that are there and heard nothing have said so; those that said nothing make one doubt
+        oneself.
+        """
+        self.recent.append(False)
+        missed = probe.helpers - probe.nacks
+        self.health = min(WORST, self.health + (missed if probe.helpers else 1))
+
     def _is_suspect(self, key: str) -> bool:
         record = self.table.records.get(key)
         return record is not None and record.state is State.SUSPECT
