Soak: calls that need retries, long drains, excuses by process and call, planted faults

Now engines refuse, fail, reset or ignore a part of the attempts, drains last 3 to 15 s, callers leave early or hang up. The checker keeps for each softswitch which process was told of what when, and when a caller was connected, and counts for each rule how often it was judged and excused. Four rules more: callers' releases to engines, attempts after a caller left, deadlines told to engines, set-ups changed on their way. The plan of a seed keeps what it had: pressure is drawn apart.

--- a/softswitch/cli/soak.py
+++ b/softswitch/cli/soak.py
@@ -35,14 +35,16 @@
     seeds: Annotated[int, typer.Option(help="how many, one after the other", min=1, max=10_000)] = 1,
     seconds: Annotated[float, typer.Option(help="how long calls come, for each", min=10, max=86_400)] = 25.0,
     jobs: Annotated[int, typer.Option(help="seeds side by side", min=1, max=64)] = 1,
+    plant: Annotated[str, typer.Option(help="a fault to plant in the softswitches; `list` names them")] = "",
     as_json: Annotated[bool, typer.Option("--json", help="one JSON object a line, no table")] = False,
 ) -> None:
     """Plays soaks. Exit 0 only if no rule was broken."""
+    _check_plant(plant)
     if seeds == 1:
-        reports = [orjson.loads(orjson.dumps(Soak(draw(seed, seconds)).play().report()))]
+        reports = [orjson.loads(orjson.dumps(Soak(draw(seed, seconds), plant).play().report()))]
     else:
         with ThreadPoolExecutor(jobs) as pool:
-            reports = list(pool.map(lambda n: _play_apart(n, seconds), range(seed, seed + seeds)))
+            reports = list(pool.map(lambda n: _play_apart(n, seconds, plant), range(seed, seed + seeds)))
     if as_json:
         for report in reports:
             print(orjson.dumps(report).decode())
@@ -53,9 +55,18 @@
     raise SystemExit(1 if any(report["broken"] for report in reports) else 0)
 
 
-def _play_apart(seed: int, seconds: float) -> Report:
+def _check_plant(plant: str) -> None:
+    if not plant:
+        return
+    from softswitch.standin.soak.planted import PLANTS  # loads the program
+
+    if plant not in PLANTS:
+        bad(f"--plant {plant}: one of {', '.join(PLANTS)}")
+
+
+def _play_apart(seed: int, seconds: float, plant: str) -> Report:
     """One seed in a process of its own."""
-    words = ["soak", "--seed", str(seed), "--seconds", str(seconds), "--json"]
+    words = ["soak", "--seed", str(seed), "--seconds", str(seconds), "--plant", plant, "--json"]
     command = [sys.executable, "-m", "softswitch.cli", *words]
     done = subprocess.run(command, capture_output=True, text=True, timeout=seconds + GRACE)
     try:
--- a/softswitch/standin/soak/plan.py
+++ b/softswitch/standin/soak/plan.py
@@ -16,6 +16,7 @@
 FIRST_EPISODE = 2.0  # s from the start
 EPISODE_GAP = (6.0, 9.0)  # s between two series of signals at one softswitch
 TICKS = (1.0, 2.0, 5.0, 10.0, 20.0)  # ms
+DRAIN_SECONDS = (3.0, 15.0)  # s from a drain to the end of its engine
 IDEMPOTENCY = ("read_like", "non_idempotent", "other")
 
 
@@ -38,6 +39,43 @@
     DRAIN = "drains, goes and comes back cold"
 
 
+class AttemptFault(StrEnum):
+    """What an engine does with one attempt in place of serving it."""
+
+    FULL = "processor full, with a wait"
+    NO_CIRCUIT = "no circuit"
+    ERROR = "error"
+    BUSY = "number busy"
+    RESET = "reset"
+    SILENT = "no answer"
+
+
+FaultMix = tuple[tuple[AttemptFault, float], ...]  # faults with their weights
+
+# A full processor closes an engine's gate for long, and calls that are rejected at once need no retry: so
+# most seeds are without.
+FAULT_MIXES: tuple[FaultMix, ...] = (
+    ((AttemptFault.BUSY, 8.0), (AttemptFault.RESET, 1.0)),
+    ((AttemptFault.BUSY, 8.0), (AttemptFault.ERROR, 1.0)),
+    ((AttemptFault.BUSY, 6.0), (AttemptFault.NO_CIRCUIT, 4.0), (AttemptFault.RESET, 1.0)),
+    tuple((fault, 1.0) for fault in AttemptFault),
+)
+# Where no class may be sent again after an attempt that may have run.
+NO_CIRCUIT_ALONE: FaultMix = ((AttemptFault.NO_CIRCUIT, 1.0),)
+NO_CIRCUIT_SHARE = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """What makes calls need more than one attempt, and callers change their mind."""
+
+    faulty_attempts: float  # share of attempts
+    attempt_faults: FaultMix
+    drains: tuple[tuple[float, int, float], ...]  # (from, engine, for)
+    leave_early: float  # share of set-ups that their callers give up before their patience ends
+    hang_up: float  # share of established calls that their callers end
+
+
 @dataclass(frozen=True, slots=True)
 class CallClassPlan:
     """One class of calls."""
@@ -117,6 +155,7 @@
     faults: tuple[EngineEpisode, ...]
     silent_board: tuple[tuple[float, float], ...]  # (from, for)
     crowds: tuple[Crowd, ...]
+    pressure: Pressure
 
     def kill_after(self, replaced: bool) -> float:
         """Seconds after SIGTERM at which SIGKILL comes: the page's earliest."""
@@ -177,9 +216,28 @@
         faults=_draw_faults(rng, engines, seconds),
         silent_board=_draw_silences(rng, seconds),
         crowds=_draw_crowds(rng, seconds),
+        pressure=_draw_pressure(Random(f"pressure {seed}"), classes, engines, seconds),
     )
 
 
+def _draw_pressure(rng: Random, classes: tuple[CallClassPlan, ...], engines: int, seconds: float) -> Pressure:
+    """Drawn apart, so that the rest of a seed's plan is what it was before there was pressure."""
+    retried = any(c.idempotent for c in classes)
+    return Pressure(
+        faulty_attempts=rng.uniform(0.4, 0.6) if retried else NO_CIRCUIT_SHARE,
+        attempt_faults=rng.choice(FAULT_MIXES) if retried else NO_CIRCUIT_ALONE,
+        drains=_draw_drains(rng, engines, seconds),
+        leave_early=rng.uniform(0.0, 0.2),
+        hang_up=rng.uniform(0.05, 0.3),
+    )
+
+
+def _draw_drains(rng: Random, engines: int, seconds: float) -> tuple[tuple[float, int, float], ...]:
+    """One or two engines drain, at times together; others stay."""
+    drained = rng.sample(range(engines), min(engines - 1, rng.randint(1, 2)))
+    return tuple((rng.uniform(1.0, seconds / 2), n, rng.uniform(*DRAIN_SECONDS)) for n in drained)
+
+
 def _draw_class(rng: Random, n: int) -> CallClassPlan:
     hard_limit = rng.uniform(700.0, 5000.0)
     aim = hard_limit * rng.uniform(0.3, 0.9)
--- a/softswitch/standin/soak/run.py
+++ b/softswitch/standin/soak/run.py
@@ -27,12 +27,14 @@
 from softswitch.standin.engine import EngineSettings
 from softswitch.standin.fleet import ROOT
 from softswitch.standin.http_query import HTTP_OK, Query
-from softswitch.standin.soak.checker import Broken, Checker, Limits
+from softswitch.standin.soak.checker import Broken, Checker, Limits, Rule
 from softswitch.standin.soak.plan import Crowd, EngineEpisode, EngineFault, Episode, Plan, Signals
 from softswitch.standin.soak.world import CrowdConnection, LagMeter, SoakBoard, SoakCallers, SoakEngine
 
 SIP_PORT, MGMT_PORT = 5_060, 15_000  # at an address of its own; each process has a management port more
+FIRST_ADVICE = 2_000.0  # ms that rejected callers are told to stay away
 HOLD = 2.0  # s that a call stands on average
+STATE_EVERY = 0.06  # s between two states of an engine: no circuit is free for no longer than that
 SETUP_WORK = 0.002  # s of an engine's processor
 READY_WITHIN = 10.0  # s for a process that starts
 REPLACED_WITHIN = 6.0  # s for one that replaces another
@@ -53,12 +55,15 @@
     calls: int
     answers: int
     late: int
+    left: int
     crossed: int
     attempts: int
     releases: int
     signals: dict[str, int]
     processes: int
     stand_in_lag: float  # s, the most seen
+    judged: dict[str, int]  # how often each rule was looked at
+    excused: dict[str, int]  # of these, with more allowed than usual
     broken: tuple[Broken, ...]
 
     def report(self) -> dict[str, Any]:
@@ -111,6 +116,7 @@
         self.folder.mkdir()
         self.config = self.folder / "config.json"
         self.processes: list[Process] = []
+        self.advice = FIRST_ADVICE
         self.serving = ""  # the process that takes new connections
         self.callers = SoakCallers(
             soak.reactor,
@@ -120,15 +126,20 @@
             soak.lag,
             lambda: self.serving,
             self._killed_just_now,
+            soak.plan.pressure,
         )
 
     def _engine(self, k: int) -> SoakEngine:
         plan = self.soak.plan
         number = self.n * plan.engines + k
         hold = {c.name: HOLD for c in plan.classes}
-        settings = EngineSettings(f"s-{number + 1:08x}", k, 500, hold=hold, work=SETUP_WORK)
+        settings = EngineSettings(
+            f"s-{number + 1:08x}", k, 500, hold=hold, work=SETUP_WORK, state_every=STATE_EVERY
+        )
         seed = plan.seed * 7919 + number
-        return SoakEngine(self.soak.reactor, settings, seed, self.soak.checker, self.soak.lag, self.name)
+        return SoakEngine(
+            self.soak.reactor, settings, seed, self.soak.checker, self.soak.lag, self.name, plan.pressure
+        )
 
     def _killed_just_now(self) -> bool:
         times = [p.killed_at for p in self.processes if p.killed_at is not None]
@@ -138,8 +149,9 @@
         """An event of this softswitch, for the report of a broken rule."""
         self.soak.checker.timeline.note(self.soak.now(), self.name, event)
 
-    def write_config(self, advice: float = 2000.0) -> None:
+    def write_config(self, advice: float = FIRST_ADVICE) -> None:
         """The configuration, with another advice to callers where it changes."""
+        self.advice = advice
         plan = self.soak.plan
         settings = plan.settings()
         settings["limits"]["max_retry_after"] = advice
@@ -155,7 +167,8 @@
         self.config.write_bytes(orjson.dumps(made))
 
     def start(self) -> Process:
-        """Starts a process."""
+        """Starts a process, with the list of engines of this moment."""
+        self.write_config(self.advice)
         mgmt = (self.host, MGMT_PORT + len(self.processes))
         env = os.environ | {
             "BALANCER_CONFIG": str(self.config),
@@ -165,7 +178,7 @@
         env = environment.without(env, environment.OPERATOR_FILE)
         with open(self.folder / "log", "ab") as log:
             program = subprocess.Popen(
-                [sys.executable, "-m", "softswitch"],
+                [sys.executable, "-m", *self.soak.module()],
                 cwd=ROOT,
                 env=env,
                 stdout=log,
@@ -175,7 +188,8 @@
         process = Process(f"{self.name}.{len(self.processes)}", program, mgmt)
         self.processes.append(process)
         self.note(f"{process.name} started")
-        self.soak.checker.process_started(self.soak.now())
+        replaces = any(p.running for p in self.processes[:-1])
+        self.soak.checker.of(self.name).process_started(self.soak.now(), process.name, replaces)
         return process
 
     async def until_ready(self, process: Process, within: float) -> bool:
@@ -185,6 +199,7 @@
             if await self.soak.ask(process, "GET /v1/readyz") == HTTP_OK:
                 self.serving = process.name
                 self.note(f"{process.name} ready")
+                self.soak.checker.of(self.name).process_ready(self.soak.now(), process.name)
                 return True
             await self.soak.sleep(POLL)
         self.soak.checker.not_ready(self.soak.now(), process.name, within)
@@ -257,7 +272,6 @@
     async def _replace(self, old: Process, drained: bool) -> None:
         if drained:
             await self.soak.ask(old, "POST /v1/softswitch/drain")
-        self.soak.checker.unsettled(self.soak.now(), self.soak.now() + REPLACED_WITHIN)
         taken_over = await self.until_ready(self.start(), REPLACED_WITHIN)
         await self.stop(old, replaced=taken_over)
 
@@ -275,7 +289,15 @@
         else:
             await self._drain(engine, fault.seconds)
 
+    async def play_drain(self, drain: tuple[float, int, float]) -> None:
+        """Drains an engine, unless it drains already."""
+        _, n, seconds = drain
+        await self._drain(self.engines[n], seconds)
+
     async def _drain(self, engine: SoakEngine, seconds: float) -> None:
+        if engine.set.name in self.soak.checker.drained:
+            return
+        self.note(f"{engine.set.name} drains")
         self.board.change_health(engine, "leaving")
         self.soak.checker.engine_drained(self.soak.now(), engine.set.name)
         await self.soak.sleep(seconds)
@@ -289,7 +311,8 @@
     async def silence_board(self, seconds: float) -> None:
         """The board stays connected and says nothing."""
         self.board.fall_silent()
-        self.soak.checker.board_silent(self.soak.now() + seconds)
+        now = self.soak.now()
+        self.soak.checker.board_silent(now, now + seconds, self.name)
         await self.soak.sleep(seconds)
         self.board.speak_again()
 
@@ -297,8 +320,9 @@
 class Soak:
     """Owner of everything that one soak starts."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: Plan, plant: str = "") -> None:
         self.plan = plan
+        self.plant = plant  # a fault that is planted in the softswitches
         self.reactor: Any = installed
         self.dir = tempfile.TemporaryDirectory(prefix="soak-")
         self.checker = Checker(plan.clear_wait / 1000, plan.max_attempts)
@@ -311,6 +335,10 @@
         self.error: BaseException | None = None
         self.over = False
 
+    def module(self) -> tuple[str, ...]:
+        """What a softswitch is started as."""
+        return ("softswitch.standin.soak.planted", self.plant) if self.plant else ("softswitch",)
+
     def now(self) -> float:
         """Seconds, of the stand-ins' clock."""
         return float(self.reactor.seconds())
@@ -379,6 +407,8 @@
         for member in self.members:
             for fault in self.plan.faults:
                 self._start_at(fault.at, member.play_fault, fault)
+            for drain in self.plan.pressure.drains:
+                self._start_at(drain[0], member.play_drain, drain)
             for at, seconds in self.plan.silent_board:
                 self._start_at(at, member.silence_board, seconds)
         for crowd in self.plan.crowds:
@@ -394,7 +424,6 @@
         """Connections that nobody wants, as many as the stand-ins may open, and set-ups all at once."""
         room = max(0, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - OWN_DESCRIPTORS)
         member = self.members[0]
-        self.checker.unsettled(self.now(), self.now() + JUST_NOW)
         for n in range(min(room, crowd.idle + crowd.half_written)):
             first_bytes = HALF_MESSAGE if n < crowd.half_written else b""
             self.reactor.connectTCP(*member.address, CrowdFactory(self, first_bytes), timeout=2.0)
@@ -443,12 +472,15 @@
             checker.taken,
             checker.answers,
             checker.late,
+            checker.left,
             checker.crossed,
             checker.attempts,
             checker.releases,
             dict(self.signals),
             sum(len(m.processes) for m in self.members),
             self.most_lag,
+            {rule.name: checker.judged[rule] for rule in Rule},
+            {rule.name: checker.excused[rule] for rule in Rule if checker.excused[rule]},
             tuple(checker.broken),
         )
 
--- a/softswitch/standin/soak/world.py
+++ b/softswitch/standin/soak/world.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from twisted.internet.protocol import Protocol
@@ -12,13 +13,22 @@
 from softswitch.standin.board import Board, BoardSide, Listed
 from softswitch.standin.caller import CallerLine, Callers
 from softswitch.standin.engine import Engine, EngineSettings, EngineSide
-from softswitch.standin.soak.checker import ANSWER_ALLOWANCE, Checker
-from softswitch.standin.soak.plan import CallClassPlan
+from softswitch.standin.soak.checker import ANSWER_ALLOWANCE, Checker, SetupFields
+from softswitch.standin.soak.plan import AttemptFault, CallClassPlan, Pressure
 from softswitch.standin.soak.timeline import softswitch_of
 from softswitch.standin.traffic import StreamSettings
 
 LAG_EVERY = 0.01  # s between two looks at the clock
 LAG_KEPT = 100  # looks: a second of them
+PROCESSOR_WAIT = 19  # parameter: ms that a full processor asks to be left alone
+FULL_FOR = (300.0, 1_500.0)  # ms
+FAULT_ANSWERS = {  # the cause and the note of a release
+    AttemptFault.FULL: (34, b"cpu_full"),
+    AttemptFault.NO_CIRCUIT: (34, b"all_trunks_busy"),
+    AttemptFault.ERROR: (47, b""),
+    AttemptFault.BUSY: (17, b"number_busy"),
+    AttemptFault.RESET: (41, b""),
+}
 HUNG_CALL_RETRY = 0.2  # s until a hung engine's call is tried again to be ended
 
 
@@ -63,8 +73,11 @@
         checker: Checker,
         lag: LagMeter,
         softswitch: str,
+        pressure: Pressure,
     ) -> None:
         super().__init__(reactor, settings, seed)
+        self.pressure = pressure
+        self.draws = Random(f"attempts {seed}")
         self.softswitch = softswitch  # that it serves
         self.checker = checker
         self.lag = lag
@@ -72,21 +85,52 @@
         self.attempts: dict[str, EngineSide] = {}  # that are out, by call
         self.written_releases: dict[str, int] = {}  # since a connection was opened last: call, cause
 
-    def _attempt_over(self, call: str, what: str, may_have_run: bool = True) -> None:
+    def _attempt_over(
+        self, call: str, what: str, may_have_run: bool = True, needs_quiet: bool = True
+    ) -> None:
         if self.attempts.pop(call, None) is not None:
             now = self.reactor.seconds()
-            self.checker.attempt_ended(now, call, self.set.name, what, may_have_run)
+            self.checker.attempt_ended(now, call, self.set.name, what, may_have_run, needs_quiet)
 
     def heard(self, line: EngineSide, kind: int, call: str, said: dict[int, bytes]) -> None:
         """A message came; a hung engine does nothing with it."""
+        now = self.reactor.seconds()
         if kind == MessageType.SETUP:
-            self.checker.attempt(self.reactor.seconds(), call, self.set.name, self.lag.lag)
-            self.attempts[call] = line
+            self._setup_came(now, line, call, said)
         elif kind == MessageType.RELEASE:
             self._attempt_over(call, "withdrawn")
-        if not self.hung:
+            self.checker.engine_told(now, call)
+        if self.hung:
+            return
+        if kind == MessageType.SETUP and self.draws.random() < self.pressure.faulty_attempts:
+            faults, weights = zip(*self.pressure.attempt_faults, strict=True)
+            self._spoil(line, call, self.draws.choices(faults, weights)[0])
+        else:
             super().heard(line, kind, call, said)
 
+    def _setup_came(self, now: float, line: EngineSide, call: str, said: dict[int, bytes]) -> None:
+        lag = self.lag.lag
+        self.checker.attempt(now, call, self.set.name, lag)
+        self.attempts[call] = line
+        call_class, number = (
+            said.get(p, b"").decode("latin-1") for p in (Parameter.CALL_CLASS, Parameter.NUMBER)
+        )
+        fields = SetupFields(call_class, number, said.get(Parameter.DESCRIPTION, b""))
+        time_left = float(said.get(Parameter.TIME_LEFT, b"0")) / 1000
+        self.checker.setup_read(now, call, fields, time_left, lag)
+
+    def _spoil(self, line: EngineSide, call: str, fault: AttemptFault) -> None:
+        """Answers an attempt with a fault, or never."""
+        if fault is AttemptFault.SILENT:
+            return
+        never_ran = fault in (AttemptFault.FULL, AttemptFault.NO_CIRCUIT)
+        self._attempt_over(call, fault.value, not never_ran, fault is AttemptFault.RESET)
+        cause, note = FAULT_ANSWERS[fault]
+        parameters = [(Parameter.CAUSE, bytes((cause,))), (Parameter.NOTE, note)]
+        if fault is AttemptFault.FULL:
+            parameters.append((PROCESSOR_WAIT, b"%d" % self.draws.uniform(*FULL_FOR)))
+        line.say(MessageType.RELEASE, call, *parameters)
+
     def opened(self, line: EngineSide) -> None:
         """A connection is up: releases that had none go out.
 
@@ -116,6 +160,11 @@
     def _note_release(self, line: EngineSide, call: str, event: str) -> None:
         self.checker.note(self.reactor.seconds(), call, f"{event} to {_port(line)}")
 
+    def stop(self) -> None:
+        """A crash: its calls are gone."""
+        self.checker.engine_stopped(self.set.name)
+        super().stop()
+
     def reset_connections(self) -> None:
         """Hangs up on everybody; the process goes on."""
         for line in list(self.lines):
@@ -203,6 +252,7 @@
         lag: LagMeter,
         process: Callable[[], str],
         was_killed: Callable[[], bool],
+        pressure: Pressure,
     ) -> None:
         super().__init__(reactor, address, seed)
         self.checker = checker
@@ -210,10 +260,14 @@
         self.process = process  # which process takes new connections
         self.was_killed = was_killed  # whether SIGKILL went to a process just now
         self.connected_to = ""
+        self.used = False  # whether a set-up went out on this connection
+        self.pressure = pressure
+        self.draws = Random(f"callers {seed}")
 
     def up(self, line: CallerLine) -> None:
         """A connection is up."""
         self.connected_to = self.process()
+        self.used = False
         self._note(f"caller connected, to {self.connected_to}")
         super().up(line)
 
@@ -221,6 +275,7 @@
         """The connection is over: what was sent on it is never answered."""
         self._note("caller's connection over")
         if self.line is line:
+            self.checker.of(self.process()).caller_disconnected(self.reactor_now())
             self.checker.connection_ended(self.reactor_now(), list(self.waiting), self.was_killed())
         super().down(line)
 
@@ -237,10 +292,30 @@
             return
         self.patience = patience
         self.place(StreamSettings(call_class.name, 1.0, destination, number=str(destination)))
-        call = f"{self.last:016x}"
-        now = self.reactor_now()
-        self.checker.setup_sent(now, call, patience, call_class.idempotent, self.connected_to)
+        call, now = f"{self.last:016x}", self.reactor_now()
+        fields = SetupFields(call_class.name, str(destination), self.waiting[call].description)
+        self.checker.setup_sent(now, call, patience, call_class.idempotent, self.connected_to, fields)
         self.waiting[call].timer.reset(patience + ANSWER_ALLOWANCE)
+        if not self.used:  # what only tests connect for can carry no release
+            self.used = True
+            self.checker.of(self.connected_to).caller_connected(now)
+        if self.draws.random() < self.pressure.leave_early:
+            self.clock_.callLater(self.draws.uniform(0.0, patience), self._leave, call)
+
+    def _leave(self, call: str) -> None:
+        one = self.waiting.get(call)
+        if one is None or self.line is None:
+            return
+        self.line.say(f"CANCEL sip:{one.stream.number}@net SIP/2.0", call, "CANCEL")
+        self.checker.caller_left(self.reactor_now(), call)
+        self._settle(call, 0, 0.0)
+
+    def _hang_up(self, call: str) -> None:
+        if call not in self.standing or self.line is None:
+            return
+        del self.standing[call]
+        self.line.say("BYE sip:call@net SIP/2.0", call, "BYE", "Reason: Q.850;cause=16")
+        self.checker.caller_released_call(self.reactor_now(), call)
 
     def _given_up(self, call: str) -> None:
         self.checker.patience_over(self.reactor_now(), call)
@@ -256,6 +331,8 @@
             if code >= 200:
                 self.checker.answered(now, call, code, self.lag.lag)
         super().heard(line, first, headers, body)
+        if call in self.standing and self.draws.random() < self.pressure.hang_up:
+            self.clock_.callLater(self.draws.uniform(0.0, 1.0), self._hang_up, call)
 
 
 class CrowdConnection(Protocol):
