Reject calls to busy numbers before they are sent; read a full processor's wait on the wire

Cause: a call answered 'number busy' went on to another engine, where it is as busy, and nothing knew the number called; each set-up in vain is work for a processor that others need. New: softswitch/limits, pure: a busy answer closes the number for 0.5 s, doubling to 4 s; an answer or an end opens it. The module is told number and tenant, and no more retries a busy call. Parameter 19 and Organization are read on the wire.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -95,6 +95,7 @@
     destination_cell: int = -1
     redial: bool = False
     circuits: float = 1.0
+    tenant: str = ""  # whose call it is; empty: nobody's
 
     def __post_init__(self) -> None:
         if not CALL_ID.match(self.call):
@@ -214,5 +215,13 @@
         """The event that hands the call to the decision module."""
         r = self.request
         return i.SetupRequested(
-            r.call, r.call_class, r.destination_cell, timeout, r.redial, transit=False, circuits=r.circuits
+            r.call,
+            r.call_class,
+            r.destination_cell,
+            timeout,
+            r.redial,
+            transit=False,
+            circuits=r.circuits,
+            number=r.number,
+            tenant=r.tenant,
         )
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -29,6 +29,7 @@
 from softswitch.core.figures import Figures
 from softswitch.core.predecessor import PredecessorCalls
 from softswitch.core.timer_wheel import TimerWheel
+from softswitch.limits.call_limits import CallLimits
 from softswitch.policy.controller import Controller
 from softswitch.policy.state import EJECTION_FAULTS
 
@@ -52,7 +53,7 @@
         self.slow_start_share = 1.0  # see `interface.Settings`
         self.settings = self._adapted(settings)
         self.figures = Figures(self._class_names())
-        self.controller = Controller(self.settings, seed)
+        self.controller = Controller(self.settings, seed, CallLimits())
         self.history: CallHistory | None = None  # where what happens to calls is kept
         self.observer: CallObserver | None = None  # notified of each call, where a traffic record is kept
         self.on_duration: Callable[[Duration, float], None] | None = None  # for telemetry
@@ -174,7 +175,9 @@
             self.engines.cancel_setup(call.server, call_id)
             self._attempt_ended(call, outcome)
 
-    def _attempt_ended(self, call: Call, outcome: i.Outcome, note: str = "", report: Report = ()) -> None:
+    def _attempt_ended(
+        self, call: Call, outcome: i.Outcome, note: str = "", report: Report = (), retry_after: float = 0.0
+    ) -> None:
         """An attempt is over and the call is still owed its answer."""
         now, server = self.wheel.now, call.server or ""
         self.counters[CountFamily.ATTEMPTS + outcome.value] += 1
@@ -192,6 +195,7 @@
             now - call.sent_at,
             processor_full=note == PROCESSOR_FULL_NOTE,
             callee_busy=note == NUMBER_BUSY_NOTE,
+            retry_after=retry_after if note == PROCESSOR_FULL_NOTE else 0.0,
             report=report,
         )
         self._feed(event)
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -232,9 +232,18 @@
         self._feed(i.AttemptAnswered(call_id, call.attempt, server, now - call.sent_at))
 
     def released_by_engine(
-        self, server: str, call_id: str, cause: int, note: str = "", report: Report = ()
+        self,
+        server: str,
+        call_id: str,
+        cause: int,
+        note: str = "",
+        report: Report = (),
+        retry_after: float = 0.0,
     ) -> None:
-        """The engine rejected an attempt, or ended an established call."""
+        """The engine rejected an attempt, or ended an established call.
+
+        `retry_after`: ms that a full processor asks to be left alone; 0: it does not say.
+        """
         call = self.calls.get(call_id)
         if self.history:
             self.history.note(call_id, "release heard", f"{server} {cause} {note}")
@@ -247,7 +256,7 @@
         elif cause == ReleaseCause.NORMAL:
             self._ended_before_answer(call, report)
         else:
-            self._attempt_released(call, cause, note, report)
+            self._attempt_released(call, cause, note, report, retry_after)
 
     def _pass_on_release(self, call_id: str, cause: int) -> bool:
         """An engine's release of a call that the peer process, or the predecessor, may have; False:
@@ -289,7 +298,9 @@
         self._feed(i.CallerLeft(call.id))
         self._end(call, i.Outcome.RESET, report)
 
-    def _attempt_released(self, call: Call, cause: int, note: str, report: Report) -> None:
+    def _attempt_released(
+        self, call: Call, cause: int, note: str, report: Report, retry_after: float
+    ) -> None:
         if cause == ReleaseCause.NO_CIRCUIT:
             processor_full = note == PROCESSOR_FULL_NOTE
             call.obstacles |= Obstacle.PROCESSOR_FULL if processor_full else Obstacle.NO_CIRCUIT
@@ -300,7 +311,7 @@
             outcome = i.Outcome.ERROR
         else:
             outcome = i.Outcome.RESET
-        self._attempt_ended(call, outcome, note, report)
+        self._attempt_ended(call, outcome, note, report, retry_after)
 
     def attempt_unreachable(self, server: str, call_id: str) -> None:
         """No connection came up: nothing of the attempt has run."""
--- a/softswitch/interface.py
+++ b/softswitch/interface.py
@@ -185,6 +185,30 @@
 
 
 UNLIMITED = Unlimited()
+
+
+class CallLimits(Protocol):
+    """Limits of this softswitch alone, by what calls have in common. The module asks, and reports ends."""
+
+    def admit(self, now: float, request: SetupRequested, call_class: CallClass, shared: Constraints) -> float:
+        """Admits a call, by the `shared` quotas too: 0. Otherwise ms until one like it may be tried."""
+
+    def attempt_over(self, now: float, event: AttemptOver, request: SetupRequested | None) -> None:
+        """An attempt was answered or ended; `request`: of its call, None if that was established before."""
+
+
+class NoCallLimits:
+    """Only the quotas that are shared limit anything."""
+
+    def admit(self, now: float, request: SetupRequested, call_class: CallClass, shared: Constraints) -> float:
+        """Admits what the shared quotas admit."""
+        return shared.admit(call_class.name, call_class.priority_weight)
+
+    def attempt_over(self, now: float, event: AttemptOver, request: SetupRequested | None) -> None:
+        """Learns nothing."""
+
+
+NO_CALL_LIMITS = NoCallLimits()
 SHARED_SLOW_START = "cold"  # call setups that a warming endpoint bears from all softswitches
 SHARED_PROBES = "probes"  # probes that an endpoint bears from all softswitches
 
@@ -240,6 +264,8 @@
     redial: bool = False
     transit: bool = False
     circuits: float = 1.0  # that it takes
+    number: str = ""  # the number called; empty: unknown
+    tenant: str = ""  # whose call it is; empty: nobody's
 
 
 @dataclass(frozen=True, slots=True)
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -100,6 +100,7 @@
         read_integer(message, "dest", -1),
         message.get("retry") is True,
         read_number(message, "width", 1),
+        read_text(message, "tenant", ""),
     )
 
 
--- a/softswitch/net/engine_codec.py
+++ b/softswitch/net/engine_codec.py
@@ -15,6 +15,8 @@
 CALL_AT, PARAMETERS_AT = 1, 9  # offsets: the call's id, and the first parameter
 LENGTH_SIZE = 2  # bytes of the length that stands before each message
 NO_CALL = "00" * 8  # the call of messages that concern none
+MAX_RETRY_AFTER_DIGITS = 9
+MAX_RETRY_AFTER = 10_000.0  # ms; a longer wait would keep an engine out that is well again
 PASSED = 1  # cause of a probe's answer
 
 
@@ -40,6 +42,7 @@
     TIME_LEFT: Final = 5  # ms that the caller still waits
     NUMBER: Final = 11
     NOTE: Final = 17
+    RETRY_AFTER: Final = 19  # ms that a full processor asks to be left alone
     REPORT: Final = 21
     CAUSE: Final = 31
     DESCRIPTION: Final = 33
@@ -81,6 +84,14 @@
         """What a release adds to its cause."""
         return self.parameters.get(Parameter.NOTE, b"").decode("latin-1")
 
+    @property
+    def retry_after(self) -> float:
+        """Ms that a full processor asks to be left alone; 0 where it gives none that can be read."""
+        text = self.parameters.get(Parameter.RETRY_AFTER, b"")
+        if not text.isdigit() or len(text) > MAX_RETRY_AFTER_DIGITS:
+            return 0.0
+        return min(float(text), MAX_RETRY_AFTER)
+
     @property
     def report(self) -> str | None:
         """The load report that comes with it."""
--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -345,7 +345,9 @@
         """The engine rejected an attempt, or ended a call."""
         self.in_flight.discard(message.call)
         report = self._report(message)
-        self.switch.released_by_engine(self.server, message.call, message.cause, message.note, report)
+        self.switch.released_by_engine(
+            self.server, message.call, message.cause, message.note, report, message.retry_after
+        )
 
     def piece_received(self) -> None:
         """A piece of a message came: the connection is no silent one."""
--- a/softswitch/net/sip_codec.py
+++ b/softswitch/net/sip_codec.py
@@ -152,6 +152,7 @@
         int(destination),
         headers.get("x-retry", "") not in ("", "0"),
         facts.get("width", 1.0),
+        headers.get("organization", ""),
     )
 
 
--- a/softswitch/policy/controller.py
+++ b/softswitch/policy/controller.py
@@ -10,17 +10,16 @@
 ANSWER_RESERVE = 0.15  # share of the objective kept for the answer of an attempt that is moved after silence
 MAX_FAILED_GATES = 1  # a call that more endpoints answer with an error is itself at fault, it seems
 
-Kind = tuple[str, float, int]  # class, weight and destination: calls of one kind may go in turn
-
 
 class Controller(State):
     """One softswitch's decisions."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int, limits: i.CallLimits = i.NO_CALL_LIMITS) -> None:
         super().__init__(settings, seed)
+        self.limits = limits
         self.max_timeout: dict[str, float] = {}  # longest of a first try seen, by class
         self.queued: dict[str, Call] = {}  # calls with no attempt in flight, in order of arrival
-        self.stacks: dict[Kind, list[Call]] = {}  # those that may go, the newest last
+        self.stacks: dict[tuple[str, float, int], list[Call]] = {}  # by kind: those that may go, newest last
         self.delayed: list[Call] = []  # those that wait for retry_delay
         self.queued_weight = -1.0  # the highest of those that found no open gate
         self.served_at = self.swept_at = self.last_event_at = LONG_AGO
@@ -71,7 +70,7 @@
         call_class = self.classes.get(event.call_class)
         if event.call in self.calls:
             return
-        wait = self.constraints.admit(call_class.name, call_class.priority_weight) if call_class else 0.0
+        wait = self.limits.admit(now, event, call_class, self.constraints) if call_class else 0.0
         if call_class is None or wait:  # to come again as the quota opens
             self.actions.append(i.Reject(event.call, min(wait, self.settings.retry_after)))
             return
@@ -93,6 +92,7 @@
         """The attempt was answered, or ended: what becomes of its call."""
         endpoints.attempt_over(self, now, event)
         call, outcome = self.calls.get(event.call), event.outcome
+        self.limits.attempt_over(now, event, call.request if call else None)
         if call is None or call.gate is None or event.attempt != call.attempts - 1:
             return
         for gate in call.failed_gates if outcome is None else ():
@@ -102,6 +102,7 @@
             return
         if outcome is i.Outcome.ERROR and not event.callee_busy:
             call.failed_gates.append(call.gate)
+        call.max_attempts = 0 if event.callee_busy else call.max_attempts  # it is busy at every endpoint
         call.gate, call.cancelling = None, False
         if outcome in i.DELAYS_RETRY:
             call.ready_at = now + self.settings.retry_delay
--- a/softswitch/policy/endpoints.py
+++ b/softswitch/policy/endpoints.py
@@ -28,8 +28,7 @@
     gate, outcome = state.gates.get(event.server), event.outcome
     if gate is None:
         return
-    if outcome is not None:
-        load_reported(state, now, event)
+    load_reported(state, now, event)
     sent_at = gate.in_flight.pop((event.call, event.attempt), None)  # None: it was established before
     gate.established = max(0, gate.established + (outcome is None) - (sent_at is None))
     if outcome in (i.Outcome.RESET, i.Outcome.CONNECT_FAILED):
--- a/softswitch/policy/state.py
+++ b/softswitch/policy/state.py
@@ -88,9 +88,8 @@
 
     def is_open(self, now: float, limit: float) -> bool:
         """Whether one more call setup would be answered within `limit` ms."""
-        if self.faults >= EJECTION_FAULTS or now < self.closed_until:
-            return False
-        return self.expected_wait(now) < max(limit, self.tolerated_wait)
+        closed = self.faults >= EJECTION_FAULTS or now < self.closed_until
+        return not closed and self.expected_wait(now) < max(limit, self.tolerated_wait)
 
 
 class Call:
--- a/softswitch/simulator_adapter.py
+++ b/softswitch/simulator_adapter.py
@@ -14,6 +14,7 @@
 import orjson
 
 from softswitch import interface as i
+from softswitch.limits.call_limits import CallLimits
 from softswitch.policy.controller import Controller
 from softswitch.settings import parse_settings
 
@@ -65,6 +66,8 @@
         bool(message.get("repeat")),
         bool(message.get("passing")),
         message.get("slots_needed", 1),
+        str(message.get("resource", "")),
+        str(message.get("client_group") or ""),
     )
 
 
@@ -177,7 +180,7 @@
             return list
         instance = message["front"]
         if verb == "start":
-            controller = Controller(parse_settings(message["info"]), message["seed"])
+            controller = Controller(parse_settings(message["info"]), message["seed"], CallLimits())
             self.controllers[instance] = controller
             return partial(controller.start, now)
         if verb == "down":
--- /dev/null
+++ b/tests/test_call_limits.py
@@ -0,0 +1,198 @@
+"""Limits by number called: the pure table on drawn orders of events, the module with it, and on sockets."""
+
+import random
+
+import pytest
+from support.harness import Stage
+from support.policy_driver import call, ended, entry, sends, settings, stands
+
+from softswitch import Controller
+from softswitch import interface as i
+from softswitch.limits.call_limits import CallLimits
+from softswitch.limits.called_numbers import FIRST_INTERVAL, FORGET_AFTER, MAX_INTERVAL, CalledNumbers
+from softswitch.net.engine_codec import (
+    MAX_RETRY_AFTER,
+    MessageType,
+    Parameter,
+    decode_message,
+    encode_message,
+)
+
+
+def test_a_busy_number_closes_for_doubling_intervals_and_other_numbers_do_not():
+    numbers, now, waits = CalledNumbers(), 0.0, []
+    for _ in range(6):
+        assert numbers.admit(now, "7") == 0.0
+        numbers.busy(now, "7")
+        waits.append(numbers.admit(now, "7"))
+        assert numbers.admit(now, "8") == 0.0
+        now += waits[-1]
+    assert waits[:4] == [FIRST_INTERVAL, 2 * FIRST_INTERVAL, 4 * FIRST_INTERVAL, MAX_INTERVAL]
+    assert waits[-1] == MAX_INTERVAL
+    assert (numbers.rejected, numbers.probes) == (6, 5)
+
+
+def test_one_probe_at_a_time_and_its_answer_opens_the_number():
+    numbers = CalledNumbers()
+    numbers.busy(0.0, "7")
+    assert numbers.admit(FIRST_INTERVAL, "7") == 0.0
+    assert numbers.admit(FIRST_INTERVAL + 1, "7") > 0.0
+    numbers.answered(FIRST_INTERVAL + 50, "7", "a")
+    assert numbers.admit(FIRST_INTERVAL + 51, "7") == 0.0
+
+
+def test_the_end_of_an_established_call_frees_its_line_at_once():
+    numbers = CalledNumbers()
+    numbers.busy(0.0, "7")
+    numbers.answered(10.0, "7", "a")
+    numbers.busy(20.0, "7")
+    assert numbers.admit(21.0, "7") > 0.0
+    numbers.ended(30.0, "another")
+    assert numbers.admit(31.0, "7") > 0.0
+    numbers.ended(40.0, "a")
+    assert numbers.admit(41.0, "7") == 0.0
+    assert not numbers.established
+
+
+def test_a_number_that_was_not_busy_for_long_is_like_any_other():
+    numbers = CalledNumbers()
+    numbers.busy(0.0, "7")
+    assert numbers.admit(FORGET_AFTER + 1, "7") == 0.0
+    assert not numbers.numbers
+
+
+def test_memory_is_bounded_and_the_number_busy_longest_ago_goes_first():
+    numbers = CalledNumbers(max_numbers=3, max_established=2)
+    for n in range(5):
+        numbers.busy(float(n), str(n))
+    numbers.busy(5.0, "2")
+    numbers.busy(6.0, "9")
+    assert list(numbers.numbers) == ["4", "2", "9"]
+    for call_id in "abc":
+        numbers.answered(7.0, "9", call_id)
+    assert list(numbers.established) == ["b", "c"]
+
+
+def play(seed, with_limits, lines=4, softswitches=5, seconds=60.0):
+    """Softswitches that share one number with few lines; events come late by a drawn delay.
+
+    Returned: set-ups in vain a second, and the share of the lines that was used.
+    """
+    rng = random.Random(seed)
+    tables = [CalledNumbers() for _ in range(softswitches)]
+    events, order, in_use, in_vain, used, now = [], 0, 0, 0, 0.0, 0.0
+    while now < seconds * 1000:
+        step = rng.expovariate(20 / 1000)  # 20 calls a second
+        used += in_use * step
+        now += step
+        for at, _, what, table, call_id in sorted(e for e in events if e[0] <= now):
+            if what == "answered":
+                table.answered(at, "7", call_id)
+            elif what == "busy":
+                table.busy(at, "7")
+            else:
+                in_use -= 1
+                table.ended(at, call_id)
+        events = [e for e in events if e[0] > now]
+        table, order = rng.choice(tables), order + 1
+        if with_limits and table.admit(now, "7"):
+            continue
+        answer_at, call_id = now + rng.uniform(5, 60), str(order)
+        if in_use < lines:
+            in_use += 1
+            events.append((answer_at, order, "answered", table, call_id))
+            events.append((answer_at + rng.expovariate(1 / 9000), order, "ended", table, call_id))
+        else:
+            in_vain += 1
+            events.append((answer_at, order, "busy", table, call_id))
+    return in_vain / seconds, used / (now * lines)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_set_ups_in_vain_become_rare_and_the_lines_stay_in_use(seed):
+    plain, _ = play(seed, with_limits=False)
+    in_vain, used = play(seed, with_limits=True)
+    assert plain > 15.0
+    assert in_vain < plain / 5
+    assert used > 0.6
+
+
+def front():
+    c = Controller(settings(), 1, CallLimits())
+    c.start(0.0)
+    c.handle(
+        0.0, i.EndpointsChanged(i.UpdateKind.COMPLETE, tuple(entry(s, n) for n, s in enumerate(("a", "b"))))
+    )
+    return c
+
+
+def test_the_module_does_not_retry_a_busy_number_and_rejects_the_next_call_to_it():
+    c = front()
+    assert sends(call(c, 10.0, "x", number="7"))
+    actions = ended(c, 50.0, "x", "a", i.Outcome.ERROR, callee_busy=True)
+    assert not sends(actions)
+    assert [a.call for a in actions if isinstance(a, i.Reject)] == ["x"]
+    assert [type(a) for a in call(c, 60.0, "y", number="7") if not isinstance(a, i.StartTimer)] == [i.Reject]
+    assert sends(call(c, 61.0, "z", number="8"))
+    assert c.gates["a"].faults == 0.0
+    probe = call(c, 51.0 + FIRST_INTERVAL, "p", number="7")
+    assert sends(probe)
+    stands(c, 600.0, "p", "a")
+    assert sends(call(c, 610.0, "q", number="7"))
+
+
+def test_without_a_number_nothing_is_limited():
+    c = front()
+    assert sends(call(c, 10.0, "x"))
+    ended(c, 50.0, "x", "a", i.Outcome.ERROR, callee_busy=True)
+    assert sends(call(c, 60.0, "y"))
+
+
+@pytest.mark.parametrize(
+    ("text", "wait"),
+    [(b"350", 350.0), (b"", 0.0), (b"-5", 0.0), (b"1e9", 0.0), (b"9" * 9, MAX_RETRY_AFTER), (b"9" * 10, 0.0)],
+)
+def test_the_wait_at_a_full_processor_is_read_or_none(text, wait):
+    release = encode_message(
+        MessageType.RELEASE,
+        "00" * 8,
+        (Parameter.CAUSE, b"\x22"),
+        (Parameter.NOTE, b"cpu_full"),
+        (Parameter.RETRY_AFTER, text),
+    )
+    assert decode_message(release).retry_after == wait
+
+
+def test_a_full_processors_wait_keeps_calls_away_on_sockets():
+    with Stage(engines=1) as s:
+        s.play("""
+            c0 send INVITE 1 X-Patience=400
+            e0 expect SET_UP {1}
+            e0 send RELEASE 1 31=34 17=cpu_full 19=2000
+            c0 expect SIP/2.0 503 .*{1}
+            c0 wait 200
+            c0 send INVITE 2 X-Patience=500
+            e0 expect nothing 400
+            c0 expect SIP/2.0 503 .*{2}
+            """)
+
+
+def test_a_busy_number_closes_on_sockets_and_opens_as_a_call_to_it_ends():
+    with Stage() as s:
+        s.play("""
+            c0 send INVITE 1 number=55
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c0 expect 200 .*{1}
+            c0 send INVITE 2 number=55
+            e0 expect SET_UP {2}
+            e0 send RELEASE 2 31=17 17=number_busy
+            c0 expect SIP/2.0 503 .*{2}
+            e1 expect nothing 100
+            c0 send INVITE 3 number=55
+            c0 expect SIP/2.0 503 .*{3}
+            c0 send INVITE 4 number=66
+            e0 expect SET_UP {4}
+            e0 send ANSWER 4 33=d
+            c0 expect 200 .*{4}
+            """)
