--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -31,6 +31,8 @@
     UNKNOWN_RELEASED: Final = "unknown released"
     PREDECESSOR_RELEASES: Final = "heir releases"
     ENDED_BEFORE_ANSWER: Final = "ended before the answer"
+    BUSY_NUMBER_REJECTED: Final = "refused for a busy number"
+    BUSY_NUMBER_PROBES: Final = "busy numbers tried"
     # attempts
     ATTEMPTS: Final = "attempts"
     LATE_ANSWERS: Final = "late answers"
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -53,7 +53,8 @@
         self.slow_start_share = 1.0  # see `interface.Settings`
         self.settings = self._adapted(settings)
         self.figures = Figures(self._class_names())
-        self.controller = Controller(self.settings, seed, CallLimits())
+        self.limits = CallLimits()
+        self.controller = Controller(self.settings, seed, self.limits)
         self.history: CallHistory | None = None  # where what happens to calls is kept
         self.observer: CallObserver | None = None  # notified of each call, where a traffic record is kept
         self.on_duration: Callable[[Duration, float], None] | None = None  # for telemetry
@@ -271,6 +272,11 @@
 
     # figures
 
+    def update_counters(self) -> None:
+        """Brings the counters up to date that the limits keep themselves."""
+        self.counters[Count.BUSY_NUMBER_REJECTED] = self.limits.numbers.rejected
+        self.counters[Count.BUSY_NUMBER_PROBES] = self.limits.numbers.probes
+
     def report_figures(self) -> dict[str, Any]:
         """The figures for operators."""
         listed = self.endpoints.listed()
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -185,6 +185,7 @@
 
     def log_counters(self) -> None:
         """Writes the counters to the log."""
+        self.switch.update_counters()
         now = {"open": self.switch.calls.unanswered, "known": len(self.switch.calls)}
         counters = {str(name): count for name, count in self.switch.counters.items()}
         logger.info("counters {}", orjson.dumps(now | counters).decode())
