--- a/softswitch/standin/soak/planted.py
+++ b/softswitch/standin/soak/planted.py
@@ -53,6 +53,16 @@
     return lambda: next(calls) % EVERY == 0
 
 
+def _spoil(owner: Any, name: str, spoil: Callable[..., Any]) -> None:
+    """Has one call in EVERY of a method done by `spoil(old, *arguments)`."""
+    due, old = _every(), getattr(owner, name)
+
+    def method(*arguments: Any) -> Any:
+        return spoil(old, *arguments) if due() else old(*arguments)
+
+    setattr(owner, name, method)
+
+
 def _change_settings(change: Callable[[i.Settings], i.Settings]) -> None:
     _wrap(settings, "parse_settings", lambda parse: lambda info: change(parse(info)))
 
@@ -109,48 +119,23 @@
 @plant
 def lost_releases() -> None:
     """Callers are never told of the end of one call in EVERY."""
-    due = _every()
-
-    def losing(old: Any) -> Any:
-        def release(me: ReleaseSender, *words: Any) -> None:
-            if not due():
-                old(me, *words)
-
-        return release
-
-    _wrap(ReleaseSender, "release", losing)
+    _spoil(ReleaseSender, "release", lambda old, *arguments: None)
 
 
 @plant
 def no_answer() -> None:
     """One call in EVERY is never answered."""
-    due = _every()
-
-    def silent(old: Any) -> Any:
-        def answer(me: SipCalls, call: str, *words: Any) -> None:
-            if not due():
-                old(me, call, *words)
-
-        return answer
-
-    _wrap(SipCalls, "_answer", silent)
+    _spoil(SipCalls, "_answer", lambda old, *arguments: None)
 
 
 @plant
 def late_answers() -> None:
     """One call in EVERY is answered after its caller's patience."""
-    due = _every()
-
-    def late(old: Any) -> Any:
-        def answer(me: SipCalls, *words: Any) -> None:
-            if due():
-                me.switch.wheel.call_after(LATE_ANSWER, old, me, *words)
-            else:
-                old(me, *words)
 
-        return answer
+    def late(old: Any, me: SipCalls, *arguments: Any) -> None:
+        me.switch.wheel.call_after(LATE_ANSWER, old, me, *arguments)
 
-    _wrap(SipCalls, "_answer", late)
+    _spoil(SipCalls, "_answer", late)
 
 
 @plant
