Take a long fastest answer for an endpoint's load, not for its distance

Cause: both of its engines were jammed from the first second on (ejections from 1.5 s), so that the fastest answer seen was already late and up to twice of it, 1 s at most, counted as distance. It counts up to 0.4 of a window now (a fifth of the longest objective).

--- a/softswitch/policy/endpoints.py
+++ b/softswitch/policy/endpoints.py
@@ -205,8 +205,7 @@
     own, cells, ready = state.settings.own_cell, call.call_class.cells, i.EndpointState.READY
     gates = [g for g in state.gates.values() if g.state is ready and g not in call.failed_gates]
     gates = [g for g in gates if cells is None or g.cell in cells]
-    if call.request.transit:
-        gates = [g for g in gates if g.cell == call.request.destination_cell]
+    gates = [g for g in gates if not call.request.transit or g.cell == call.request.destination_cell]
     return [g for g in gates if g.cell != own] if own >= 0 else gates
 
 
--- a/softswitch/policy/state.py
+++ b/softswitch/policy/state.py
@@ -9,6 +9,7 @@
 SMOOTHING = 1000.0  # ms; answer delays are smoothed, and age, over about this long
 MAX_MEMORY = 4.0  # windows; an endpoint that answers rarely is remembered longer, up to this
 OVERLOADED_FOR = 10.0  # windows in which an endpoint that was found overloaded is paced
+MAX_FAR = 0.4  # windows; a delay up to this may be an endpoint's distance, a longer one is its load
 EJECTION_FAULTS = 1.5  # faults that eject an endpoint: about every other call setup failing
 
 
@@ -89,8 +90,8 @@
     def is_open(self, now: float, limit: float) -> bool:
         """Whether one more call setup would be answered within `limit` ms, or nearly as fast as any was."""
         closed = self.faults >= EJECTION_FAULTS or now < self.closed_until
-        at_best = min(2 * self.fastest_answer, self.estimate.window) if self.slow_start_at is None else 0.0
-        return not closed and self.expected_wait(now) < max(limit, self.tolerated_wait, at_best)
+        far = min(2 * self.fastest_answer, MAX_FAR * self.estimate.window)
+        return not closed and self.expected_wait(now) < max(limit, self.tolerated_wait, far)
 
 
 class Call:
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -345,3 +345,12 @@
     c.gates["far"].probed_at = now  # no probe is due
     assert sends(call(c, now + 1, "two", dest=1)) == [i.SendAttempt("two", "far")]
     assert not c.gates["far"].is_open(now + 200.0, 47.0)  # it is silent by now
+
+
+def test_a_long_fastest_answer_is_an_endpoints_load_and_no_distance():
+    """Of an endpoint that was overloaded from the first call on every answer was late."""
+    c = front(("a",))
+    gate = c.gates["a"]
+    gate.fastest_answer = 900.0
+    gate.estimate.delay, gate.estimate.observed_at = 500.0, 100.0
+    assert not gate.is_open(100.0, 200.0)
