--- a/softswitch/settings.py
+++ b/softswitch/settings.py
@@ -60,7 +60,9 @@
         tick=info.get("tick", 1.0),
         connect_timeout=limits.get("connect_timeout", 500.0),
         tenants=tuple(
-            i.Tenant(account["name"], account["quota_per_s"]) for account in info.get("accounts") or []
+            i.Tenant(account["name"], account["quota_per_s"])
+            for account in info.get("accounts") or []
+            if "quota_per_s" in account  # else it has no limit
         ),
         over_quota_weight=info.get("over_share_worth", 1.0),
     )
@@ -136,7 +138,7 @@
 }
 ACCOUNT_KEYS = {
     "name": Key(TEXT.is_valid, TEXT.wanted, required=True),
-    "quota_per_s": Key(DURATION.is_valid, "calls a second, 0 or more", required=True),
+    "quota_per_s": Key(DURATION.is_valid, "calls a second, 0 or more"),
 }
 # The keys of each object within the settings; "": of the settings themselves.
 OBJECT_KEYS = {
--- a/softswitch/standin/soak/world.py
+++ b/softswitch/standin/soak/world.py
@@ -30,6 +30,7 @@
     AttemptFault.RESET: (41, b""),
 }
 SOON = 0.06  # s
+NUMBERS = 1_000  # called; a number that was busy is rarely called again soon
 HUNG_CALL_RETRY = 0.2  # s until a hung engine's call is tried again to be ended
 
 
@@ -292,9 +293,10 @@
         if self.line is None:
             return
         self.patience = patience
-        self.place(StreamSettings(call_class.name, 1.0, destination, number=str(destination)))
+        number = str(self.draws.randrange(NUMBERS))
+        self.place(StreamSettings(call_class.name, 1.0, destination, number=number))
         call, now = f"{self.last:016x}", self.reactor_now()
-        fields = SetupFields(call_class.name, str(destination), self.waiting[call].description)
+        fields = SetupFields(call_class.name, number, self.waiting[call].description)
         self.checker.setup_sent(now, call, patience, call_class.idempotent, self.connected_to, fields)
         self.waiting[call].timer.reset(patience + ANSWER_ALLOWANCE)
         if not self.used:  # what only tests connect for can carry no release
