Take in no crowd whole at a listener's first turn; a silent board excuses a start

Cause, in part: Twisted's listener takes 100 connections at its first turn, ours 8 at the others, and those closed to make room hold their descriptors until the turn ends.

--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -44,6 +44,15 @@
 
     # connections come
 
+    def attach(self, port: Any) -> None:
+        """The Twisted port where callers connect. At its first turn too it takes in no more than at others.
+
+        Twisted's first turn takes 100: those waiting as a listener is handed over would exceed the
+        descriptors, as connections that are closed to make room hold theirs until the end of the turn.
+        """
+        self.port = port
+        port.numberAccepts = ACCEPTS_PER_TURN
+
     def buildProtocol(self, addr: object) -> SipConnection | None:
         """Called by Twisted as a caller connects."""
         if self.port is not None:
--- a/softswitch/process/listeners.py
+++ b/softswitch/process/listeners.py
@@ -90,7 +90,7 @@
             self.on_failure(f"listen: {error}")
 
     def _serve(self, given: Descriptors) -> None:
-        self.sip.port = self._listen("sip", self.address, self.sip, given)
+        self.sip.attach(self._listen("sip", self.address, self.sip, given))
         if self.control is not None and self.control_address is not None:
             self._listen("control", self.control_address, self.control, given)
             logger.info("call-control API at {}:{}", *self.control_address.pair)
--- a/tests/test_read_scheduling.py
+++ b/tests/test_read_scheduling.py
@@ -2,11 +2,13 @@
 had a management call wait for 4.1 s.
 """
 
+from types import SimpleNamespace
+
 from support.switch_bench import Bench
 from twisted.internet.testing import StringTransport
 
 from softswitch.net.sip_connection import MAX_UNREAD_TIME, READ_SIZE, TURN_BUDGET
-from softswitch.net.sip_server import SipServer
+from softswitch.net.sip_server import ACCEPTS_PER_TURN, SipServer
 
 INVITE = (
     "INVITE sip:77@net SIP/2.0\r\nCall-ID: {:016x}\r\nCSeq: 1 INVITE\r\nSubject: plain\r\n"
@@ -104,3 +106,10 @@
     b.run(200.0)
     assert len(server.taken) == taken
     assert not b.switch.calls
+
+
+def test_a_listeners_first_turn_takes_in_no_more_than_the_others():
+    """Twisted's takes 100: a crowd that waited as a listener was handed over exceeded the descriptors."""
+    server = SipServer("n0", Bench().switch)
+    server.attach(SimpleNamespace(numberAccepts=100))
+    assert server.port.numberAccepts == ACCEPTS_PER_TURN
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -200,6 +200,10 @@
     assert drained_at(16.5, lambda of: (started(of), of.silences.append((16.0, 19.0)))) is False
     assert drained_at(10.9, lambda of: (started(of), of.silences.append((10.8, 99.0)))) is True  # TOLD_AFTER
     assert drained_at(12.0, lambda of: (started(of), of.silences.append((11.5, 99.0)))) is False
+    # A board that is silent all through a start: told at the end of the silence, not as the process is ready.
+    assert drained_at(10.5, lambda of: (started(of), of.silences.append((8.0, 17.9)))) is True
+    assert drained_at(10.5, lambda of: (started(of), of.silences.append((8.0, 18.1)))) is True  # TOLD_AFTER
+    assert drained_at(11.5, lambda of: (started(of), of.silences.append((8.0, 18.1)))) is False
     made = checker()
     replaced(made.of("n0"))
     assert made.of("n0").told_at("n0.0", 14.0).at == 15.0 + BINDING_AFTER  # of both, while they are two
@@ -335,6 +339,23 @@
     assert done.returncode == 0
 
 
+@pytest.mark.parametrize("seed", [25])
+def test_a_replacement_in_a_crowd_keeps_to_its_descriptors(seed):
+    command = [
+        sys.executable,
+        "-m",
+        "softswitch.cli",
+        "soak",
+        "--seed",
+        str(seed),
+        "--seconds",
+        "15",
+        "--json",
+    ]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=SECONDS + 60)
+    assert orjson.loads(done.stdout)["broken"] == []
+
+
 @pytest.mark.parametrize("plant", ["drain-taken-for-ready", "no-quiet-time"])
 def test_a_planted_fault_is_seen(plant):
     """The others, and more seeds, by hand: docs/soak.md."""
