Only the connection of its set-up ends a call that is not established yet

Cause: abandon_call and release_call compared the front, which is one object for all connections of a protocol. BYE by SIP and `release` over the call-control API had the same fault.

Evidence: the record has the foreign CANCEL, its 200 and the release at the engine within a millisecond. The call history now names the connection of each CANCEL and BYE, and a counter tells of those on a wrong connection.

Fix: a call keeps the connection of its set-up, and until it is established only that one ends it. Both fronts pass theirs, so the rule stands once, in the core. BYE and `release` end an established call on any connection; a CANCEL counts on the set-up's own, also where it crosses the answer.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Flag, IntEnum, StrEnum, auto
 from typing import Any, Protocol
@@ -119,6 +120,9 @@
             raise ValueError("longer than a message may be")
 
 
+Connection = Hashable  # a caller's connection, compared by identity; its type is known to the front alone
+
+
 class Caller(Protocol):
     """Receiver of the notifications about a caller's calls: the server that owns the caller's connection."""
 
@@ -184,6 +188,7 @@
     id: str
     request: SetupRequest
     caller: Caller
+    connection: Connection  # on which the setup arrived; only it may end the call before it is established
     received_at: float
     deadline: float  # time at which the caller stops waiting
     max_attempts: int = 1
--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -27,6 +27,7 @@
     REJECTED_WHILE_DRAINING: Final = "drained"
     UNKNOWN_ABANDONED: Final = "unknown given up"
     UNKNOWN_RELEASED: Final = "unknown released"
+    ENDED_ON_WRONG_CONNECTION: Final = "not given up: another connection's"
     PREDECESSOR_RELEASES: Final = "heir releases"
     ENDED_BEFORE_ANSWER: Final = "ended before the answer"
     BUSY_NUMBER_REJECTED: Final = "refused for a busy number"
--- a/softswitch/core/release_delivery.py
+++ b/softswitch/core/release_delivery.py
@@ -16,16 +16,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Hashable
 from dataclasses import dataclass, field
 
+from softswitch.core.call import Connection
+
 EXPIRES_AFTER = 8_000.0  # ms after the end of the call; a later release is of no use
 RETRY_AFTER = 300.0  # ms without an acknowledgement; the release must reach the caller within 1 s
 MAX_TRANSMISSIONS = 3  # of one release while it is not acknowledged
 MAX_RELEASES = 4_096  # in the queue; the oldest is dropped beyond this
 
-Connection = Hashable
-
 
 @dataclass(slots=True)
 class ConnectionState:
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -16,6 +16,7 @@
     Caller,
     CallResult,
     CallState,
+    Connection,
     Engines,
     FailureReason,
     Obstacle,
@@ -46,18 +47,21 @@
     # from callers
 
     def request_setup(
-        self, request: SetupRequest, caller: Caller, waited: float = 0.0
+        self, request: SetupRequest, caller: Caller, connection: Connection, waited: float = 0.0
     ) -> FailureReason | None:
         """Accepts and routes a call whose setup waited `waited` ms in this process.
 
-        Returns None if the call was accepted: its one answer is sent through `caller`.
+        Returns None if the call was accepted: its one answer is sent through `caller`. Until then only
+        `connection` may end the call.
         """
-        reason = self.accept_call(request, caller, waited)
+        reason = self.accept_call(request, caller, connection, waited)
         if reason is None:
             self.route_call(request.call)
         return reason
 
-    def accept_call(self, request: SetupRequest, caller: Caller, waited: float = 0.0) -> FailureReason | None:
+    def accept_call(
+        self, request: SetupRequest, caller: Caller, connection: Connection, waited: float = 0.0
+    ) -> FailureReason | None:
         """Accepts a call without passing it to the decision module; `route_call` does that.
 
         Returns the reason if the call is not accepted.
@@ -70,7 +74,7 @@
             return self.reject_unaccepted(request, FailureReason.DRAINED)
         if not self.calls.has_capacity_for(request):
             return self.reject_unaccepted(request)
-        call = self._new_call(request, caller, waited)
+        call = self._new_call(request, caller, connection, waited)
         self.calls.add(call)
         self.figures.for_class(request.call_class).taken += 1
         remaining = call.deadline - call.received_at
@@ -82,7 +86,7 @@
             self.observer.call_received(call)
         return None
 
-    def _new_call(self, request: SetupRequest, caller: Caller, waited: float) -> Call:
+    def _new_call(self, request: SetupRequest, caller: Caller, connection: Connection, waited: float) -> Call:
         """Creates a call. Its deadline counts from the arrival of the request's last byte, not from its read.
 
         After a stall of the process, call setups that had waited unread were answered too late. So each
@@ -94,6 +98,7 @@
             request.call,
             request,
             caller,
+            connection,
             received_at=self.wheel.now,
             deadline=self.wheel.now + remaining,
             max_attempts=self.settings.max_attempts,
@@ -117,16 +122,23 @@
             timeout = max(0.0, call.deadline - ANSWER_MARGIN - self.wheel.now)
             self._feed(call.setup_event(timeout))
 
-    def abandon_call(self, call_id: str, by: Caller) -> bool:
-        """Ends a call whose caller stopped waiting; no answer is sent. False: the caller has no such call."""
+    def abandon_call(self, call_id: str, by: Caller, connection: Connection) -> bool:
+        """Ends a call whose caller stopped waiting; no answer is sent.
+
+        False: no call was set up under this id on this connection. Another connection can end a call only
+        once it is established, and only with `release_call`.
+        """
         call = self.calls.get(call_id)
-        if self.history:
-            self.history.note(call_id, "given up by its caller")
         if call is None or call.caller is not by:
             self.counters[Count.UNKNOWN_ABANDONED] += 1
             return False
+        if call.connection is not connection:
+            self._note_wrong_connection(call_id)
+            return False
+        if self.history:
+            self.history.note(call_id, "given up by its caller")
         if call.established:  # the cancel crossed the answer: the established call is released
-            self.release_call(call_id, ReleaseCause.NORMAL, by)
+            self.release_call(call_id, ReleaseCause.NORMAL, by, connection)
             call.caller.call_released(call_id, ReleaseCause.NORMAL)
             return True
         self.counters[Count.CALLS_ABANDONED] += 1
@@ -136,10 +148,21 @@
         self._cancel_remaining_attempt(call, i.Outcome.CANCELLED)
         return True
 
-    def release_call(self, call_id: str, cause: int, by: Caller) -> bool:
-        """Ends a call at its caller's request, established or not. False: that caller has no such call."""
-        call = self.calls.get(call_id)
+    def _note_wrong_connection(self, call_id: str) -> None:
+        self.counters[Count.ENDED_ON_WRONG_CONNECTION] += 1
         if self.history:
+            self.history.note(call_id, "not given up: asked on another connection")
+
+    def release_call(
+        self, call_id: str, cause: int, by: Caller, connection: Connection | None = None
+    ) -> bool:
+        """Ends a call at its caller's request.
+
+        An established call may be released on any connection, an open one only on its own. False: that caller
+        has no such call, or has not set it up on this connection.
+        """
+        call = self.calls.get(call_id)
+        if self.history and (call is None or call.established):
             self.history.note(call_id, "released by its caller", str(cause))
         if call is None and by.calls_survive and self._release_unknown(call_id, cause):
             return True
@@ -147,7 +170,7 @@
             self.counters[Count.UNKNOWN_RELEASED] += 1
             return False
         if not call.established:
-            return self.abandon_call(call_id, by)
+            return self.abandon_call(call_id, by, connection)
         self._release_established(call, cause)
         return True
 
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -294,7 +294,7 @@
         self.accepted.pop(connection, None)
         self.connecting.pop(connection, None)
         for call in list(connection.pending):
-            self._abandon(call)
+            self._abandon(connection, call)
         for call in list(connection.watched):
             self._stop_watching(connection, call)
 
@@ -335,7 +335,7 @@
         self._start_watching(connection, call, placed)
         connection.pending.add(call)
         self._notify(call, {"event": "setting_up"})
-        reason = self.switch.request_setup(setup, self)
+        reason = self.switch.request_setup(setup, self, connection)
         if reason is not None:
             del self.calls[call]
             connection.pending.discard(call)
@@ -362,16 +362,20 @@
             connection.send_error(CODES[FailureReason.UNKNOWN_CALL], "no call of this id is open", call)
         elif placed.established:
             self._release_established(call, cause)
-        else:
-            self._abandon(call)
+        elif not self._abandon(connection, call):
+            code = CODES[FailureReason.UNKNOWN_CALL]
+            connection.send_error(code, "another connection is still setting up this call", call)
 
     def _release_established(self, call: str, cause: int) -> None:
         self.switch.release_call(call, cause, self)
         self.call_released(call, cause)
 
-    def _abandon(self, call: str) -> None:
-        self.switch.abandon_call(call, self)
+    def _abandon(self, connection: ClientConnection, call: str) -> bool:
+        """Ends a call that is still being set up. False: another connection placed it."""
+        if not self.switch.abandon_call(call, self, connection):
+            return False
         self.call_failed(call, FailureReason.ABANDONED, 0.0)
+        return True
 
     # watchers
 
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -135,7 +135,8 @@
         self.pending[setup.call] = PendingSetup(connection, request.message, setup.number)
         connection.pending_calls.add(setup.call)
         self.idle_tracker.update_idle(connection)
-        reason = self.switch.accept_call(setup, self, self.switch.wheel.now - connection.received_at)
+        waited = self.switch.wheel.now - connection.received_at
+        reason = self.switch.accept_call(setup, self, connection, waited)
         if reason is not None:
             self.call_failed(setup.call, reason, 0.0)
         else:
@@ -157,16 +158,25 @@
         connection.penalize()
 
     def _cancel(self, connection: SipConnection, request: SipRequest) -> None:
-        known = self.switch.abandon_call(request.call_id, self)
-        connection.answer(200 if known else 481, request.message)
-        self._forget_pending(request.call_id)
+        self._note_request(connection, request)
+        ended = self.switch.abandon_call(request.call_id, self, connection)
+        connection.answer(200 if ended else 481, request.message)
+        if ended:
+            self._forget_pending(request.call_id)
 
     def _bye(self, connection: SipConnection, request: SipRequest) -> None:
+        self._note_request(connection, request)
         was_pending = self.releases.queue.acknowledge(request.call_id, by_answer=False)
-        known = self.switch.release_call(request.call_id, request.release_cause(), self)
-        connection.answer(200 if known or was_pending else 481, request.message)
-        self.established.pop(request.call_id, None)
-        self._forget_pending(request.call_id)
+        ended = self.switch.release_call(request.call_id, request.release_cause(), self, connection)
+        connection.answer(200 if ended or was_pending else 481, request.message)
+        if ended:
+            self.established.pop(request.call_id, None)
+            self._forget_pending(request.call_id)
+
+    def _note_request(self, connection: SipConnection, request: SipRequest) -> None:
+        """Adds a CANCEL or BYE to the call's history, with the connection that it came on."""
+        if self.switch.history:
+            self.switch.history.note(request.call_id, f"caller sent {request.method}", connection.name)
 
     def _options(self, connection: SipConnection, request: SipRequest) -> None:
         connection.answer(200 if self.switch.lifecycle.healthy else 503, request.message)
@@ -202,7 +212,7 @@
         """Abandons the call setups pending on a connection that has ended."""
         for call in list(connection.pending_calls):
             self.pending.pop(call, None)
-            self.switch.abandon_call(call, self)
+            self.switch.abandon_call(call, self, connection)
         connection.pending_calls.clear()
 
     def fail_overdue(self, now: float) -> None:
--- a/softswitch/standin/soak/planted.py
+++ b/softswitch/standin/soak/planted.py
@@ -200,11 +200,11 @@
     """A caller's CANCEL is answered, but its call continues."""
 
     def ignoring(old: Any) -> Any:
-        def abandon(self: Switch, call: str, by: Any) -> bool:
+        def abandon(self: Switch, call: str, *arguments: Any) -> bool:
             active_call = self.calls.get(call)
-            return (
-                True if active_call is not None and not active_call.established else bool(old(self, call, by))
-            )
+            if active_call is not None and not active_call.established:
+                return True
+            return bool(old(self, call, *arguments))
 
         return abandon
 
--- a/tests/support/switch_bench.py
+++ b/tests/support/switch_bench.py
@@ -7,6 +7,7 @@
 from support.policy_driver import settings
 
 A, B = "s-0000000a", "s-0000000b"
+CONNECTION = object()  # the caller's connection, where a test needs no other
 RECORDED_METHODS = (
     "send_setup",
     "cancel_setup",
@@ -51,10 +52,9 @@
 
         return record
 
-    def call(self, n=1, timeout=3000.0, destination_cell=0, call_class="plain"):
-        return self.switch.request_setup(
-            SetupRequest(f"{n:016x}", call_class, "77", timeout, b"d", destination_cell), self
-        )
+    def call(self, n=1, timeout=3000.0, destination_cell=0, call_class="plain", connection=CONNECTION):
+        setup = SetupRequest(f"{n:016x}", call_class, "77", timeout, b"d", destination_cell)
+        return self.switch.request_setup(setup, self, connection)
 
     def run(self, ms):
         until = self.now + ms
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,7 +1,7 @@
 """The switch and the timer wheel without a network: manual clock, recording caller and engines."""
 
 import pytest
-from support.switch_bench import A, B, Bench
+from support.switch_bench import CONNECTION, A, B, Bench
 
 from softswitch import interface as i
 from softswitch.core import predecessor
@@ -118,13 +118,13 @@
     b.switch.released_by_engine(A, ONE, 41)
     b.switch.attempt_disconnected(A, ONE)
     b.switch.attempt_unreachable("s-0000000f", ONE)
-    assert not b.switch.abandon_call(ONE, b)
+    assert not b.switch.abandon_call(ONE, b, CONNECTION)
     assert not b.switch.release_call(ONE, 16, b)
     b.call()
     assert b.call() is FailureReason.DUPLICATE
     assert not b.switch.release_call(ONE, 16, object())  # a call of another caller
     b.switch.answered_by_engine(A, ONE, b"d")
-    assert b.switch.abandon_call(ONE, b)  # the cancel crossed the answer
+    assert b.switch.abandon_call(ONE, b, CONNECTION)  # the cancel crossed the answer
     assert b.records_of("call_released") == [("call_released", ONE, 16)]
     assert ("send_release", A, ONE, 16) in b.records[-3:]
 
--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -1,7 +1,7 @@
 """Engine links: queued messages, unacknowledged releases, and listening connections for missed releases."""
 
 import pytest
-from support.switch_bench import A, Bench
+from support.switch_bench import CONNECTION, A, Bench
 
 from softswitch.core.call import SetupRequest
 from softswitch.core.counters import Count
@@ -168,7 +168,7 @@
 
 def established(bench, n):
     call = SetupRequest(f"{n:016x}", "plain", "77", 3000.0, b"d", 0)
-    bench.switch.request_setup(call, bench)
+    bench.switch.request_setup(call, bench, CONNECTION)
     bench.switch.answered_by_engine(A, call.call, b"d")
 
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -5,7 +5,7 @@
 
 import pytest
 from support.policy_driver import settings
-from support.switch_bench import A, Bench
+from support.switch_bench import CONNECTION, A, Bench
 
 from softswitch.core.figures import MAX_REMOVED_CLASSES, Figures
 from softswitch.core.lifecycle import (
@@ -29,13 +29,13 @@
     elif action < 8:
         b.switch.answered_by_engine(server, call, b"d")
     elif action == 8:
-        b.switch.abandon_call(call, b)
+        b.switch.abandon_call(call, b, CONNECTION)
     elif action == 9:
         b.switch.released_by_engine(server, call, rng.choice([16, 34, 41, 47, 102]))
     elif action == 10:
         b.switch.attempt_disconnected(server, call)
     elif action == 11:
-        b.switch.release_call(call, 16, b)
+        b.switch.release_call(call, 16, b, CONNECTION)
     elif action == 12:
         b.switch.fail_call(call, b)
     elif action == 13:
