A process does not set up an id that its peer process has, during a replacement

Callers saw, while a process was replaced, requests answered late or with 500 and calls cut: a bad client that sent an open id on a connection to the other process got it set up there. Engines saw two attempts of one call at once.

Cause: a second set-up under an id was looked for in the call table of one process; engines know a call by its id alone.

Fix: each process reports the ids in its call table over the channel of the handover, and Switch.has_call looks in both.

tests/test_operation.py: the three tests of ids in both processes failed before, all pass now. Left: ids that reach both processes within the channel's latency, and SO_REUSEPORT, which has no channel.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -171,6 +171,9 @@
 class PeerProcess(Protocol):
     """The other process of this softswitch while one process replaces the other."""
 
+    def has_call(self, call: str) -> bool:
+        """Whether the other process has reported an open or established call with this id."""
+
     def caller_released(self, call: str, cause: int) -> None:
         """Passes on a caller's release of a call that is unknown in this process."""
 
--- a/softswitch/core/call_table.py
+++ b/softswitch/core/call_table.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from math import inf
+from typing import Protocol
 
 from softswitch.core.call import Call, CallState, SetupRequest
 
@@ -11,6 +12,16 @@
 MAX_DESCRIPTION_BYTES = 8 << 20  # total size of the descriptions of unanswered calls
 
 
+class CallTableObserver(Protocol):
+    """Observer of the calls that are added to the table and removed from it, by id."""
+
+    def call_added(self, call: str) -> None:
+        """Called when a call was added."""
+
+    def call_removed(self, call: str) -> None:
+        """Called when a call was removed."""
+
+
 class CallTable(dict[str, Call]):
     """The calls by id. Counts the unanswered calls and the bytes of their descriptions."""
 
@@ -20,6 +31,7 @@
         self.max_description_bytes = MAX_DESCRIPTION_BYTES
         self.unanswered = 0
         self.description_bytes = 0
+        self.observer: CallTableObserver | None = None
 
     def has_capacity_for(self, request: SetupRequest) -> bool:
         """Whether one more call stays within the limits."""
@@ -32,6 +44,8 @@
         self[call.id] = call
         self.unanswered += 1
         self.description_bytes += len(call.request.description)
+        if self.observer is not None:
+            self.observer.call_added(call.id)
 
     def establish(self, call: Call, now: float) -> None:
         """Marks a call as established. Drops its description: thousands of them would fill the memory."""
@@ -48,6 +62,8 @@
             self.unanswered -= 1
         self.description_bytes -= len(call.request.description)
         call.transition(CallState.OVER)
+        if self.observer is not None:
+            self.observer.call_removed(call.id)
 
     def established_at(self, server: str, before: float = inf) -> list[Call]:
         """Returns the calls at a server that were established before a time."""
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -59,6 +59,12 @@
             self.route_call(request.call)
         return reason
 
+    def has_call(self, call_id: str) -> bool:
+        """Whether this process, or the peer process, has an open or established call with this id."""
+        if call_id in self.calls:
+            return True
+        return self.peer_process is not None and self.peer_process.has_call(call_id)
+
     def accept_call(
         self, request: SetupRequest, caller: Caller, connection: Connection, waited: float = 0.0
     ) -> FailureReason | None:
@@ -67,7 +73,7 @@
         Returns the reason if the call is not accepted.
         """
         self.counters[Count.CALL_SETUPS] += 1
-        if request.call in self.calls:
+        if self.has_call(request.call):
             self.counters[Count.DUPLICATE_CALL_SETUPS] += 1
             return FailureReason.DUPLICATE
         if not self.lifecycle.admits_calls(self.wheel.now):
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -2,12 +2,13 @@
 
 The successor receives the descriptors of the listening sockets, so no connection is lost in an accept queue
 that is closed with the predecessor. While both processes run, the channel also carries releases that one
-process received for calls of the other. If no handover is possible, the successor opens its own listeners.
-The lifecycle determines which of the two processes accepts callers.
+process received for calls of the other, and the ids of each process's calls (`peer_calls`). If no handover
+is possible, the successor opens its own listeners. The lifecycle determines which of the two processes
+accepts callers.
 
 The channel carries one JSON object per line: `do` is the message type, a key of `Handover.handlers`, and
 `id` is a call id. The names are the same in every version, because different versions hand over to each
-other.
+other. A process sends ids of its calls only to a peer that has said `shares_calls`: others do not know them.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 from softswitch.core.counters import Count
 from softswitch.core.lifecycle import Phase
 from softswitch.core.switch import Switch
+from softswitch.net import peer_calls
 from softswitch.net.sip_server import SipServer
 
 VERSION = 1  # of the channel's messages
@@ -38,6 +40,7 @@
 MAX_LISTENERS = 4  # listening sockets received on one channel
 MAX_ADDRESS = 107  # bytes in the address of a Unix socket
 MAX_MESSAGE = 1_024  # bytes of one line of the channel
+MAX_UNREAD = 512 << 10  # bytes queued for a peer that does not read: the ids of a full call table fit
 ANSWER_TIMEOUT = 1.5  # s for the predecessor to hand over
 REPORT_INTERVAL = 100.0  # ms between two reports of the number of open connections
 # Fraction of the softswitch's rate to warming engines that each process may use while there are two
@@ -105,6 +108,7 @@
 
     def connectionMade(self) -> None:
         """Called by Twisted."""
+        self.transport.bufferSize = MAX_UNREAD
         self.transport.registerProducer(self, True)
         self.handover.channel_opened(self)
 
@@ -114,7 +118,7 @@
         for descriptor in self.descriptors:
             os.close(descriptor)
 
-    # Producer interface: a peer that does not read is disconnected, so that no data is buffered for it.
+    # Producer interface: a peer that does not read is disconnected, so that little data is buffered for it.
 
     def pauseProducing(self) -> None:
         """Called by Twisted when the write buffer is full."""
@@ -201,6 +205,7 @@
         self.channel: Channel | None = None  # to the peer process
         self.is_predecessor = False  # whether the peer process replaces this one
         self.max_connections = sip.connections.max_connections  # of both processes together
+        self.peer_calls = peer_calls.PeerCalls(switch.calls)
         self.reported_connections = -1  # last number of connections reported to the successor
         self.on_predecessor_ended: Callable[[], None] | None = None
         # Set during the search for the predecessor; called once, with the received descriptors.
@@ -210,6 +215,8 @@
             "given": self._listeners_given,
             "holds": self._connections_reported,
             "serving": self._successor_serves,
+            peer_calls.ADDED: self._peer_calls_added,
+            peer_calls.REMOVED: self._peer_calls_removed,
             # A release by a caller, a release by an engine, and a release to deliver to a caller.
             "release": self._release_received,
             "cleared": self._release_received,
@@ -262,6 +269,7 @@
         given = dict(zip(names, channel.descriptors, strict=True))
         channel.descriptors = []
         self.switch.peer_process = self
+        self._share_calls(channel, message)
         self.switch.apply_slow_start_share(FRACTION_PER_PROCESS)
         self._connections_reported(channel, message)
         self.search_ended(given)
@@ -291,7 +299,7 @@
         """Called when the channel is open; a successor then requests the listeners."""
         self.channel = channel
         if self.on_search_end is not None:
-            channel.send("take", v=VERSION)
+            channel.send("take", v=VERSION, shares_calls=True)
 
     def _listeners_requested(self, channel: Channel, message: Message) -> None:
         if message["v"] != VERSION or self.on_search_end is not None:
@@ -301,9 +309,10 @@
             return
         self.is_predecessor = True
         self.switch.peer_process = self
+        self._share_calls(channel, message)  # before the successor has the listeners
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
-        channel.send("given", ports=list(self.ports), lines=len(self.sip.connections))
+        channel.send("given", ports=list(self.ports), lines=len(self.sip.connections), shares_calls=True)
         self.switch.apply_slow_start_share(FRACTION_PER_PROCESS)
         self._report_connections()
         logger.info("handover: listeners given to the next process")
@@ -337,6 +346,7 @@
         if channel is not self.channel:
             return
         self.channel = None
+        self.peer_calls.stop()
         if self.on_search_end is not None:
             self.search_ended(None)
             return
@@ -362,8 +372,25 @@
         if self.switch.peer_process is None:
             self.switch.apply_slow_start_share(1.0)
 
+    # ids of calls
+
+    def _share_calls(self, channel: Channel, message: Message) -> None:
+        """Reports the calls of this process to the peer, if `message` says that the peer understands it."""
+        if message.get("shares_calls"):
+            self.peer_calls.start(channel)
+
+    def _peer_calls_added(self, channel: Channel, message: Message) -> None:
+        self.peer_calls.peer_added(message["ids"])
+
+    def _peer_calls_removed(self, channel: Channel, message: Message) -> None:
+        self.peer_calls.peer_removed(message["ids"])
+
     # implementation of `core.call.PeerProcess`: forwards releases of calls of the peer process
 
+    def has_call(self, call: str) -> bool:
+        """Whether the peer process has reported an open or established call with this id."""
+        return call in self.peer_calls
+
     def caller_released(self, call: str, cause: int) -> None:
         """Forwards the release by a caller of a call unknown to this process."""
         self._forward("release", call, cause)
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -124,7 +124,7 @@
             connection.answer(400, request.message)
             connection.penalize()
             return
-        if setup.call in self.switch.calls:
+        if self.switch.has_call(setup.call):
             self._duplicate_invite(connection, request)
             return
         if len(connection.pending_calls) >= self._max_pending(connection):
@@ -150,10 +150,11 @@
 
     def _duplicate_invite(self, connection: SipConnection, request: SipRequest) -> None:
         pending = self.pending.get(request.call_id)
-        known = self.switch.calls[request.call_id]
-        if pending and pending.connection is connection and known.request.description == request.body:
-            connection.penalize(LIGHT_PENALTY)
-            return  # a retransmission: the first INVITE is answered later
+        if pending and pending.connection is connection:
+            description = self.switch.calls[request.call_id].request.description
+            if description == request.body:
+                connection.penalize(LIGHT_PENALTY)
+                return  # a retransmission: the first INVITE is answered later
         connection.answer(ANSWER_CODES[FailureReason.DUPLICATE], request.message)
         connection.penalize()
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,5 +1,6 @@
 """Operation on real sockets: management requests, metrics, drain, reload of settings, process replacement."""
 
+import contextlib
 import json
 import os
 import signal
@@ -566,6 +567,85 @@
         )  # after that, the new process would reopen its silent connection anyway
 
 
+@contextlib.contextmanager
+def replacement(open_on):
+    """A stage on which a process has been replaced, with call 1 open or established on `open_on`.
+
+    c0 is connected to the old process and c1 to the new one; e0 is the engine's link to the process that has
+    call 1, e1 its link to the other one.
+    """
+    with ReplacementStage(engines=1, settings=NO_CANCEL) as s:
+        s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 50")
+        s.parties["e1"] = s.parties.pop("e0")
+        s.replace()
+        s.wait_until_ready()
+        s.wait_for_log("the next process takes the callers")
+        s.play("c1 send OPTIONS\nc1 expect 200")
+        if open_on == "old":
+            s.parties["e0"], s.parties["e1"] = s.parties["e1"], s.parties["e0"]
+        yield s
+        assert s.old.poll() is None
+        assert "ERROR" not in s.log_text(), s.log_text()
+        assert "malformed" not in s.log_text(), s.log_text()
+
+
+@pytest.mark.parametrize(("open_on", "own", "other"), [("old", "c0", "c1"), ("new", "c1", "c0")])
+def test_an_id_that_is_open_in_one_process_is_not_set_up_by_the_other(open_on, own, other):
+    """Guards against a second attempt for an open call, under its id, by the other process."""
+    with replacement(open_on) as s:
+        s.play(f"""
+            {own} send INVITE 1
+            e0 expect SET_UP {{1}}
+            {other} wait 50
+            {other} send INVITE 1 body=other
+            {other} expect 482 .*CSeq: 1 INVITE
+            {other} send CANCEL 1
+            {other} expect 481 .*CANCEL
+            {other} send BYE 1
+            {other} expect (200|481) .*BYE
+            e1 expect nothing 100
+            e0 expect nothing 100
+            e0 send ANSWER 1 33=d
+            {own} expect 200 .*CSeq: 1 INVITE
+            {other} send INVITE 1 body=other
+            {other} expect 482 .*CSeq: 1 INVITE
+            e1 expect nothing 100
+            {other} send BYE 1
+            {other} expect 200 .*BYE
+            e0 expect RELEASE {{1}} 31=16
+            """)
+
+
+def test_ids_of_calls_from_before_the_replacement_are_not_set_up_by_the_new_process():
+    """Guards against the same for calls that were open or established as the replacement began."""
+    with ReplacementStage(engines=1, settings=NO_CANCEL) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200")
+        s.play("c0 send INVITE 2 X-Patience=9000\ne0 expect SET_UP {2}")
+        s.parties["e1"] = s.parties.pop("e0")
+        s.replace()
+        s.wait_until_ready()
+        s.wait_for_log("the next process takes the callers")
+        s.play("""
+            c1 send INVITE 1 body=other
+            c1 expect 482
+            c1 send INVITE 2 body=other
+            c1 expect 482
+            c1 send CANCEL 2
+            c1 expect 481
+            e0 expect nothing 100
+            e1 send ANSWER 2 33=d
+            c0 expect 200 .*Call-ID: {2}
+            """)
+
+
+@pytest.mark.parametrize("ending", ["c0 send CANCEL 1\nc0 expect 200 .*CANCEL", "c0 close"])
+def test_an_id_whose_call_has_ended_in_one_process_may_be_set_up_by_the_other(ending):
+    # A set-up that crosses the close of its connection comes again under the same id on a new one.
+    with replacement("old") as s:
+        s.play(f"c0 send INVITE 1\ne0 expect SET_UP {{1}}\n{ending}\ne0 expect RELEASE {{1}}\nc1 wait 50")
+        s.play("c1 send INVITE 1\ne1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc1 expect 200")
+
+
 def test_no_connection_is_refused_or_reset_while_the_process_is_replaced():
     # Counts connections that are refused, reset or closed without an answer; clients connect without pause.
     with ReplacementStage() as s:
