A SIP BYE to the other process of a replacement ends no WebSocket client's call

Clients of the call-control API saw a call that they watched end without an event: a BYE by SIP that reached the other process of a replacement was passed on and released it. Within one process it is answered 481.

Cause: release_from_peer released in the name of the call's own front and told that front nothing. Evidence: the RELEASE at the engine and no event at the client, in both directions. Fix: a caller's release from the peer ends only a call whose callers know it by its id alone, as those of SIP do.

--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -223,16 +223,22 @@
     # from the peer process
 
     def release_from_peer(self, call_id: str, cause: int, by_caller: bool) -> None:
-        """Handles a release that a caller or an engine sent to the peer process."""
+        """Handles a release that a caller or an engine sent to the peer process.
+
+        A caller's release ends only calls that callers identify by their id alone, because the peer process
+        does not know the front of a call. Within one process, no front ends the calls of another either.
+        """
         call = self.calls.get(call_id)
         if call is None:
             self._release_unknown_to_both(call_id, cause, by_caller)
         elif not call.established or call.server is None:
             self.counters[Count.LATE_RELEASES] += 1
-        elif by_caller:
+        elif not by_caller:
+            self.released_by_engine(call.server, call_id, cause)
+        elif call.caller.calls_survive:
             self.release_call(call_id, cause, call.caller)
         else:
-            self.released_by_engine(call.server, call_id, cause)
+            self.counters[Count.UNKNOWN_RELEASED] += 1
 
     def _release_unknown_to_both(self, call_id: str, cause: int, by_caller: bool) -> None:
         """Handles a release of a call that neither process has; an earlier process may have set it up.
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -571,16 +571,18 @@
 def replacement(open_on):
     """A stage on which a process has been replaced, with call 1 open or established on `open_on`.
 
-    c0 is connected to the old process and c1 to the new one; e0 is the engine's link to the process that has
-    call 1, e1 its link to the other one.
+    c0 and w0 are connected to the old process, c1 and w1 to the new one; e0 is the engine's link to the
+    process that has call 1, e1 its link to the other one.
     """
     with ReplacementStage(engines=1, settings=NO_CANCEL) as s:
+        s.party("w0")
         s.play("c0 send OPTIONS\nc0 expect 200\ne0 wait 50")
         s.parties["e1"] = s.parties.pop("e0")
         s.replace()
         s.wait_until_ready()
         s.wait_for_log("the next process takes the callers")
-        s.play("c1 send OPTIONS\nc1 expect 200")
+        s.party("w1")
+        s.play("c1 send OPTIONS\nc1 expect 200\ne0 wait 50")
         if open_on == "old":
             s.parties["e0"], s.parties["e1"] = s.parties["e1"], s.parties["e0"]
         yield s
@@ -646,6 +648,25 @@
         s.play("c1 send INVITE 1\ne1 expect SET_UP {1}\ne1 send ANSWER 1 33=d\nc1 expect 200")
 
 
+@pytest.mark.parametrize(("placed_on", "own", "other"), [("old", "w0", "c1"), ("new", "w1", "c0")])
+def test_a_sip_bye_to_the_other_process_never_ends_a_call_placed_over_a_websocket(placed_on, own, other):
+    """Guards against established calls that ended without a word to the clients that watch them."""
+    with replacement(placed_on) as s:
+        s.play(f"""
+            {own} send place 1
+            {own} expect setting_up
+            e0 expect SET_UP {{1}}
+            e0 send ANSWER 1 33=d
+            {own} expect "event":"stands"
+            {other} send BYE 1
+            {other} expect (200|481) .*BYE
+            e0 expect nothing 200
+            {own} send release 1
+            {own} expect "event":"released"
+            e0 expect RELEASE {{1}}
+            """)
+
+
 def test_no_connection_is_refused_or_reset_while_the_process_is_replaced():
     # Counts connections that are refused, reset or closed without an answer; clients connect without pause.
     with ReplacementStage() as s:
