A call released through the peer process is no longer kept as established

Callers saw an idle connection of a drained softswitch closed after 3.85 s and not at once; a record of each such call stayed.

Cause: a caller's release from the peer process removed the call from the table but not from SipCalls.established, which keeps the last connection open in a drain. Fix: the handover has the front forget a call that the table no longer has.

tests/test_operation.py: test_a_call_released_through_the_other_process_holds_no_connection_in_a_drain failed before, passes now.

--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -416,3 +416,4 @@
             self.sip.calls.call_released(call, cause)
         else:
             self.switch.release_from_peer(call, cause, by_caller=message["do"] == "release")
+            self.sip.calls.forget_ended(call)
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -249,6 +249,11 @@
         else:
             self.releases.release(call, established.number, cause, established.connection)
 
+    def forget_ended(self, call: str) -> None:
+        """Forgets an established call that has ended without a release to its caller."""
+        if call not in self.switch.calls:
+            self.established.pop(call, None)
+
     def _answer(self, call: str, code: int, body: bytes = b"", retry_after: float = 0.0) -> None:
         pending = self.pending.pop(call, None)
         if pending is None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -667,6 +667,23 @@
             """)
 
 
+def test_a_call_released_through_the_other_process_holds_no_connection_in_a_drain():
+    """Guards against calls that the process still kept as established after such a release."""
+    with replacement("new") as s:
+        s.play("""
+            c1 send INVITE 1
+            e0 expect SET_UP {1}
+            e0 send ANSWER 1 33=d
+            c1 expect 200 .*INVITE
+            c0 send BYE 1
+            c0 expect 200 .*BYE
+            e0 expect RELEASE {1}
+            m0 send POST /v1/softswitch/drain
+            m0 expect 200
+            """)
+        assert s.next("c1", 1.0) == "end"  # and not after 3.85 s, as while calls are established
+
+
 def test_no_connection_is_refused_or_reset_while_the_process_is_replaced():
     # Counts connections that are refused, reset or closed without an answer; clients connect without pause.
     with ReplacementStage() as s:
