A release is acknowledged only on a connection that it was sent on

Callers saw a call that was over go on: its release waited for a connection, and a response with its id on any other connection, such as a bad client's, counted as theirs, so it was never sent.

Evidence: the test on sockets, where a caller that comes again after such a response hears nothing. Fix: a response counts on an open connection that the release was sent on; a BYE for the call withdraws the release on any, as before.

--- a/softswitch/core/release_delivery.py
+++ b/softswitch/core/release_delivery.py
@@ -3,7 +3,8 @@
 The queue owns a release from the end of the call until the caller has acknowledged the release or it has
 expired:
 
-    pending -> sent on a connection -> acknowledged   by the caller, or the caller ended the call itself
+    pending -> sent on a connection -> acknowledged   on a connection that it was sent on
+    any     -> withdrawn                              the caller ended the call itself
     sent    -> sent on another connection             the first one closed, or RETRY_AFTER passed
     pending, with no connection                       waits for the next connection with an active caller
     any     -> dropped                                EXPIRES_AFTER the end of the call, or at max_releases
@@ -46,7 +47,7 @@
     connection: Connection | None = None  # of the last transmission; None: to be sent
     sent_at: float = 0.0
     transmissions: int = 0
-    tried: set[Connection] = field(default_factory=set)
+    tried: set[Connection] = field(default_factory=set)  # open connections that it was sent on
 
 
 @dataclass(slots=True)
@@ -135,13 +136,17 @@
         target = connection if own is not None and not own.backpressured else self._best_connection()
         return [self._send(now, call, target)] if target is not None else []
 
-    def acknowledge(self, call: str, by_answer: bool = True) -> bool:
-        """Removes a release that the caller answered (`by_answer`), or whose call the caller itself ended.
+    def acknowledge(self, call: str, connection: Connection) -> bool:
+        """Removes a release that was answered on a connection. False: it was not sent there."""
+        release = self.pending.get(call)
+        if release is None or connection not in release.tried:
+            return False
+        self.callers_acknowledge = True
+        self._remove(call)
+        return True
 
-        False: none was pending.
-        """
-        if by_answer and call in self.pending:
-            self.callers_acknowledge = True
+    def withdraw(self, call: str) -> bool:
+        """Removes a release whose call the caller itself ended. False: none was pending."""
         return self._remove(call) is not None
 
     def without_connection(self) -> list[tuple[str, PendingRelease]]:
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -167,7 +167,7 @@
 
     def _bye(self, connection: SipConnection, request: SipRequest) -> None:
         self._note_request(connection, request)
-        was_pending = self.releases.queue.acknowledge(request.call_id, by_answer=False)
+        was_pending = self.releases.queue.withdraw(request.call_id)
         ended = self.switch.release_call(request.call_id, request.release_cause(), self, connection)
         connection.answer(200 if ended or was_pending else 481, request.message)
         if ended:
@@ -197,7 +197,7 @@
 
     def handle_response(self, connection: SipConnection, message: SipMessage) -> None:
         """Processes the response to a BYE: whatever its status, the caller has received the release."""
-        self.releases.queue.acknowledge(message.call_id)
+        self.releases.queue.acknowledge(message.call_id, connection)
         if self.switch.history:
             event = f"caller answered {message.start_line[:40]}"
             self.switch.history.note(message.call_id, event, connection.name)
--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -95,7 +95,9 @@
             ]:
                 self.in_flight.remove(transmission)
                 self.read.setdefault(transmission[2], self.now)
-                self.queue.acknowledge(transmission[2])
+                assert transmission[2] not in self.queue.pending or self.queue.acknowledge(
+                    transmission[2], transmission[1]
+                )
             if self.now % 100 == 0:
                 self.transmit(self.queue.advance(self.now))
             reading = set(self.open) - self.silent
@@ -148,8 +150,8 @@
     assert queue.advance(1.0 + 2 * RETRY_AFTER) == []  # no caller here has ever acknowledged a release
     # but a closed connection always counts as a loss
     assert [message.connection for message in queue.connection_closed(700.0, "a")] == ["b"]
-    assert queue.acknowledge("1")
-    assert not queue.acknowledge("1")
+    assert queue.acknowledge("1", "b")
+    assert not queue.acknowledge("1", "b")
     queue.add(800.0, "2", "77", 16, "b")
     queue.caller_active(800.0, "c")
     assert [message.connection for message in queue.advance(800.0 + RETRY_AFTER)] == ["c"]
@@ -342,3 +344,28 @@
         started_at = time.monotonic()
         s.play("p send SIGTERM\np expect 0")
         assert 0.7 < time.monotonic() - started_at < 2.0
+
+
+def test_a_release_is_acknowledged_only_on_a_connection_that_it_was_sent_on():
+    """Guards against releases that never reached their callers, as another caller answered in their place."""
+    queue = ReleaseQueue()
+    queue.add(0.0, "1", "77", 16, None)
+    assert not queue.acknowledge("1", "bad")  # it waits for a connection
+    assert queue.caller_active(1.0, "a")
+    assert not queue.acknowledge("1", "bad")
+    assert not queue.callers_acknowledge
+    assert queue.connection_closed(2.0, "a") == []
+    assert not queue.acknowledge("1", "a")  # it may have been unread as the connection ended
+    assert [message.call for message in queue.caller_active(3.0, "b")] == ["1"]
+    assert queue.acknowledge("1", "b")
+    assert not queue.pending
+
+
+def test_an_answer_on_another_connection_leaves_a_release_to_its_caller():
+    """Guards against releases that a bad client acknowledged for the caller that they were sent to."""
+    with Stage(engines=1) as s:
+        s.play("c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200\nc0 close")
+        s.play(
+            "c1 send OPTIONS\nc1 expect 200\ne0 send RELEASE 1 31=16\nc1 wait 100\nc1 send OK 1\nc1 wait 100"
+        )
+        s.play("c2 send INVITE 2\nc2 expect ^BYE .*Call-ID: {1}")
