Call-control API: messages and the client's connection in modules of their own

call_control.py held three jobs in 467 lines: the fields of messages, one WebSocket connection, and the server with its calls. The connection names what it needs of its owner, as sip_connection does.

--- /dev/null
+++ b/softswitch/net/control_connection.py
@@ -0,0 +1,185 @@
+"""One WebSocket connection of a client of the call-control API: handshake, frames and backpressure."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import orjson
+from loguru import logger
+from twisted.internet import protocol
+from wsproto import ConnectionType, WSConnection
+from wsproto.events import (
+    AcceptConnection,
+    BytesMessage,
+    CloseConnection,
+    Event,
+    Ping,
+    RejectConnection,
+    Request,
+    TextMessage,
+)
+from wsproto.utilities import RemoteProtocolError
+
+from softswitch.configuration import ControlSettings
+from softswitch.core.counters import CountFamily
+from softswitch.core.switch import Switch
+from softswitch.net.control_messages import VERSION, Message
+
+PATH = "/v1/calls"
+MAX_MESSAGE = 24_576  # characters: room for a description of 16 KiB in base64
+MAX_UNREAD = 262_144  # max bytes queued for a client that does not read
+# Close codes of RFC 6455.
+UNSUPPORTED_DATA, MESSAGE_TOO_BIG = 1003, 1009
+
+
+class ConnectionOwner(Protocol):
+    """The server that owns a connection, as the connection uses it."""
+
+    switch: Switch
+    settings: ControlSettings
+    accepted: dict[ClientConnection, None]  # connections whose handshake is complete
+
+    def connection_lost(self, connection: ClientConnection) -> None:
+        """Called when the connection has ended."""
+
+    def message_received(self, connection: ClientConnection, text: str) -> None:
+        """Called for each complete text message."""
+
+
+class ClientConnection(protocol.Protocol):
+    """The WebSocket connection of one client."""
+
+    def __init__(self, server: ConnectionOwner) -> None:
+        self.server = server
+        self.websocket = WSConnection(ConnectionType.SERVER)
+        self.is_accepted = False  # whether the handshake is complete
+        self.is_over = False
+        self.opened_at = self.last_data_at = server.switch.wheel.now
+        self.pending: set[str] = set()  # ids of the client's call setups that are not answered yet
+        self.watched: set[str] = set()  # ids of the calls whose events the client receives
+        self._backpressured = False
+        self._unread = 0  # bytes written since the client stopped reading
+        self._text = ""  # received part of an incomplete message
+
+    def connectionMade(self) -> None:
+        """Called by Twisted when the connection is established."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    def connectionLost(self, reason: object = None) -> None:
+        """Called by Twisted when the connection has ended."""
+        self.is_over = True
+        self.server.connection_lost(self)
+
+    # Twisted's producer callbacks. A client that does not read is not read from either.
+
+    def pauseProducing(self) -> None:
+        """Called by Twisted when the client does not read."""
+        self._backpressured = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Called by Twisted when the client reads again."""
+        self._backpressured = False
+        self._unread = 0
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """Called by Twisted when the connection has ended."""
+
+    def _write(self, event: Event) -> None:
+        if self.is_over:
+            return
+        data = self.websocket.send(event)
+        self._unread = self._unread + len(data) if self._backpressured else 0
+        if self._unread > MAX_UNREAD:
+            self.is_over = True
+            logger.warning("control client: {} bytes unread, connection closed", self._unread)
+            self.transport.abortConnection()
+            return
+        self.transport.write(data)
+
+    def send(self, message: Message) -> None:
+        """Sends an event."""
+        self._write(TextMessage(data=orjson.dumps({"v": VERSION} | message).decode()))
+
+    def send_error(self, code: str, text: str, call: str | None = None) -> None:
+        """Sends an error event."""
+        self.server.switch.counters[CountFamily.CONTROL_ERRORS + code] += 1
+        message: Message = {"event": "error", "code": code, "text": text}
+        self.send(message | ({"id": call} if call else {}))
+
+    def ping(self) -> None:
+        """Sends a WebSocket ping."""
+        self._write(Ping())
+
+    def close(self, code: int, reason: str) -> None:
+        """Closes the connection, with a close frame if the handshake is complete."""
+        if self.is_over:
+            return
+        if self.is_accepted:
+            self._write(CloseConnection(code=code, reason=reason))
+        self._disconnect()
+
+    def _disconnect(self) -> None:
+        self.is_over = True
+        self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Called by Twisted when data is received."""
+        self.last_data_at = self.server.switch.wheel.now
+        try:
+            self.websocket.receive_data(data)
+            for event in self.websocket.events():
+                if self.is_over:
+                    return
+                self._handle(event)
+        except RemoteProtocolError as e:
+            logger.warning("control client: WebSocket protocol error, connection closed: {}", e)
+            if e.event_hint is not None:
+                self._write(e.event_hint)
+            self._disconnect()
+
+    def _handle(self, event: Event) -> None:
+        match event:
+            case Request():
+                self._handshake(event)
+            case TextMessage():
+                self._text_received(event)
+            case BytesMessage():
+                self.close(UNSUPPORTED_DATA, "text messages only")
+            case Ping():
+                self._write(event.response())
+            case CloseConnection():
+                self._write(event.response())
+                self._disconnect()
+
+    def _text_received(self, event: TextMessage) -> None:
+        self._text += event.data
+        if len(self._text) > MAX_MESSAGE:
+            self.close(MESSAGE_TOO_BIG, "longer than a message may be")
+        elif event.message_finished:
+            text, self._text = self._text, ""
+            self.server.message_received(self, text)
+
+    def _handshake(self, request: Request) -> None:
+        status = self._handshake_error(request)
+        if status is None:
+            self.is_accepted = True
+            self.server.accepted[self] = None
+            self._write(AcceptConnection())
+        else:
+            self._write(RejectConnection(status_code=status))
+            self._disconnect()
+
+    def _handshake_error(self, request: Request) -> int | None:
+        """Returns the HTTP status with which to reject a handshake; None accepts it."""
+        settings = self.server.settings
+        origins = [value for name, value in request.extra_headers if name.lower() == b"origin"]
+        if request.target.partition("?")[0] != PATH:
+            return 404
+        if origins and origins[0].decode("latin-1") not in settings.origins:
+            return 403  # a foreign web page in a browser on this machine
+        if len(self.server.accepted) >= settings.most_sockets:
+            return 503
+        return None
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 from support.harness import Stage, call_id
+from wsproto.events import TextMessage
 
 from softswitch.core.call import FailureReason
 from softswitch.net import call_control, sip_calls
@@ -185,9 +186,7 @@
             s.play("w0 send place 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=" + "d" * 12000)
             sock = s.party("w0").sock
             watches = (
-                s.party("w0").ws.send(
-                    call_control.TextMessage(data=json.dumps({"v": 1, "do": "watch", "id": call_id(1)}))
-                )
+                s.party("w0").ws.send(TextMessage(data=json.dumps({"v": 1, "do": "watch", "id": call_id(1)})))
                 * 50
             )
             del s.parties["w0"]  # the test stops reading its messages
