An open request keeps what its answer repeats, not its whole message

Cause: SipCalls.pending kept the SipMessage of each INVITE until its answer, with all headers, although the answer repeats five.

Change: SipMessage stores the headers that are read or repeated and drops others as they arrive; its Via lines are stored as a response writes them. A pending set-up keeps the encoded header lines of its answer. A body is collected in one buffer, so that it is not summed up anew for each piece.

--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -36,7 +36,8 @@
     """A call setup that is not answered yet."""
 
     connection: SipConnection
-    message: SipMessage
+    # All that is retained of the INVITE: its other headers may fill 16 KiB, and nothing needs them.
+    echoed_headers: bytes
     number: str
 
 
@@ -132,7 +133,7 @@
             self.switch.reject_unaccepted(setup)
             connection.answer(503, request.message, retry_after=self.switch.settings.max_retry_after)
             return
-        self.pending[setup.call] = PendingSetup(connection, request.message, setup.number)
+        self.pending[setup.call] = PendingSetup(connection, request.message.echoed_headers(), setup.number)
         connection.pending_calls.add(setup.call)
         self.idle_tracker.update_idle(connection)
         waited = self.switch.wheel.now - connection.received_at
@@ -265,4 +266,4 @@
             self.switch.history.note(call, f"answered {code}", connection.name)
         if connection.closing_started_at is None:
             self.idle_tracker.update_idle(connection)
-        connection.answer(code, pending.message, body, retry_after)
+        connection.respond(code, pending.echoed_headers, body, retry_after)
--- a/softswitch/net/sip_codec.py
+++ b/softswitch/net/sip_codec.py
@@ -19,6 +19,10 @@
 COMPACT_NAMES = {"v": "via", "f": "from", "t": "to", "i": "call-id", "l": "content-length", "s": "subject"}
 # Request headers that a response repeats, besides Via.
 ECHOED_HEADERS = {"from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
+# The other headers whose values are read. All further ones are dropped as they arrive: a message of 16 KiB
+# has room for thousands of short headers, and each string that is stored takes some fifty bytes.
+READ_HEADERS = ("content-length", "subject", "x-patience", "x-facts", "x-retry", "organization", "reason")
+STORED_HEADERS = frozenset((*ECHOED_HEADERS, *READ_HEADERS))
 # The usual spellings of header names. A look-up here is faster than `normalized_name`.
 COMMON_SPELLINGS = {
     name: name.lower()
@@ -63,8 +67,9 @@
 
     def __init__(self) -> None:
         self.start_line = ""
-        self.headers: dict[str, str] = {}  # by lower-case name; the first value of each
-        self.vias: list[str] = []
+        # Values of the STORED_HEADERS by lower-case name; the first value of each.
+        self.headers: dict[str, str] = {}
+        self.vias = bytearray()  # Via header lines, as a response repeats them
         self.size = 0  # bytes of the head received so far
 
     @property
@@ -85,9 +90,11 @@
         name = COMMON_SPELLINGS.get(name) or normalized_name(name)
         value = value.strip()
         if name == "via":
-            self.vias.append(value)
-        if self.headers.setdefault(name, value) != value and name in SINGLE_HEADERS:
-            raise SipParseError("header repeated with another value")
+            self.vias += f"Via: {value}\r\n".encode("latin-1")
+        elif name in STORED_HEADERS:
+            is_repeated = self.headers.setdefault(name, value) != value
+            if is_repeated and name in SINGLE_HEADERS:
+                raise SipParseError("header repeated with another value")
 
     def content_length(self) -> int:
         """Returns the size of the body in bytes; call it once the head is complete."""
@@ -99,6 +106,15 @@
             raise SipParseError("message longer than 16 KiB", 513)  # rejected before the body is read
         return length
 
+    def echoed_headers(self) -> bytes:
+        """Returns the header lines that every response to this request repeats.
+
+        This is all that has to be retained of a request until it is answered.
+        """
+        headers = self.headers
+        lines = (f"{title}: {headers[name]}\r\n" for name, title in ECHOED_HEADERS.items() if name in headers)
+        return bytes(self.vias) + "".join(lines).encode("latin-1")
+
 
 @dataclass(slots=True)
 class SipRequest:
@@ -164,29 +180,32 @@
     )
 
 
-def encode_response(code: int, request: SipMessage, body: bytes = b"", retry_after: float = 0.0) -> bytes:
-    """Encodes the response to a request; `retry_after` is in ms, 0 omits the header."""
-    lines = [f"SIP/2.0 {code} {REASON_PHRASES[code]}", *(f"Via: {via}" for via in request.vias)]
-    headers = request.headers
-    lines += [f"{title}: {headers[name]}" for name, title in ECHOED_HEADERS.items() if name in headers]
-    if retry_after > 0:
-        lines.append(f"X-Later-Ms: {retry_after:.0f}")
-    return _encode(lines, body)
+def encode_response(code: int, echoed_headers: bytes, body: bytes = b"", retry_after: float = 0.0) -> bytes:
+    """Encodes the response to a request from its `SipMessage.echoed_headers`.
+
+    `retry_after` is in ms; 0 omits the header.
+    """
+    status_line = f"SIP/2.0 {code} {REASON_PHRASES[code]}\r\n".encode("latin-1")
+    retry_header = b"X-Later-Ms: %.0f\r\n" % retry_after if retry_after > 0 else b""
+    return b"%b%b%bContent-Length: %d\r\n\r\n%b" % (
+        status_line,
+        echoed_headers,
+        retry_header,
+        len(body),
+        body,
+    )
 
 
 def encode_bye(call: str, number: str, cause: int, via: str) -> bytes:
     """Encodes the BYE that notifies a caller of the end of its call."""
-    return _encode(
-        [
-            f"BYE sip:{number}@net SIP/2.0",
-            f"Via: SIP/2.0/TCP {via}",
-            f"Call-ID: {call}",
-            "CSeq: 2 BYE",
-            f"Reason: Q.850;cause={cause}",
-        ]
+    lines = (
+        f"BYE sip:{number}@net SIP/2.0",
+        f"Via: SIP/2.0/TCP {via}",
+        f"Call-ID: {call}",
+        "CSeq: 2 BYE",
+        f"Reason: Q.850;cause={cause}",
+        "Content-Length: 0",
+        "",
+        "",
     )
-
-
-def _encode(lines: list[str], body: bytes = b"") -> bytes:
-    head = "\r\n".join((*lines, f"Content-Length: {len(body)}", "", ""))
-    return head.encode("latin-1") + body
+    return "\r\n".join(lines).encode("latin-1")
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -105,7 +105,7 @@
         self.message = SipMessage()
         self.message_started_at: float | None = None  # None between messages
         self.body_length = 0
-        self.body_chunks: list[bytes] = []
+        self.body = bytearray()  # received part of the body
 
     @property
     def is_closing(self) -> bool:
@@ -257,11 +257,10 @@
         """Called by Twisted with data of a body, which may include the start of the next message."""
         if self.closing_started_at is not None:
             return
-        self.body_chunks.append(data)
-        if sum(map(len, self.body_chunks)) < self.body_length:
+        self.body += data
+        if len(self.body) < self.body_length:
             return
-        received = b"".join(self.body_chunks)
-        body, rest = received[: self.body_length], received[self.body_length :]
+        body, rest = bytes(self.body[: self.body_length]), bytes(self.body[self.body_length :])
         try:
             self._message_complete(body)
         except SipParseError as e:
@@ -284,7 +283,11 @@
 
     def answer(self, code: int, request: SipMessage, body: bytes = b"", retry_after: float = 0.0) -> None:
         """Writes the response to a request."""
-        self.transport.write(encode_response(code, request, body, retry_after))
+        self.respond(code, request.echoed_headers(), body, retry_after)
+
+    def respond(self, code: int, echoed_headers: bytes, body: bytes = b"", retry_after: float = 0.0) -> None:
+        """Writes the response to the request that had these headers."""
+        self.write(encode_response(code, echoed_headers, body, retry_after))
 
     def write(self, data: bytes) -> None:
         """Writes a complete message."""
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,51 @@
+"""What peers can make a process hold in memory: calls, incomplete messages, and data that is not read."""
+
+import gc
+import tracemalloc
+
+from support.sip_bench import SipBench, invite
+
+SETUPS = 60  # below the limit of a connection without an established call
+FREE_HEADER = "User-Agent: " + "x" * 15_000
+
+
+def allocated_by(action):
+    """Returns the bytes that are allocated by `action` and still held after it."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        action()
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def held_by_open_setups(*headers):
+    """Returns the bytes that one open call setup with these headers holds."""
+    b = SipBench()
+    connection = b.connect()
+    messages = [invite(n, *headers) for n in range(SETUPS + 1)]
+    b.receive(connection, messages.pop())  # whatever is allocated once
+
+    def send():
+        for message in messages:
+            b.receive(connection, message)
+
+    held = allocated_by(send)
+    assert b.switch.calls.unanswered == SETUPS + 1
+    return held / SETUPS
+
+
+def test_an_open_setup_holds_no_header_that_its_answer_does_not_repeat():
+    """Guards against a kill for memory: each open set-up held its whole message, of up to 16 KiB."""
+    assert held_by_open_setups(FREE_HEADER) <= 1.1 * held_by_open_setups()
+
+
+def test_an_incomplete_message_holds_no_more_than_its_size():
+    """Guards against thousands of short headers, each of which was held as two strings."""
+    names = [f"h{n:x}:" for n in range(2_000)]
+    b = SipBench()
+    connection = b.connect()
+    data = invite(1, *names)[:-7]
+    assert allocated_by(lambda: b.receive(connection, data)) <= 2 * len(data)
