Calls are admitted by the memory that they hold, with room left for other callers

Cause: the bound was a number, 200 calls for each MB of the limit, as if the idle process took none of it; descriptions had a bound of their own, and the headers that an answer repeats had none. One connection could take all there was.

Change: core/memory_budget counts what calls and their timers hold, in one place, with a limit that follows from memory_mb and leaves room for a second process. Two processes of a replacement have half each. The counters show the bytes by holder.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -194,6 +194,8 @@
     connection: Connection  # on which the setup arrived; only it may end the call before it is established
     received_at: float
     deadline: float  # time at which the caller stops waiting
+    answer_bytes: int = 0  # what the front retains of the request until its answer
+    held_bytes: int = 0  # memory that the call holds, as its table counts it
     max_attempts: int = 1
     # As configured for the class when the call was received. If true, the call may be rejected although an
     # attempt may have run.
--- a/softswitch/core/call_table.py
+++ b/softswitch/core/call_table.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 from math import inf
 from typing import Protocol
 
-from softswitch.core.call import Call, CallState, SetupRequest
+from softswitch.core.call import Call, CallState, Connection, SetupRequest
+from softswitch.core.memory_budget import Holder, MemoryBudget
 
 MAX_CALLS = 20_000  # in the table at once; further calls are rejected
-MAX_DESCRIPTION_BYTES = 8 << 20  # total size of the descriptions of unanswered calls
+# Bytes of a call in this process, with its records in the decision module, the front and the engine's link.
+OPEN_CALL_BYTES = 2_304  # without its description and what its front retains
+ESTABLISHED_CALL_BYTES = 1_536
+# Bytes of a call's timers. They outlive a call that ends early, and stay until its deadline.
+CALL_TIMER_BYTES = 640
 
 
 class CallTableObserver(Protocol):
@@ -23,44 +29,62 @@
 
 
 class CallTable(dict[str, Call]):
-    """The calls by id. Counts the unanswered calls and the bytes of their descriptions."""
+    """The calls by id. Counts the unanswered calls, and the memory that calls hold."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBudget) -> None:
         super().__init__()
         self.max_calls = MAX_CALLS
-        self.max_description_bytes = MAX_DESCRIPTION_BYTES
+        self.memory = memory
         self.unanswered = 0
-        self.description_bytes = 0
+        self.open_bytes: Counter[Connection] = Counter()  # of the unanswered calls, by their connection
         self.observer: CallTableObserver | None = None
 
-    def has_capacity_for(self, request: SetupRequest) -> bool:
-        """Whether one more call stays within the limits."""
+    def has_capacity_for(self, request: SetupRequest, connection: Connection, answer_bytes: int) -> bool:
+        """Whether one more call stays within the limits.
+
+        `answer_bytes`: what the front retains of the request until its answer.
+        """
         if len(self) >= self.max_calls:
             return False
-        return self.description_bytes + len(request.description) <= self.max_description_bytes
+        needed = open_call_bytes(request, answer_bytes) + CALL_TIMER_BYTES
+        return self.memory.allows(self.open_bytes[connection], needed)
 
     def add(self, call: Call) -> None:
         """Adds an accepted call."""
         self[call.id] = call
         self.unanswered += 1
-        self.description_bytes += len(call.request.description)
+        call.held_bytes = open_call_bytes(call.request, call.answer_bytes)
+        self.open_bytes[call.connection] += call.held_bytes
+        self.memory.change(Holder.CALLS, call.held_bytes)
+        self.memory.change(Holder.TIMERS, CALL_TIMER_BYTES)
         if self.observer is not None:
             self.observer.call_added(call.id)
 
+    def timers_expired(self) -> None:
+        """Records that the timers of one call, which may have ended long before, are gone."""
+        self.memory.change(Holder.TIMERS, -CALL_TIMER_BYTES)
+
     def establish(self, call: Call, now: float) -> None:
         """Marks a call as established. Drops its description: thousands of them would fill the memory."""
         call.transition(CallState.ESTABLISHED)
         call.established_at = now
-        self.unanswered -= 1
-        self.description_bytes -= len(call.request.description)
+        self._answered(call)
         call.request = replace(call.request, description=b"")
+        self.memory.change(Holder.CALLS, ESTABLISHED_CALL_BYTES - call.held_bytes)
+        call.held_bytes = ESTABLISHED_CALL_BYTES
+
+    def _answered(self, call: Call) -> None:
+        self.unanswered -= 1
+        self.open_bytes[call.connection] -= call.held_bytes
+        if not self.open_bytes[call.connection]:
+            del self.open_bytes[call.connection]
 
     def remove(self, call: Call) -> None:
         """Removes a call that has ended."""
         del self[call.id]
         if not call.established:
-            self.unanswered -= 1
-        self.description_bytes -= len(call.request.description)
+            self._answered(call)
+        self.memory.change(Holder.CALLS, -call.held_bytes)
         call.transition(CallState.OVER)
         if self.observer is not None:
             self.observer.call_removed(call.id)
@@ -75,3 +99,8 @@
     def any_at(self, server: str) -> bool:
         """Whether a server has an established call or an attempt in flight."""
         return any(call.server == server for call in self.values())
+
+
+def open_call_bytes(request: SetupRequest, answer_bytes: int) -> int:
+    """Returns the bytes that an unanswered call holds, without its timers."""
+    return OPEN_CALL_BYTES + len(request.description) + answer_bytes
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -28,6 +28,7 @@
 from softswitch.core.counters import Count, Counters, CountFamily, Duration
 from softswitch.core.endpoint_directory import EndpointDirectory
 from softswitch.core.figures import Figures
+from softswitch.core.memory_budget import MemoryBudget
 from softswitch.core.predecessor import PredecessorCalls
 from softswitch.core.timer_wheel import TimerWheel
 from softswitch.limits.call_limits import CallLimits
@@ -48,7 +49,8 @@
     def __init__(self, settings: i.Settings, seed: int, wheel: TimerWheel, engines: Engines) -> None:
         self.wheel = wheel
         self.engines = engines
-        self.calls = CallTable()
+        self.memory = MemoryBudget()
+        self.calls = CallTable(self.memory)
         self.endpoints = EndpointDirectory()
         self.predecessor = PredecessorCalls(wheel.now)
         self.counters = Counters()
@@ -266,6 +268,7 @@
 
     def _answer_overdue(self, call_id: str) -> None:
         """Answers a call that the decision module has not answered in time."""
+        self.calls.timers_expired()
         call = self.calls.get(call_id)
         if call is not None and not call.established:
             self.counters[Count.GUARD_OVERDUE] += 1
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -47,14 +47,19 @@
     # from callers
 
     def request_setup(
-        self, request: SetupRequest, caller: Caller, connection: Connection, waited: float = 0.0
+        self,
+        request: SetupRequest,
+        caller: Caller,
+        connection: Connection,
+        waited: float = 0.0,
+        answer_bytes: int = 0,
     ) -> FailureReason | None:
         """Accepts and routes a call whose setup waited `waited` ms in this process.
 
-        Returns None if the call was accepted: its one answer is sent through `caller`. Until then only
-        `connection` may end the call.
+        `answer_bytes`: see `accept_call`. Returns None if the call was accepted: its one answer is sent
+        through `caller`. Until then only `connection` may end the call.
         """
-        reason = self.accept_call(request, caller, connection, waited)
+        reason = self.accept_call(request, caller, connection, waited, answer_bytes)
         if reason is None:
             self.route_call(request.call)
         return reason
@@ -66,11 +71,17 @@
         return self.peer_process is not None and self.peer_process.has_call(call_id)
 
     def accept_call(
-        self, request: SetupRequest, caller: Caller, connection: Connection, waited: float = 0.0
+        self,
+        request: SetupRequest,
+        caller: Caller,
+        connection: Connection,
+        waited: float = 0.0,
+        answer_bytes: int = 0,
     ) -> FailureReason | None:
         """Accepts a call without passing it to the decision module; `route_call` does that.
 
-        Returns the reason if the call is not accepted.
+        `answer_bytes`: what the front retains of the request until its answer. Returns the reason if the call
+        is not accepted.
         """
         self.counters[Count.CALL_SETUPS] += 1
         if self.has_call(request.call):
@@ -78,9 +89,10 @@
             return FailureReason.DUPLICATE
         if not self.lifecycle.admits_calls(self.wheel.now):
             return self.reject_unaccepted(request, FailureReason.DRAINED)
-        if not self.calls.has_capacity_for(request):
+        if not self.calls.has_capacity_for(request, connection, answer_bytes):
             return self.reject_unaccepted(request)
         call = self._new_call(request, caller, connection, waited)
+        call.answer_bytes = answer_bytes
         self.calls.add(call)
         self.figures.for_class(request.call_class).taken += 1
         remaining = call.deadline - call.received_at
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -269,6 +269,7 @@
         given = dict(zip(names, channel.descriptors, strict=True))
         channel.descriptors = []
         self.switch.peer_process = self
+        self.switch.memory.share_with_peer_process(True)
         self._share_calls(channel, message)
         self.switch.apply_slow_start_share(FRACTION_PER_PROCESS)
         self._connections_reported(channel, message)
@@ -309,6 +310,7 @@
             return
         self.is_predecessor = True
         self.switch.peer_process = self
+        self.switch.memory.share_with_peer_process(True)
         self._share_calls(channel, message)  # before the successor has the listeners
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
@@ -352,6 +354,7 @@
             return
         if self.switch.peer_process is self:
             self.switch.peer_process = None
+            self.switch.memory.share_with_peer_process(False)
             self.switch.wheel.call_after(SOLE_PROCESS_DELAY, self._restore_slow_start_rate)
         if self.is_predecessor:
             self._successor_ended()
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -133,18 +133,23 @@
             self.switch.reject_unaccepted(setup)
             connection.answer(503, request.message, retry_after=self.switch.settings.max_retry_after)
             return
-        self.pending[setup.call] = PendingSetup(connection, request.message.echoed_headers(), setup.number)
+        echoed_headers = request.message.echoed_headers()
+        self.pending[setup.call] = PendingSetup(connection, echoed_headers, setup.number)
         connection.pending_calls.add(setup.call)
         self.idle_tracker.update_idle(connection)
         waited = self.switch.wheel.now - connection.received_at
-        reason = self.switch.accept_call(setup, self, connection, waited)
+        reason = self.switch.accept_call(setup, self, connection, waited, len(echoed_headers))
         if reason is not None:
-            self.call_failed(setup.call, reason, 0.0)
+            self.call_failed(setup.call, reason, self._retry_after(reason))
         else:
             connection.unrouted_calls.append(setup.call)
         if setup.call_class not in self.switch.controller.classes:
             connection.penalize(LIGHT_PENALTY)
 
+    def _retry_after(self, reason: FailureReason) -> float:
+        """Returns the ms for which a caller that was not accepted has to stay away; 0: not specified."""
+        return self.switch.settings.max_retry_after if reason is FailureReason.TABLE_FULL else 0.0
+
     @staticmethod
     def _max_pending(connection: SipConnection) -> int:
         return MAX_PENDING if connection.had_established_call else MAX_PENDING_BEFORE_FIRST_CALL
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -21,7 +21,7 @@
     ControlSettings,
     load_control_settings,
 )
-from softswitch.core.call_table import MAX_CALLS, MAX_DESCRIPTION_BYTES
+from softswitch.core.memory_budget import MB
 from softswitch.core.switch import Switch
 from softswitch.core.timer_wheel import TimerWheel
 from softswitch.net.endpoint_watch import EndpointWatch
@@ -35,8 +35,6 @@
 from softswitch.process.ticker import Ticker
 
 VERSION = "0.1.0"
-CALLS_PER_MB = 200  # limit on calls at once, for each MB of memory that the configuration allows
-DESCRIPTION_BYTES_PER_MB = 1 << 17  # limit on the descriptions of unanswered calls, for each such MB
 MAX_CONNECTIONS, MIN_CONNECTIONS = 1_000, 16  # bounds of the limit on callers' connections
 # File descriptors reserved for engines, the endpoint watch and the process itself: the larger of this number
 # and total / divisor.
@@ -103,11 +101,7 @@
         self.switch = Switch(settings, configuration.seed, self.wheel, self.engines)
         self.engines.attach(self.switch)
         self.ticker = Ticker(self.reactor, self.wheel, self.switch.counters)
-        memory_mb = configuration.limits.memory_mb
-        self.switch.calls.max_calls = min(MAX_CALLS, CALLS_PER_MB * memory_mb)
-        self.switch.calls.max_description_bytes = min(
-            MAX_DESCRIPTION_BYTES, DESCRIPTION_BYTES_PER_MB * memory_mb
-        )
+        self.switch.memory.configure(configuration.limits.memory_mb * MB)
 
     def _build_listeners(self, shared: bool) -> None:
         configuration = self.configuration
@@ -197,6 +191,7 @@
         """Logs the counters."""
         self.switch.update_counters()
         gauges = {"open": self.switch.calls.unanswered, "known": len(self.switch.calls)}
+        gauges |= self.switch.memory.gauges()
         counters = {str(name): count for name, count in self.switch.counters.items()}
         logger.info("counters {}", orjson.dumps(gauges | counters).decode())
 
--- /dev/null
+++ b/tests/test_memory_budget.py
@@ -0,0 +1,104 @@
+"""The memory that calls hold is counted while they hold it, and greedy connections leave room for others."""
+
+import pytest
+from support.sip_bench import SipBench, invite
+from support.switch_bench import A
+
+from softswitch.core.call_table import CALL_TIMER_BYTES
+from softswitch.core.memory_budget import (
+    IDLE_PROCESS_BYTES,
+    MB,
+    MIN_LIMIT,
+    Holder,
+    MemoryBudget,
+    shared_limit,
+    sole_limit,
+)
+
+LONG_VIA = "Via: SIP/2.0/TCP " + "v" * 15_000
+
+
+@pytest.mark.parametrize("memory_mb", [24, 32, 48, 64, 80, 192, 2048])
+def test_a_process_with_all_that_it_may_hold_stays_within_its_memory(memory_mb):
+    alone = IDLE_PROCESS_BYTES + sole_limit(memory_mb * MB)
+    assert alone <= memory_mb * MB or sole_limit(memory_mb * MB) == MIN_LIMIT
+
+
+@pytest.mark.parametrize("memory_mb", [64, 80, 96, 192])
+def test_two_processes_stay_within_the_memory_although_the_first_held_all_it_may(memory_mb):
+    sole, shared = sole_limit(memory_mb * MB), shared_limit(memory_mb * MB)
+    assert 2 * IDLE_PROCESS_BYTES + sole <= memory_mb * MB
+    assert 2 * IDLE_PROCESS_BYTES + 2 * shared <= memory_mb * MB
+
+
+def test_peers_that_take_all_they_may_leave_room_for_one_more():
+    memory = MemoryBudget()
+    memory.configure(64 * MB)
+    held = [0] * 9  # the last one is no greedy peer
+    taken = True
+    while taken:
+        taken = False
+        for peer in range(8):
+            if memory.allows(held[peer], 1_000):
+                held[peer] += 1_000
+                memory.change(Holder.CALLS, 1_000)
+                taken = True
+    assert memory.total <= memory.limit
+    assert memory.allows(held[8], sole_limit(64 * MB) // 10)
+
+
+def small_bench():
+    """Returns a bench with a limit of 1.5 MB, and a connection on which a call was established."""
+    b = SipBench()
+    b.switch.memory.configure(0)
+    connection = b.connect()
+    b.receive(connection, invite(1))
+    b.switch.answered_by_engine(A, f"{1:016x}", b"d")
+    return b, connection
+
+
+def answers(connection):
+    return connection.transport.value().decode("latin-1").split("SIP/2.0 ")[1:]
+
+
+def test_setups_beyond_the_memory_are_rejected_at_once_and_others_are_still_accepted():
+    """Guards against a kill for memory by what an answer needs: Via headers may fill a message."""
+    b, greedy = small_bench()
+    for n in range(2, 400):
+        b.receive(greedy, invite(n, LONG_VIA))
+    rejected = [answer for answer in answers(greedy) if answer.startswith("503")]
+    assert rejected
+    assert all("X-Later-Ms: " in answer for answer in rejected)
+    assert b.switch.memory.total <= b.switch.memory.limit
+    assert b.switch.counters["table full"] == len(rejected)
+    usual = b.connect()
+    b.receive(usual, invite(500))
+    assert f"{500:016x}" in b.switch.calls
+
+
+def test_calls_hold_nothing_once_they_are_over():
+    b, connection = small_bench()
+    other = b.connect()
+    for n in range(2, 30):
+        b.receive(connection if n % 2 else other, invite(n, LONG_VIA))
+    for n in range(2, 20):
+        b.switch.answered_by_engine(A, f"{n:016x}", b"d")
+    other.connectionLost()
+    b.run(10_000.0)
+    for call in list(b.switch.calls):
+        b.switch.released_by_engine(b.switch.calls[call].server, call, 16)
+    assert not b.switch.calls
+    assert not b.switch.calls.open_bytes
+    assert b.switch.memory.held[Holder.CALLS] == b.switch.memory.held[Holder.TIMERS] == 0
+
+
+def test_the_timers_of_a_call_that_was_taken_back_count_until_they_expire():
+    b, connection = small_bench()
+    before = b.switch.memory.held[Holder.TIMERS]
+    b.receive(connection, invite(2))
+    b.receive(connection, b"CANCEL sip:77@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 1 CANCEL\r\n" % 2)
+    b.receive(connection, b"Content-Length: 0\r\n\r\n")
+    assert f"{2:016x}" not in b.switch.calls
+    assert b.switch.memory.held[Holder.TIMERS] == before + CALL_TIMER_BYTES
+    b.run(4_000.0)
+    assert b.switch.memory.held[Holder.TIMERS] == 0
