Unread answers and incomplete messages count as held memory, the greediest give way

Cause: what left the call table as an answer lay in the transport's buffer, and what was not a call yet in the connection's; no bound looked at either, apart from 16 KiB a connection, whatever the number of connections.

Change: unsent data is counted while it is not read, and the connection with the most is ended while the process holds too much (SIP, WebSocket, engines). Incomplete messages are counted, and reading pauses on the connections that hold most. Reads are smaller where memory is short; connections take a third of it at most. A first line that never ends is given up like any incomplete message, and a head of thousands of lines is deferred like a flood.

--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -64,6 +64,8 @@
     CONNECTIONS_SHED: Final = "connections shed"
     CONNECTIONS_DRAINED: Final = "connections closed to drain"
     CONNECTIONS_MISUSED: Final = "connections ended for misuse"
+    CONNECTIONS_PAUSED: Final = "connections paused for memory"
+    CONNECTIONS_UNREAD: Final = "connections ended for unread answers"
     TOO_MANY_ON_CONNECTION: Final = "too many on a connection"
     BAD_MESSAGES: Final = "bad messages"
     CALLER_RELEASES_SENT: Final = "releases sent to callers"
--- a/softswitch/core/memory_budget.py
+++ b/softswitch/core/memory_budget.py
@@ -18,7 +18,7 @@
     24 * MB
 )  # of a process without callers; its peer process during a replacement has as many
 # Part of the remaining memory that may be held. The rest is for the allocator, reads and the engines' links.
-USABLE_FRACTION = 0.75
+USABLE_FRACTION = 0.65
 ORDINARY_LOAD_BYTES = 8 * MB  # granted where less would be left beside a second process
 MIN_LIMIT = 3 * MB // 2  # bytes
 
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -31,6 +31,7 @@
 from softswitch.core.memory_budget import MemoryBudget
 from softswitch.core.predecessor import PredecessorCalls
 from softswitch.core.timer_wheel import TimerWheel
+from softswitch.core.unsent_data import UnsentData
 from softswitch.limits.call_limits import CallLimits
 from softswitch.policy.controller import Controller
 from softswitch.policy.state import EJECTION_FAILURES
@@ -50,6 +51,7 @@
         self.wheel = wheel
         self.engines = engines
         self.memory = MemoryBudget()
+        self.unsent = UnsentData(self.memory)
         self.calls = CallTable(self.memory)
         self.endpoints = EndpointDirectory()
         self.predecessor = PredecessorCalls(wheel.now)
--- a/softswitch/net/control_connection.py
+++ b/softswitch/net/control_connection.py
@@ -24,6 +24,7 @@
 from softswitch.core.counters import CountFamily
 from softswitch.core.switch import Switch
 from softswitch.net.control_messages import VERSION, Message
+from softswitch.net.twisted_internals import unwritten_bytes
 
 PATH = "/v1/calls"
 MAX_MESSAGE = 24_576  # characters: room for a description of 16 KiB in base64
@@ -58,7 +59,6 @@
         self.pending: set[str] = set()  # ids of the client's call setups that are not answered yet
         self.watched: set[str] = set()  # ids of the calls whose events the client receives
         self._backpressured = False
-        self._unread = 0  # bytes written since the client stopped reading
         self._text = ""  # received part of an incomplete message
 
     def connectionMade(self) -> None:
@@ -69,6 +69,7 @@
     def connectionLost(self, reason: object = None) -> None:
         """Called by Twisted when the connection has ended."""
         self.is_over = True
+        self.server.switch.unsent.forget(self)
         self.server.connection_lost(self)
 
     # Twisted's producer callbacks. A client that does not read is not read from either.
@@ -81,7 +82,7 @@
     def resumeProducing(self) -> None:
         """Called by Twisted when the client reads again."""
         self._backpressured = False
-        self._unread = 0
+        self.server.switch.unsent.forget(self)
         self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
@@ -91,13 +92,22 @@
         if self.is_over:
             return
         data = self.websocket.send(event)
-        self._unread = self._unread + len(data) if self._backpressured else 0
-        if self._unread > MAX_UNREAD:
-            self.is_over = True
-            logger.warning("control client: {} bytes unread, connection closed", self._unread)
-            self.transport.abortConnection()
-            return
         self.transport.write(data)
+        if self._backpressured:
+            self._unsent_changed(unwritten_bytes(self.transport))
+
+    def _unsent_changed(self, size: int) -> None:
+        switch = self.server.switch
+        if size <= MAX_UNREAD:
+            switch.unsent.update(switch.wheel.now, self, size)
+            return
+        logger.warning("control client: {} bytes unread, connection closed", size)
+        self.end_unread()
+
+    def end_unread(self) -> None:
+        """Aborts the connection, because its client does not read."""
+        self.is_over = True
+        self.transport.abortConnection()
 
     def send(self, message: Message) -> None:
         """Sends an event."""
--- a/softswitch/net/engine_connection.py
+++ b/softswitch/net/engine_connection.py
@@ -18,7 +18,7 @@
     decode_message,
     decode_partial_release,
 )
-from softswitch.net.twisted_internals import read_now
+from softswitch.net.twisted_internals import read_now, unwritten_bytes
 
 # Ms after the first piece of a message during which further pieces count as a sign of life. The same limit
 # applies to messages of callers.
@@ -109,6 +109,16 @@
         if not self.is_given_up:
             read_now(self.transport)
 
+    @property
+    def unwritten_bytes(self) -> int:
+        """Bytes that were written and have not left the process yet."""
+        return unwritten_bytes(self.transport)
+
+    def end_unread(self) -> None:
+        """Aborts the connection, because the engine does not read."""
+        logger.warning("engine {}: does not read, connection closed", self.owner.server)
+        self.transport.abortConnection()
+
     def set_reading(self, reading: bool) -> None:
         """Resumes or pauses reading.
 
--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -110,7 +110,6 @@
         self._open_not_before = 0.0
         self._backoff = MIN_BACKOFF
         self._backpressured = False
-        self._backlog = 0  # bytes written while backpressured
 
     # connection
 
@@ -165,7 +164,6 @@
         self.connection = connection
         self._is_connecting = False
         self._backpressured = False
-        self._backlog = 0
         self.heartbeat.connection_up(self.switch.wheel.now)
         if not self.is_reading:
             connection.set_reading(False)
@@ -181,6 +179,7 @@
             return
         now = self.switch.wheel.now
         self.connection = None
+        self.switch.unsent.forget(connection)
         in_flight, self.in_flight = self.in_flight, set()
         self.switch.counters[Count.ENGINE_CONNECTIONS_LOST] += 1
         self._note(CONNECTIONS, "link down")
@@ -233,6 +232,8 @@
         """Called when the write buffer of the connection is full (True) or has drained (False)."""
         self._backpressured = backpressured
         if not backpressured:
+            if self.connection is not None:
+                self.switch.unsent.forget(self.connection)
             self._flush()
 
     # messages to the engine
@@ -307,12 +308,15 @@
     def _write(self, data: bytes) -> None:
         if self.connection is None:
             return
-        self._backlog = self._backlog + len(data) if self._backpressured else 0
-        if self._backlog > MAX_BACKLOG:
-            logger.warning("engine {}: does not read, connection closed", self.server)
-            self.connection.transport.abortConnection()
-            return
         self.connection.sendString(data)
+        if self._backpressured:
+            self._unsent_changed(self.connection, self.connection.unwritten_bytes)
+
+    def _unsent_changed(self, connection: EngineConnection, size: int) -> None:
+        if size > MAX_BACKLOG:
+            connection.end_unread()
+        else:
+            self.switch.unsent.update(self.switch.wheel.now, connection, size)
 
     def _expire_unacknowledged(self, now: float) -> None:
         """Removes releases older than ACKNOWLEDGE_TIMEOUT, which count as received."""
--- a/softswitch/net/sip_codec.py
+++ b/softswitch/net/sip_codec.py
@@ -63,7 +63,7 @@
 class SipMessage:
     """A SIP message whose head is complete or still arriving."""
 
-    __slots__ = ("headers", "size", "start_line", "vias")
+    __slots__ = ("headers", "size", "start_line", "stored_bytes", "vias")
 
     def __init__(self) -> None:
         self.start_line = ""
@@ -71,6 +71,7 @@
         self.headers: dict[str, str] = {}
         self.vias = bytearray()  # Via header lines, as a response repeats them
         self.size = 0  # bytes of the head received so far
+        self.stored_bytes = 0  # of the stored headers
 
     @property
     def call_id(self) -> str:
@@ -89,6 +90,8 @@
             raise SipParseError("header line without a colon")
         name = COMMON_SPELLINGS.get(name) or normalized_name(name)
         value = value.strip()
+        if name == "via" or name in STORED_HEADERS:
+            self.stored_bytes += len(header)
         if name == "via":
             self.vias += f"Via: {value}\r\n".encode("latin-1")
         elif name in STORED_HEADERS:
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -15,7 +15,7 @@
     encode_response,
     parse_request,
 )
-from softswitch.net.twisted_internals import has_unwritten_bytes, read_now
+from softswitch.net.twisted_internals import read_now, unparsed_bytes, unwritten_bytes
 
 CRLF = b"\r\n"
 CRLF_SIZE = len(CRLF)
@@ -24,7 +24,8 @@
 MAX_PENALTY = 16.0
 # Ms of one turn of the event loop in which callers are served; the rest is left for engines and operators.
 TURN_BUDGET = 40.0
-READ_SIZE = 16_384  # max bytes of one read
+LINES_PER_CHECK = 64  # header lines between two checks of the budget; an ordinary head has fewer
+READ_SIZE = 16_384  # max bytes of one read, where the memory allows it
 MAX_UNREAD_TIME = 500.0  # max ms that data behind a full read is assumed to have waited
 MAX_READS_AHEAD = 8  # further reads after a stale one
 # Data that waited unread for more ms than this is stale: its caller may have given up in the meantime. Call
@@ -36,6 +37,7 @@
     """The server that owns a connection, as the connection uses it."""
 
     wheel: TimerWheel
+    read_size: int  # max bytes of one read
 
     def connection_opened(self, connection: SipConnection) -> None:
         """Called when the connection is established."""
@@ -55,9 +57,18 @@
     def defer(self, connection: SipConnection) -> None:
         """Postpones the remaining data to a later turn: the callers' budget of this turn is used up."""
 
+    def unprocessed_changed(self, connection: SipConnection, size: int) -> None:
+        """Called when the connection holds `size` bytes of received data that is not processed."""
+
+    def is_paused(self, connection: SipConnection) -> bool:
+        """Whether the connection is not read because the memory does not suffice."""
+
     def backpressure_changed(self, connection: SipConnection, backpressured: bool) -> None:
         """Called when the caller stops reading its responses, or resumes."""
 
+    def unsent_changed(self, connection: SipConnection, size: int) -> None:
+        """Called for each write to a caller that does not read; `size` bytes are unsent now."""
+
     def request_received(self, connection: SipConnection, request: SipRequest) -> None:
         """Called for each complete request."""
 
@@ -99,11 +110,13 @@
         self.more_unread = False  # more data may have been waiting behind the last read
         self.reading_ahead = False
         self.unrouted_calls: list[str] = []  # call setups accepted but not routed yet
+        self.unprocessed = 0  # bytes received and not processed: incomplete or deferred messages
         self._start_message()
 
     def _start_message(self) -> None:
         self.message = SipMessage()
         self.message_started_at: float | None = None  # None between messages
+        self.header_lines = 0
         self.body_length = 0
         self.body = bytearray()  # received part of the body
 
@@ -115,14 +128,14 @@
     @property
     def has_unwritten_bytes(self) -> bool:
         """Whether written bytes have not left the process yet."""
-        return has_unwritten_bytes(self.transport)
+        return unwritten_bytes(self.transport) > 0
 
     # Twisted's protocol callbacks
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ_SIZE
+        self.transport.bufferSize = self.owner.read_size
         self.transport.registerProducer(self, True)
         self.owner.connection_opened(self)
 
@@ -140,6 +153,7 @@
         if self.is_new:
             self.owner.first_message_data(self)
         super().dataReceived(data)
+        self._record_unprocessed()
         if self.reading_ahead:
             return  # called from `_read_ahead`, which continues
         if self.unrouted_calls and self.wheel.now - self.received_at > STALE_AFTER:
@@ -154,10 +168,26 @@
         # Whether the data may have waited behind the last full read; else it arrived within the loop's lag.
         waited_behind = self.more_unread and now - self.last_read_at <= lag + TURN_BUDGET
         self.received_at = max(self.received_at, now - MAX_UNREAD_TIME) if waited_behind else now - lag
-        self.more_unread = size >= READ_SIZE
+        self.more_unread = size >= self.owner.read_size
         self.last_read_at = now
         self.read_count += 1
 
+    def clear_received(self) -> None:
+        """Drops the data that was received and not processed, because the connection is closing."""
+        self.clearLineBuffer()
+        self.message = SipMessage()
+        self.body = bytearray()
+        self.owner.unprocessed_changed(self, 0)
+
+    def _record_unprocessed(self) -> None:
+        """Records how much of the received data is held: of an incomplete message, or of deferred ones."""
+        size = unparsed_bytes(self) + self.message.stored_bytes + len(self.body)
+        if size == self.unprocessed or self.is_closing:
+            return
+        self.owner.unprocessed_changed(self, size)
+        if self.message_started_at is None and unparsed_bytes(self):
+            self.message_started_at = self.wheel.now
+
     def _read_ahead(self) -> None:
         """Reads on after stale data: the caller may have sent more since, such as a CANCEL."""
         self.reading_ahead = True
@@ -179,10 +209,16 @@
         if self.owner.is_deferred(self):
             return False
         reads = self.read_count
-        if self.backpressured_at is None and not read_now(self.transport):
+        may_read = self.backpressured_at is None and not self.owner.is_paused(self)
+        if may_read and not read_now(self.transport):
             return False
         return self.read_count == reads
 
+    def resume_paused(self) -> None:
+        """Resumes reading after a pause for memory."""
+        if self.backpressured_at is None and not self.is_closing:
+            super().resumeProducing()
+
     def resume_deferred(self) -> None:
         """Resumes processing of the deferred data."""
         self.last_read_at = self.wheel.now
@@ -203,7 +239,7 @@
         """Called by Twisted when the caller reads again."""
         self.backpressured_at = None
         self.owner.backpressure_changed(self, False)
-        if not self.owner.is_deferred(self):
+        if not self.owner.is_deferred(self) and not self.owner.is_paused(self):
             super().resumeProducing()
 
     def stopProducing(self) -> None:
@@ -229,11 +265,18 @@
                 self._add_start_line(text.strip())
             elif text:
                 message.add_header(text)
+                self._header_added()
             else:
                 self._head_complete()
         except SipParseError as e:
             self.owner.message_unreadable(self, e)
 
+    def _header_added(self) -> None:
+        """Limits the time for a head of thousands of lines, like that for many messages."""
+        self.header_lines += 1
+        if self.header_lines % LINES_PER_CHECK == 0:
+            self._defer_if_over_budget()
+
     @staticmethod
     def _raise_too_long() -> None:
         raise SipParseError("message longer than 16 KiB", 513)
@@ -276,6 +319,10 @@
             self.owner.response_received(self, message)
             return
         self.owner.request_received(self, parse_request(message, body))
+        self._defer_if_over_budget()
+
+    def _defer_if_over_budget(self) -> None:
+        """Leaves the remaining data to a later turn if the callers' budget of this turn is used up."""
         if self.closing_started_at is None and self.wheel.elapsed_in_turn() > TURN_BUDGET:
             self.more_unread = True  # data that arrives while deferred waits unread
             self.owner.defer(self)
@@ -292,6 +339,12 @@
     def write(self, data: bytes) -> None:
         """Writes a complete message."""
         self.transport.write(data)
+        if self.backpressured_at is not None:
+            self.owner.unsent_changed(self, unwritten_bytes(self.transport))
+
+    def end_unread(self) -> None:
+        """Aborts the connection, because its caller does not read."""
+        self.transport.abortConnection()
 
     def penalize(self, weight: float = 1.0) -> None:
         """Adds penalty points and reports misuse at MAX_PENALTY.
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -10,17 +10,23 @@
 from softswitch.core.call_history import CONNECTIONS
 from softswitch.core.counters import Count, CountFamily
 from softswitch.core.lifecycle import DRAIN_KEEPS_CONNECTION_FOR, NEW_CONNECTION_TIMEOUT, Phase
+from softswitch.core.memory_budget import Holder
 from softswitch.core.switch import Switch
 from softswitch.net.release_sender import ReleaseSender
 from softswitch.net.sip_calls import SipCalls
 from softswitch.net.sip_codec import SipMessage, SipParseError, SipRequest
-from softswitch.net.sip_connection import TURN_BUDGET, SipConnection
+from softswitch.net.sip_connection import READ_SIZE, TURN_BUDGET, SipConnection
 from softswitch.net.sip_connection_table import MESSAGE_TIMEOUT, ConnectionTable
 
 ACCEPTS_PER_TURN = 8  # connections accepted in one turn of the event loop; Twisted may add up to 20
 MAX_SHED_TRIES = 8  # connections examined to find one that can be shed
 SWEEP_INTERVAL = 250.0  # ms between two checks of the connections
 CLOSE_TIMEOUT = 1_000.0  # ms from the start of a close to an abort
+CONNECTION_BYTES = 4_096  # of memory that a connection without data holds
+MIN_READ_SIZE = 2_048  # bytes
+# A third of the limit on held memory is for incomplete messages: half of it until reading is paused, and half
+# for one read of each connection that is paused after it.
+RECEIVED_DIVISOR = 6
 UNREAD_TIMEOUT = 5_000.0  # ms that a caller may leave its responses unread
 
 
@@ -35,6 +41,7 @@
         self.wheel = switch.wheel
         self.port: Any = None  # the Twisted port on which callers connect
         self.connections = ConnectionTable(max_connections)
+        self._configured_connections = max_connections  # the table's limit varies during a replacement
         self.releases = ReleaseSender(name, switch)
         self.calls = SipCalls(switch, self.releases, self)
         self._opened_count = 0  # connections since the start
@@ -90,6 +97,7 @@
         self._opened_count += 1
         connection.name = f"c{self._opened_count}"
         self.connections.add(self.wheel.now, connection)
+        self.switch.memory.change(Holder.CONNECTIONS, CONNECTION_BYTES)
         if self.switch.history:
             self.switch.history.note(CONNECTIONS, "caller's connection", connection.name)
         self.switch.counters[Count.CALLER_CONNECTIONS] += 1
@@ -97,11 +105,19 @@
     def connection_lost(self, connection: SipConnection) -> None:
         """Removes an ended connection and abandons the calls pending on it."""
         self.connections.remove(connection)
+        self._release_memory(connection)
+        self.switch.memory.change(Holder.CONNECTIONS, -CONNECTION_BYTES)
         if self.switch.history:
             self.switch.history.note(CONNECTIONS, "caller's connection over", connection.name)
         self.releases.connection_closed(connection)
         self.calls.abandon_calls_of(connection)
 
+    def _release_memory(self, connection: SipConnection) -> None:
+        """Records that a connection holds no received data any more, and no unsent data."""
+        self.switch.memory.change(Holder.RECEIVED, -connection.unprocessed)
+        connection.unprocessed = 0
+        self.switch.unsent.forget(connection)
+
     def is_open(self, connection: SipConnection) -> bool:
         """Whether the connection is still established."""
         return connection in self.connections
@@ -145,6 +161,12 @@
     def backpressure_changed(self, connection: SipConnection, backpressured: bool) -> None:
         """Records whether the caller reads its responses; releases avoid connections that are not read."""
         self.releases.queue.record_backpressure(connection, backpressured)
+        if not backpressured:
+            self.switch.unsent.forget(connection)
+
+    def unsent_changed(self, connection: SipConnection, size: int) -> None:
+        """Records how much is unsent on a connection that is not read."""
+        self.switch.unsent.update(self.wheel.now, connection, size)
 
     # deferred reading
 
@@ -168,6 +190,48 @@
             self.wheel.call_at(self.wheel.now, self._resume_deferred)
         self.connections.deferred = waiting | self.connections.deferred
 
+    # memory
+
+    @property
+    def read_size(self) -> int:
+        """Max bytes of one read: all connections may be read once before the first of them is paused."""
+        share = self.switch.memory.limit // RECEIVED_DIVISOR // self._configured_connections
+        return max(MIN_READ_SIZE, min(READ_SIZE, share))
+
+    def is_paused(self, connection: SipConnection) -> bool:
+        """Whether the connection is not read because the memory does not suffice."""
+        return connection in self.connections.paused
+
+    def unprocessed_changed(self, connection: SipConnection, size: int) -> None:
+        """Records the unprocessed data of a connection, and stops reading if it holds more than is left.
+
+        So those that hold most are paused first. A message that is not completed in time ends the pause.
+        """
+        memory = self.switch.memory
+        memory.change(Holder.RECEIVED, size - connection.unprocessed)
+        connection.unprocessed = size
+        if self._may_hold(size) or self.is_deferred(connection) or self.is_paused(connection):
+            return
+        self.switch.counters[Count.CONNECTIONS_PAUSED] += 1
+        connection.transport.pauseProducing()
+        if not self.connections.paused:
+            self.wheel.call_after(self.switch.settings.tick, self._resume_paused)
+        self.connections.paused[connection] = None
+
+    def _may_hold(self, size: int) -> bool:
+        """Whether a connection may go on receiving while it holds `size` bytes of unprocessed data."""
+        memory = self.switch.memory
+        left = memory.limit // RECEIVED_DIVISOR - memory.held[Holder.RECEIVED]
+        return size <= min(left, memory.available)
+
+    def _resume_paused(self) -> None:
+        for connection in list(self.connections.paused):
+            if self._may_hold(connection.unprocessed):
+                del self.connections.paused[connection]
+                connection.resume_paused()
+        if self.connections.paused:
+            self.wheel.call_after(self.switch.settings.tick, self._resume_paused)
+
     # idle connections
 
     def update_idle(self, connection: SipConnection) -> None:
@@ -238,7 +302,7 @@
         self.releases.connection_closed(connection)
         self.calls.fail_calls_of(connection)
         self.connections.start_closing(connection, lingering)
-        connection.clearLineBuffer()
+        connection.clear_received()
         connection.transport.unregisterProducer()
         if lingering:
             connection.transport.loseWriteConnection()
@@ -259,6 +323,7 @@
             self._close_all_idle()
             self.calls.fail_overdue(now)
         self._close_inactive(now)
+        self.switch.counters[Count.CONNECTIONS_UNREAD] += self.switch.unsent.enforce(now)
         for connection in self.connections:
             self._close_if_stuck(now, connection)
 
--- a/softswitch/net/twisted_internals.py
+++ b/softswitch/net/twisted_internals.py
@@ -11,13 +11,18 @@
 from twisted.python.failure import Failure
 
 
-def has_unwritten_bytes(transport: Any) -> bool:
-    """Whether a TCP transport still buffers bytes that were written to it.
+def unwritten_bytes(transport: Any) -> int:
+    """Returns how many bytes that were written to a TCP transport it still buffers.
 
-    The public interface reports this only through producer callbacks, which come too late when the process
-    exits.
+    The public interface reports only through producer callbacks that there are some, which come too late when
+    the process exits.
     """
-    return bool(len(transport.dataBuffer) > transport.offset or transport._tempDataLen)  # noqa: SLF001  # see module docstring
+    return int(len(transport.dataBuffer) - transport.offset + transport._tempDataLen)  # noqa: SLF001  # see module docstring
+
+
+def unparsed_bytes(receiver: Any) -> int:
+    """Returns how many received bytes a line receiver has not passed on yet: an incomplete line, if any."""
+    return len(receiver._buffer)  # noqa: SLF001  # see module docstring
 
 
 def read_now(transport: Any) -> bool:
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -28,7 +28,7 @@
 from softswitch.net.engine_pool import EnginePool
 from softswitch.net.handover import Handover
 from softswitch.net.management import ManagementServer
-from softswitch.net.sip_server import SipServer
+from softswitch.net.sip_server import CONNECTION_BYTES, SipServer
 from softswitch.process.listeners import Listeners
 from softswitch.process.reload import Reloader
 from softswitch.process.shutdown import Shutdown
@@ -40,6 +40,7 @@
 # and total / divisor.
 MIN_RESERVED_DESCRIPTORS = 48
 RESERVED_DESCRIPTORS_DIVISOR = 8
+CONNECTIONS_DIVISOR = 3  # connections without data get 1 / CONNECTIONS_DIVISOR of the memory that may be held
 CONTROL_DIVISOR = 4  # the call-control API gets 1 / CONTROL_DIVISOR of the connections
 MANAGEMENT_BACKLOG = 64  # connections waiting to be accepted
 # Value of $SOFTSWITCH_HANDOVER for hosts on which listeners cannot be handed over: both processes listen, and
@@ -63,11 +64,12 @@
     return mode == REUSEPORT
 
 
-def max_connections(configuration: Configuration) -> int:
-    """Returns how many callers' connections the limit on file descriptors allows."""
+def max_connections(configuration: Configuration, memory_limit: int) -> int:
+    """Returns how many callers' connections the limit on file descriptors and that on held memory allow."""
     descriptors = configuration.limits.sockets or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     reserved = max(MIN_RESERVED_DESCRIPTORS, descriptors // RESERVED_DESCRIPTORS_DIVISOR)
-    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, descriptors - reserved))
+    by_memory = memory_limit // CONNECTIONS_DIVISOR // CONNECTION_BYTES
+    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, descriptors - reserved, by_memory))
 
 
 class Application:
@@ -106,7 +108,7 @@
     def _build_listeners(self, shared: bool) -> None:
         configuration = self.configuration
         control_settings = load_control_settings()
-        connections = max_connections(configuration)
+        connections = max_connections(configuration, self.switch.memory.limit)
         control_connections = connections // CONTROL_DIVISOR if control_settings.listen else 0
         self.sip = SipServer(configuration.name, self.switch, connections - control_connections)
         self.management = ManagementServer(self.switch) if configuration.management else None
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -102,3 +102,63 @@
     assert b.switch.memory.held[Holder.TIMERS] == before + CALL_TIMER_BYTES
     b.run(4_000.0)
     assert b.switch.memory.held[Holder.TIMERS] == 0
+
+
+def test_reading_pauses_on_the_connections_that_hold_most_until_there_is_memory():
+    """Guards against a kill for memory by messages that are never completed."""
+    b, _ = small_bench()
+    limit = b.switch.memory.limit
+    half_written = [b.connect() for _ in range(100)]
+    for n, connection in enumerate(half_written):
+        for piece in range(8):
+            if connection.transport.producerState != "paused":
+                header = b"Via: SIP/2.0/TCP " + b"x" * 1_900
+                start = b"INVITE sip:%d@net SIP/2.0\r\n" % n if not piece else b""
+                b.receive(connection, start + header + b"\r\n")
+    paused = [c for c in half_written if c.transport.producerState == "paused"]
+    assert paused
+    assert b.switch.memory.held[Holder.RECEIVED] <= limit / 3
+    usual = b.connect()
+    b.receive(usual, invite(500))
+    assert f"{500:016x}" in b.switch.calls
+    assert usual not in paused
+    for connection in half_written[:50]:
+        connection.connectionLost()
+    b.run(50.0)
+    assert all(c.transport.producerState == "producing" for c in half_written[50:])
+    for connection in half_written[50:]:
+        connection.connectionLost()
+    assert b.switch.memory.held[Holder.RECEIVED] == 0
+
+
+class UnreadConnection:
+    def __init__(self):
+        self.is_ended = False
+
+    def end_unread(self):
+        self.is_ended = True
+
+
+def test_the_connection_with_the_most_unsent_data_is_ended_first_while_memory_is_short():
+    """Guards against a kill for memory by answers that are not read."""
+    b, _ = small_bench()
+    connections = [UnreadConnection() for _ in range(4)]
+    for n, connection in enumerate(connections):
+        b.switch.unsent.update(b.wheel.now, connection, (n + 1) * 250_000)
+    assert not b.switch.unsent.enforce(b.wheel.now)  # they may still be about to read
+    b.run(600.0)
+    assert [connection.is_ended for connection in connections] == [False, False, False, True]
+    assert b.switch.counters["connections ended for unread answers"] == 1
+    assert b.switch.memory.total <= b.switch.memory.limit
+    for connection in connections:
+        b.switch.unsent.forget(connection)
+    assert b.switch.memory.held[Holder.UNSENT] == 0
+
+
+def test_a_first_line_that_never_ends_is_given_up_like_any_incomplete_message():
+    """Guards against connections that hold the start of a message for ever."""
+    b, connection = small_bench()
+    b.switch.released_by_engine(A, f"{1:016x}", 16)
+    b.receive(connection, b"INVITE sip:77@net")
+    b.run(6_000.0)
+    assert connection.is_closing
