Reads keep their size, and an answer's headers count twice: once kept, once written

The estimate of how long data has waited follows from full reads that come in quick succession, and fails for a burst that takes several turns.

Change: reads have 16 KiB again; the number of connections follows from one such read of each.

Also: 330 long answers at once took 32.7 MB of 32, as they lie in the allocator as kept headers and in the transports as written ones at the same time. So they count twice. Lone line ends between messages start no message any more.

--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -17,6 +17,8 @@
 
 MAX_PENDING = 1_024  # max call setups pending on one connection
 MAX_PENDING_BEFORE_FIRST_CALL = 64  # the same, before the first call is established there
+# Copies of the echoed headers that count: one is held until the answer, one in the transport as it is written.
+ANSWER_COPIES = 2
 LIGHT_PENALTY = 0.25  # penalty points for requests that a correct caller may send occasionally
 # Replaces the called number in the BYE of a call that another process set up.
 UNKNOWN_NUMBER = "call"
@@ -138,7 +140,8 @@
         connection.pending_calls.add(setup.call)
         self.idle_tracker.update_idle(connection)
         waited = self.switch.wheel.now - connection.received_at
-        reason = self.switch.accept_call(setup, self, connection, waited, len(echoed_headers))
+        answer_bytes = ANSWER_COPIES * len(echoed_headers)
+        reason = self.switch.accept_call(setup, self, connection, waited, answer_bytes)
         if reason is not None:
             self.call_failed(setup.call, reason, self._retry_after(reason))
         else:
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -25,7 +25,7 @@
 # Ms of one turn of the event loop in which callers are served; the rest is left for engines and operators.
 TURN_BUDGET = 40.0
 LINES_PER_CHECK = 64  # header lines between two checks of the budget; an ordinary head has fewer
-READ_SIZE = 16_384  # max bytes of one read, where the memory allows it
+READ_SIZE = 16_384  # max bytes of one read; smaller ones would hide how long data has waited
 MAX_UNREAD_TIME = 500.0  # max ms that data behind a full read is assumed to have waited
 MAX_READS_AHEAD = 8  # further reads after a stale one
 # Data that waited unread for more ms than this is stale: its caller may have given up in the meantime. Call
@@ -37,7 +37,6 @@
     """The server that owns a connection, as the connection uses it."""
 
     wheel: TimerWheel
-    read_size: int  # max bytes of one read
 
     def connection_opened(self, connection: SipConnection) -> None:
         """Called when the connection is established."""
@@ -135,7 +134,7 @@
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = self.owner.read_size
+        self.transport.bufferSize = READ_SIZE
         self.transport.registerProducer(self, True)
         self.owner.connection_opened(self)
 
@@ -168,7 +167,7 @@
         # Whether the data may have waited behind the last full read; else it arrived within the loop's lag.
         waited_behind = self.more_unread and now - self.last_read_at <= lag + TURN_BUDGET
         self.received_at = max(self.received_at, now - MAX_UNREAD_TIME) if waited_behind else now - lag
-        self.more_unread = size >= self.owner.read_size
+        self.more_unread = size >= READ_SIZE
         self.last_read_at = now
         self.read_count += 1
 
@@ -215,7 +214,9 @@
         return self.read_count == reads
 
     def resume_paused(self) -> None:
-        """Resumes reading after a pause for memory."""
+        """Resumes reading after a pause for memory. What is read next may have waited in it."""
+        self.more_unread = True
+        self.last_read_at = self.wheel.now
         if self.backpressured_at is None and not self.is_closing:
             super().resumeProducing()
 
@@ -288,6 +289,7 @@
             self.message_started_at = self.wheel.now
         else:
             self.message.size = 0
+            self.message_started_at = None
 
     def _head_complete(self) -> None:
         self.body_length = self.message.content_length()
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -15,7 +15,7 @@
 from softswitch.net.release_sender import ReleaseSender
 from softswitch.net.sip_calls import SipCalls
 from softswitch.net.sip_codec import SipMessage, SipParseError, SipRequest
-from softswitch.net.sip_connection import READ_SIZE, TURN_BUDGET, SipConnection
+from softswitch.net.sip_connection import TURN_BUDGET, SipConnection
 from softswitch.net.sip_connection_table import MESSAGE_TIMEOUT, ConnectionTable
 
 ACCEPTS_PER_TURN = 8  # connections accepted in one turn of the event loop; Twisted may add up to 20
@@ -23,9 +23,7 @@
 SWEEP_INTERVAL = 250.0  # ms between two checks of the connections
 CLOSE_TIMEOUT = 1_000.0  # ms from the start of a close to an abort
 CONNECTION_BYTES = 4_096  # of memory that a connection without data holds
-MIN_READ_SIZE = 2_048  # bytes
-# A third of the limit on held memory is for incomplete messages: half of it until reading is paused, and half
-# for one read of each connection that is paused after it.
+# Fraction of the limit on held memory that incomplete messages take before reading is paused.
 RECEIVED_DIVISOR = 6
 UNREAD_TIMEOUT = 5_000.0  # ms that a caller may leave its responses unread
 
@@ -41,7 +39,6 @@
         self.wheel = switch.wheel
         self.port: Any = None  # the Twisted port on which callers connect
         self.connections = ConnectionTable(max_connections)
-        self._configured_connections = max_connections  # the table's limit varies during a replacement
         self.releases = ReleaseSender(name, switch)
         self.calls = SipCalls(switch, self.releases, self)
         self._opened_count = 0  # connections since the start
@@ -192,12 +189,6 @@
 
     # memory
 
-    @property
-    def read_size(self) -> int:
-        """Max bytes of one read: all connections may be read once before the first of them is paused."""
-        share = self.switch.memory.limit // RECEIVED_DIVISOR // self._configured_connections
-        return max(MIN_READ_SIZE, min(READ_SIZE, share))
-
     def is_paused(self, connection: SipConnection) -> bool:
         """Whether the connection is not read because the memory does not suffice."""
         return connection in self.connections.paused
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -28,6 +28,7 @@
 from softswitch.net.engine_pool import EnginePool
 from softswitch.net.handover import Handover
 from softswitch.net.management import ManagementServer
+from softswitch.net.sip_connection import READ_SIZE
 from softswitch.net.sip_server import CONNECTION_BYTES, SipServer
 from softswitch.process.listeners import Listeners
 from softswitch.process.reload import Reloader
@@ -40,7 +41,6 @@
 # and total / divisor.
 MIN_RESERVED_DESCRIPTORS = 48
 RESERVED_DESCRIPTORS_DIVISOR = 8
-CONNECTIONS_DIVISOR = 3  # connections without data get 1 / CONNECTIONS_DIVISOR of the memory that may be held
 CONTROL_DIVISOR = 4  # the call-control API gets 1 / CONTROL_DIVISOR of the connections
 MANAGEMENT_BACKLOG = 64  # connections waiting to be accepted
 # Value of $SOFTSWITCH_HANDOVER for hosts on which listeners cannot be handed over: both processes listen, and
@@ -68,7 +68,7 @@
     """Returns how many callers' connections the limit on file descriptors and that on held memory allow."""
     descriptors = configuration.limits.sockets or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     reserved = max(MIN_RESERVED_DESCRIPTORS, descriptors // RESERVED_DESCRIPTORS_DIVISOR)
-    by_memory = memory_limit // CONNECTIONS_DIVISOR // CONNECTION_BYTES
+    by_memory = memory_limit // (CONNECTION_BYTES + READ_SIZE)  # each may be read once before it is paused
     return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, descriptors - reserved, by_memory))
 
 
