An established call no longer holds the tenant that its caller named

Callers saw nothing yet. An Organization header (tenant over the API) may fill a message; it was held until the end of the call, and counted nowhere, though it is read at the set-up alone. It is dropped with the description, and counts while the call is open. The test failed before: 5,436 bytes counted for 13 KB held.

--- a/softswitch/core/call_table.py
+++ b/softswitch/core/call_table.py
@@ -65,11 +65,11 @@
         self.memory.change(Holder.TIMERS, -CALL_TIMER_BYTES)
 
     def establish(self, call: Call, now: float) -> None:
-        """Marks a call as established. Drops its description: thousands of them would fill the memory."""
+        """Marks a call as established. Drops its long texts: thousands of them would fill the memory."""
         call.transition(CallState.ESTABLISHED)
         call.established_at = now
         self._answered(call)
-        call.request = replace(call.request, description=b"")
+        call.request = replace(call.request, description=b"", tenant="")
         self.memory.change(Holder.CALLS, ESTABLISHED_CALL_BYTES - call.held_bytes)
         call.held_bytes = ESTABLISHED_CALL_BYTES
 
@@ -103,4 +103,4 @@
 
 def open_call_bytes(request: SetupRequest, answer_bytes: int) -> int:
     """Returns the bytes that an unanswered call holds, without its timers."""
-    return OPEN_CALL_BYTES + len(request.description) + answer_bytes
+    return OPEN_CALL_BYTES + len(request.description) + len(request.tenant) + answer_bytes
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -17,7 +17,7 @@
 
 MAX_PENDING = 1_024  # max call setups pending on one connection
 MAX_PENDING_BEFORE_FIRST_CALL = 64  # the same, before the first call is established there
-# Copies of the echoed headers that count: one is held until the answer, one in the transport as it is written.
+# Copies of the echoed headers that count: one is held until the answer, one is in the transport after it.
 ANSWER_COPIES = 2
 LIGHT_PENALTY = 0.25  # penalty points for requests that a correct caller may send occasionally
 # Replaces the called number in the BYE of a call that another process set up.
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -162,3 +162,14 @@
     b.receive(connection, b"INVITE sip:77@net")
     b.run(6_000.0)
     assert connection.is_closing
+
+
+def test_an_established_call_holds_neither_its_description_nor_its_tenant():
+    """Guards against thousands of established calls that each held an Organization of 16 KiB."""
+    b = SipBench()
+    connection = b.connect()
+    b.receive(connection, invite(1, "Organization: " + "o" * 10_000, body=b"d" * 3_000))
+    call = b.switch.calls[f"{1:016x}"]
+    assert call.held_bytes > 13_000
+    b.switch.answered_by_engine(A, call.id, b"d")
+    assert (call.request.tenant, call.request.description) == ("", b"")
