A call's deadline is no later than its class allows, and with it its timers

Callers saw nothing yet. A client may state a patience of ten minutes and take its set-up back at once; the call's timers stayed for ten minutes, without bound. As timers count, such a client could have had others rejected for as long.

--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -31,6 +31,7 @@
 
 # Ms by which the decision module's deadline precedes the caller's: the answer still has to reach the caller.
 ANSWER_MARGIN = 40.0
+UNKNOWN_CLASS_TIMEOUT = 1_000.0  # ms; the decision module rejects such a call at once
 GUARD_DELAY = 15.0  # ms after the module's deadline until the switch itself sends a missing answer
 
 
@@ -112,6 +113,9 @@
         """
         call_class = self.controller.classes.get(request.call_class)
         remaining = max(0.0, request.timeout - max(waited, self.wheel.lag))
+        if call_class is None or call_class.deadline > 0:
+            # Timers last until the deadline, also those of a call that is taken back at once.
+            remaining = min(remaining, call_class.deadline if call_class else UNKNOWN_CLASS_TIMEOUT)
         return Call(
             request.call,
             request,
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -4,6 +4,7 @@
 from support.sip_bench import SipBench, invite
 from support.switch_bench import A
 
+from softswitch import interface as i
 from softswitch.core.call_table import CALL_TIMER_BYTES
 from softswitch.core.memory_budget import (
     IDLE_PROCESS_BYTES,
@@ -164,6 +165,21 @@
     assert connection.is_closing
 
 
+def test_the_timers_of_a_call_last_no_longer_than_its_class_allows():
+    """Guards against timers of ten minutes for calls that were taken back at once."""
+    b = SipBench(classes=(i.CallClass("plain", latency_objective=1_000.0, deadline=9_000.0),))
+    connection = b.connect()
+    for n in range(1, 50):
+        b.receive(connection, invite(n, timeout=600_000, call_class="plain" if n % 2 else "unknown"))
+        end = f"CANCEL sip:77@net SIP/2.0\r\nCall-ID: {n:016x}\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n"
+        b.receive(connection, end.encode())
+    assert not b.switch.calls
+    assert b.switch.memory.held[Holder.TIMERS]
+    b.run(10_000.0)
+    assert b.switch.memory.held[Holder.TIMERS] == 0
+    assert b.wheel.next_due < b.now + 1_000.0
+
+
 def test_an_established_call_holds_neither_its_description_nor_its_tenant():
     """Guards against thousands of established calls that each held an Organization of 16 KiB."""
     b = SipBench()
