Established calls drop the connection of their set-up as it ends

Callers saw nothing yet. Callers that connect for each call left a connection object with its transport for each established call, counted nowhere.

Cause: the call and the front's record referred to it until the end of the call. It is needed while it is open: for a CANCEL that crosses the answer, and as the first choice for the release.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -121,6 +121,7 @@
 
 
 Connection = Hashable  # a caller's connection, compared by identity; its type is known to the front alone
+ENDED_CONNECTION: Connection = "ended"  # stands for the connection of an established call that has ended
 
 
 class Caller(Protocol):
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import inf
 
 from softswitch import interface as i
 from softswitch.core.call import (
+    ENDED_CONNECTION,
     Call,
     Caller,
     CallResult,
@@ -170,6 +171,16 @@
         self._cancel_remaining_attempt(call, i.Outcome.CANCELLED)
         return True
 
+    def connection_ended(self, connection: Connection, calls: Iterable[str]) -> None:
+        """Drops the reference to an ended connection from the established calls among `calls`.
+
+        They may go on for long, and a connection takes several KB with its transport.
+        """
+        for call_id in calls:
+            call = self.calls.get(call_id)
+            if call is not None and call.established and call.connection is connection:
+                call.connection = ENDED_CONNECTION
+
     def _note_wrong_connection(self, call_id: str) -> None:
         self.counters[Count.ENDED_ON_WRONG_CONNECTION] += 1
         if self.history:
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -100,6 +100,7 @@
         self.connecting.pop(connection, None)
         for call in list(connection.pending):
             self._abandon(connection, call)
+        self.switch.connection_ended(connection, connection.watched)
         for call in list(connection.watched):
             self._stop_watching(connection, call)
 
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -47,7 +47,7 @@
 class EstablishedCall:
     """The connection on which an established call was set up, and the called number."""
 
-    connection: SipConnection
+    connection: SipConnection | None  # None once it has ended
     number: str
 
 
@@ -180,7 +180,7 @@
         ended = self.switch.release_call(request.call_id, request.release_cause(), self, connection)
         connection.answer(200 if ended or was_pending else 481, request.message)
         if ended:
-            self.established.pop(request.call_id, None)
+            self._forget_established(request.call_id)
             self._forget_pending(request.call_id)
 
     def _note_request(self, connection: SipConnection, request: SipRequest) -> None:
@@ -218,13 +218,21 @@
         for call in list(connection.pending_calls):
             self.switch.fail_call(call, self)
 
-    def abandon_calls_of(self, connection: SipConnection) -> None:
+    def _abandon_calls_of(self, connection: SipConnection) -> None:
         """Abandons the call setups pending on a connection that has ended."""
         for call in list(connection.pending_calls):
             self.pending.pop(call, None)
             self.switch.abandon_call(call, self, connection)
         connection.pending_calls.clear()
 
+    def connection_ended(self, connection: SipConnection) -> None:
+        """Abandons the pending calls of an ended connection, and drops it from the established ones."""
+        self._abandon_calls_of(connection)
+        for call in connection.established_calls:
+            self.established[call].connection = None
+        self.switch.connection_ended(connection, connection.established_calls)
+        connection.established_calls.clear()
+
     def fail_overdue(self, now: float) -> None:
         """Fails the call setups that the lifecycle considers overdue during a drain."""
         for call_id in list(self.pending):
@@ -240,6 +248,7 @@
         if pending:
             connection = pending.connection
             self.established[call] = EstablishedCall(connection, pending.number)
+            connection.established_calls.add(call)
             connection.penalty = 0.0
             connection.had_established_call = True
             if connection.closing_started_at is None:
@@ -252,7 +261,7 @@
 
     def call_released(self, call: str, cause: int) -> None:
         """Notifies the caller that an established call, of this process or the predecessor, has ended."""
-        established = self.established.pop(call, None)
+        established = self._forget_established(call)
         if established is None:
             self.releases.release(call, UNKNOWN_NUMBER, cause, None)
         else:
@@ -261,7 +270,13 @@
     def forget_ended(self, call: str) -> None:
         """Forgets an established call that has ended without a release to its caller."""
         if call not in self.switch.calls:
-            self.established.pop(call, None)
+            self._forget_established(call)
+
+    def _forget_established(self, call: str) -> EstablishedCall | None:
+        established = self.established.pop(call, None)
+        if established is not None and established.connection is not None:
+            established.connection.established_calls.discard(call)
+        return established
 
     def _answer(self, call: str, code: int, body: bytes = b"", retry_after: float = 0.0) -> None:
         pending = self.pending.pop(call, None)
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -102,6 +102,7 @@
         self.is_new = True  # no request was answered, and no call setup accepted, here yet
         self.had_established_call = False
         self.pending_calls: set[str] = set()  # call setups accepted here and not answered yet
+        self.established_calls: set[str] = set()  # established calls that were set up here
         self.penalty = 0.0
         self.received_at = self.wheel.now  # the earliest time at which the current data can have arrived
         self.last_read_at = self.wheel.now  # time of the last read, or of the last resumption of reading
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -107,7 +107,7 @@
         if self.switch.history:
             self.switch.history.note(CONNECTIONS, "caller's connection over", connection.name)
         self.releases.connection_closed(connection)
-        self.calls.abandon_calls_of(connection)
+        self.calls.connection_ended(connection)
 
     def _release_memory(self, connection: SipConnection) -> None:
         """Records that a connection holds no received data any more, and no unsent data."""
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -2,8 +2,10 @@
 
 import gc
 import tracemalloc
+import weakref
 
 from support.sip_bench import SipBench, invite
+from support.switch_bench import A
 
 SETUPS = 60  # below the limit of a connection without an established call
 FREE_HEADER = "User-Agent: " + "x" * 15_000
@@ -49,3 +51,23 @@
     connection = b.connect()
     data = invite(1, *names)[:-7]
     assert allocated_by(lambda: b.receive(connection, data)) <= 2 * len(data)
+
+
+def test_an_ended_connection_is_not_held_by_the_calls_that_were_set_up_on_it():
+    """Guards against callers that connect for each call: established calls held all their connections."""
+    b = SipBench()
+    connection = b.connect()
+    b.receive(connection, invite(1))
+    b.receive(connection, invite(2))
+    b.switch.answered_by_engine(A, f"{1:016x}", b"d")
+    ended = weakref.ref(connection)
+    connection.connectionLost()
+    del connection
+    gc.collect()
+    assert list(b.switch.calls) == [f"{1:016x}"]
+    assert ended() is None
+    other = b.connect()
+    b.receive(other, invite(3))
+    b.switch.released_by_engine(A, f"{1:016x}", 16)
+    assert f"Call-ID: {1:016x}".encode() in other.transport.value()  # the BYE
+    assert not b.sip.calls.established
