Call-control API: events, watches and connections count as held memory

The last event of each established call was kept with its description, up to 22 KB each for up to 20,000 calls; any socket could watch all calls; a handshake's headers stay with the parser.

Cause: bounds on numbers, none on memory. Change: events and watches have a quarter of the memory for peers. A description is kept for later watchers while there is room, a further watch is refused, events of ended calls make room. A connection counts with its headers, of which a handshake may have 64, and an incomplete message that does not fit ends its connection with 1013.

--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -17,6 +17,7 @@
 from softswitch.configuration import ControlSettings
 from softswitch.core.call import FailureReason, ReleaseCause
 from softswitch.core.counters import Count
+from softswitch.core.memory_budget import Holder
 from softswitch.core.switch import Switch
 from softswitch.net.control_connection import ClientConnection
 from softswitch.net.control_messages import (
@@ -32,6 +33,11 @@
 
 MAX_ENDED_CALLS = 2_048  # ended calls whose last event is retained for later watchers
 MAX_CAUSE = 127
+EVENTS_DIVISOR = 4  # events and watches may hold 1 / EVENTS_DIVISOR of the memory for peers
+WATCH_BYTES = 256  # of memory for one client's watch of one call
+ENDED_CALL_BYTES = 512  # of memory for the last event of an ended call
+CLIENT_CONNECTION_BYTES = 32_768  # of memory for a connection, with the headers of its handshake
+PLACED_CALL_BYTES = 1_024  # of memory for an open call, besides that of the call table
 HANDSHAKE_TIMEOUT = 2_000.0  # ms from connecting to the end of the handshake
 PING_INTERVAL = 20_000.0  # ms of silence from which a client is pinged at each sweep
 SILENCE_TIMEOUT = 50_000.0  # ms of silence after which a connection is closed
@@ -47,6 +53,7 @@
     last_event: Message = field(default_factory=dict)  # last event that was sent to the watchers
     established: bool = False
     unwatched_at: float | None = None  # when its last watcher stopped
+    description_bytes: int = 0  # of memory for the description in the last event
 
 
 class CallControlServer(Factory):
@@ -81,6 +88,7 @@
             return None
         connection = ClientConnection(self)
         self.connecting[connection] = None
+        self.switch.memory.change(Holder.CONNECTIONS, CLIENT_CONNECTION_BYTES)
         return connection
 
     def _shed_one(self) -> bool:
@@ -96,6 +104,7 @@
 
     def connection_lost(self, connection: ClientConnection) -> None:
         """Abandons the client's pending call setups. Established calls go on, and may be watched again."""
+        self.switch.memory.change(Holder.CONNECTIONS, -CLIENT_CONNECTION_BYTES)
         self.accepted.pop(connection, None)
         self.connecting.pop(connection, None)
         for call in list(connection.pending):
@@ -141,16 +150,19 @@
         self._start_watching(connection, call, placed)
         connection.pending.add(call)
         self._notify(call, {"event": "setting_up"})
-        reason = self.switch.request_setup(setup, self, connection)
+        reason = self.switch.request_setup(setup, self, connection, answer_bytes=PLACED_CALL_BYTES)
         if reason is not None:
+            self._stop_watching(connection, call)
             del self.calls[call]
             connection.pending.discard(call)
-            connection.watched.discard(call)
             connection.send_error(CODES[reason], "not taken in", call)
 
     def _watch(self, connection: ClientConnection, call: str, message: Message) -> None:
         placed = self.calls.get(call)
-        if placed is not None:
+        if placed is not None and not self._may_hold(WATCH_BYTES):
+            code = CODES[FailureReason.TABLE_FULL]
+            connection.send_error(code, "no memory for one more watcher", call)
+        elif placed is not None:
             self._start_watching(connection, call, placed)
             connection.send(placed.last_event)
         elif call in self.ended:
@@ -185,7 +197,14 @@
 
     # watchers
 
+    def _may_hold(self, additional: int) -> bool:
+        """Whether events and watches may hold so many bytes more."""
+        memory = self.switch.memory
+        return memory.held[Holder.EVENTS] + additional <= memory.limit // EVENTS_DIVISOR
+
     def _start_watching(self, connection: ClientConnection, call: str, placed: PlacedCall) -> None:
+        if connection not in placed.watchers:
+            self.switch.memory.change(Holder.EVENTS, WATCH_BYTES)
         placed.watchers.add(connection)
         placed.unwatched_at = None
         connection.watched.add(call)
@@ -193,7 +212,8 @@
     def _stop_watching(self, connection: ClientConnection, call: str) -> None:
         placed = self.calls.get(call)
         connection.watched.discard(call)
-        if placed is not None:
+        if placed is not None and connection in placed.watchers:
+            self.switch.memory.change(Holder.EVENTS, -WATCH_BYTES)
             placed.watchers.discard(connection)
             if not placed.watchers:
                 placed.unwatched_at = self.switch.wheel.now
@@ -218,18 +238,27 @@
             return
         for connection in placed.watchers:
             connection.watched.discard(call)
+        held = WATCH_BYTES * len(placed.watchers) + placed.description_bytes
+        self.switch.memory.change(Holder.EVENTS, ENDED_CALL_BYTES - held)
         self.ended[call] = placed.last_event
-        if len(self.ended) > MAX_ENDED_CALLS:
+        while len(self.ended) > MAX_ENDED_CALLS or (self.ended and not self._may_hold(0)):
             self.ended.popitem(last=False)
+            self.switch.memory.change(Holder.EVENTS, -ENDED_CALL_BYTES)
 
     # core.call.Caller
 
     def call_established(self, call: str, description: bytes) -> None:
         """Notifies the watchers that the call is established."""
-        if call in self.calls:
-            self.calls[call].established = True
+        placed = self.calls.get(call)
+        if placed is not None:
+            placed.established = True
             encoded = b64encode(description).decode()
             self._notify(call, {"event": "stands", "description_b64": encoded})
+            if self._may_hold(len(encoded)):
+                placed.description_bytes = len(encoded)
+                self.switch.memory.change(Holder.EVENTS, len(encoded))
+            else:  # clients that watch the call later are sent the event without its description
+                placed.last_event = {"id": call, "event": "stands"}
 
     def call_failed(self, call: str, reason: FailureReason, retry_after: float) -> None:
         """Notifies the watchers that the call could not be established."""
--- a/softswitch/net/control_connection.py
+++ b/softswitch/net/control_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Protocol
 
 import orjson
@@ -22,6 +23,7 @@
 
 from softswitch.configuration import ControlSettings
 from softswitch.core.counters import CountFamily
+from softswitch.core.memory_budget import Holder
 from softswitch.core.switch import Switch
 from softswitch.net.control_messages import VERSION, Message
 from softswitch.net.twisted_internals import unwritten_bytes
@@ -30,7 +32,8 @@
 MAX_MESSAGE = 24_576  # characters: room for a description of 16 KiB in base64
 MAX_UNREAD = 262_144  # max bytes queued for a client that does not read
 # Close codes of RFC 6455.
-UNSUPPORTED_DATA, MESSAGE_TOO_BIG = 1003, 1009
+UNSUPPORTED_DATA, MESSAGE_TOO_BIG, TRY_AGAIN_LATER = 1003, 1009, 1013
+MAX_HEADERS = 64  # of a handshake; the parser keeps them as long as the connection lasts
 
 
 class ConnectionOwner(Protocol):
@@ -60,6 +63,7 @@
         self.watched: set[str] = set()  # ids of the calls whose events the client receives
         self._backpressured = False
         self._text = ""  # received part of an incomplete message
+        self._text_bytes = 0  # of memory that it holds
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
@@ -69,6 +73,8 @@
     def connectionLost(self, reason: object = None) -> None:
         """Called by Twisted when the connection has ended."""
         self.is_over = True
+        self._text = ""
+        self._record_text()
         self.server.switch.unsent.forget(self)
         self.server.connection_lost(self)
 
@@ -170,7 +176,18 @@
             self.close(MESSAGE_TOO_BIG, "longer than a message may be")
         elif event.message_finished:
             text, self._text = self._text, ""
+            self._record_text()
             self.server.message_received(self, text)
+        elif not self.server.switch.memory.allows(0, len(self._text)):
+            self.close(TRY_AGAIN_LATER, "no memory for an incomplete message")
+        else:
+            self._record_text()
+
+    def _record_text(self) -> None:
+        """Records how much memory the received part of an incomplete message holds."""
+        held = sys.getsizeof(self._text) if self._text else 0
+        self.server.switch.memory.change(Holder.RECEIVED, held - self._text_bytes)
+        self._text_bytes = held
 
     def _handshake(self, request: Request) -> None:
         status = self._handshake_error(request)
@@ -188,6 +205,8 @@
         origins = [value for name, value in request.extra_headers if name.lower() == b"origin"]
         if request.target.partition("?")[0] != PATH:
             return 404
+        if len(request.extra_headers) > MAX_HEADERS:
+            return 431
         if origins and origins[0].decode("latin-1") not in settings.origins:
             return 403  # a foreign web page in a browser on this machine
         if len(self.server.accepted) >= settings.most_sockets:
