--- a/softswitch/net/management.py
+++ b/softswitch/net/management.py
@@ -24,6 +24,7 @@
 
 MAX_CONNECTIONS = 16  # at once; one more sheds an answered one, or else the oldest
 MAX_HEAD, MAX_BODY = 8_192, 4_096  # bytes of a request's head and body
+MAX_HEADERS = 64  # header lines of a request
 REQUEST_TIMEOUT = 3_500.0  # ms from connecting to a complete request
 CLOSE_TIMEOUT = 500.0  # ms that a client may take to close after the response
 SWEEP_INTERVAL = 100.0  # ms between two checks of the connections
@@ -102,6 +103,9 @@
         return True
 
     def _head_received(self, request: h11.Request) -> None:
+        if len(list(request.headers)) > MAX_HEADERS:  # each takes some 160 bytes until the connection ends
+            self.answer(431, {"error": f"more than {MAX_HEADERS} header lines"})
+            return
         self.request = request
         if any(name == b"content-length" and int(value) > MAX_BODY for name, value in request.headers):
             self.answer(413, BODY_TOO_LARGE)
--- a/tests/support/greedy_peers.py
+++ b/tests/support/greedy_peers.py
@@ -7,6 +7,7 @@
 import re
 import selectors
 import socket
+import struct
 import time
 from collections.abc import Callable
 from contextlib import suppress
@@ -15,7 +16,7 @@
 from multiprocessing import get_context
 from pathlib import Path
 
-from support.harness import Stage
+from support.harness import Stage, format_address
 from support.sip_bench import invite
 
 USUAL_INTERVAL = 0.2  # s between two calls of the usual caller
@@ -68,13 +69,15 @@
 
     make_data: Callable[[], bytes]  # called in the crowd's process
     reads: bool = True
+    closes: bool = False  # whether the connection is closed once it was answered
 
 
 class CrowdConnection:
     """The connection of one greedy client."""
 
     def __init__(self, address, client, selector):
-        self.left, self.reads, self.selector = memoryview(client.make_data()), client.reads, selector
+        self.left, self.reads, self.closes = memoryview(client.make_data()), client.reads, client.closes
+        self.selector = selector
         self.sock = socket.socket()
         self.sock.setblocking(False)
         self.sock.connect_ex(address)
@@ -83,7 +86,7 @@
     def ready(self, events):
         """Writes and reads what is possible; closes the socket once its peer has closed it."""
         try:
-            if events & selectors.EVENT_READ and not self.sock.recv(65_536):
+            if events & selectors.EVENT_READ and (not self.sock.recv(65_536) or self.closes):
                 raise ConnectionError
             if events & selectors.EVENT_WRITE:
                 self.left = self.left[self.sock.send(self.left) :]
@@ -165,7 +168,9 @@
 
     def start_second_process(self):
         """Starts a process that replaces the first one."""
-        self.programs.append(self.stage.start())
+        with socket.create_server((self.stage.host, 0)) as reserved:
+            management = format_address(reserved.getsockname())
+        self.programs.append(self.stage.start({"BALANCER_MGMT": management}))
 
     def _place_usual_call(self):
         number = self._next_call
@@ -256,6 +261,22 @@
     play.start_crowd([GreedyClient(partial(_taken_back, 1 + n * 100_000, count)) for n in range(clients)])
 
 
+def calls_on_new_connections(play, connections=1_200):
+    """Clients that connect, have one call set up, and close."""
+    play.start_crowd([GreedyClient(partial(setups, 1 + n, 1), closes=True) for n in range(connections)])
+
+
+def unknown_releases(play, count=20_000):
+    """Engines that release calls that nobody has set up, as fast as they can, and read nothing."""
+    message = struct.pack(">HB8sBHB", 13, 12, b"unknown.", 31, 1, 16)
+    for name in ("e0", "e1"):
+        engine = play.stage.parties[name]
+        engine.sock.setblocking(False)
+        with suppress(OSError):
+            engine.sock.sendall(message * count)
+        engine.sock.setblocking(True)
+
+
 def _taken_back(first, count):
     return b"".join(
         invite(n, call_class="x", timeout=600_000)
--- a/tests/support/sip_bench.py
+++ b/tests/support/sip_bench.py
@@ -12,6 +12,9 @@
     def setTcpNoDelay(self, on):  # noqa: N802  # Twisted's name
         """Does nothing: there is no TCP."""
 
+    def loseWriteConnection(self):  # noqa: N802  # Twisted's name
+        """Does nothing: the peer does not wait for the end."""
+
 
 def invite(n, *headers, body=b"v=0", call_class="plain", timeout=3000):
     """Returns an INVITE with these header lines besides those that a call setup needs."""
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -4,8 +4,10 @@
 import tracemalloc
 import weakref
 
-from support.sip_bench import SipBench, invite
-from support.switch_bench import A
+from support.sip_bench import SipBench, Transport, invite
+from support.switch_bench import A, Bench
+
+from softswitch.net.management import ManagementServer
 
 SETUPS = 60  # below the limit of a connection without an established call
 FREE_HEADER = "User-Agent: " + "x" * 15_000
@@ -71,3 +73,15 @@
     b.switch.released_by_engine(A, f"{1:016x}", 16)
     assert f"Call-ID: {1:016x}".encode() in other.transport.value()  # the BYE
     assert not b.sip.calls.established
+
+
+def test_a_management_request_of_thousands_of_headers_is_refused_and_not_held():
+    """Guards against operators' connections that hold 40 times the size of their request."""
+    server = ManagementServer(Bench().switch)
+    connection = server.buildProtocol(None)
+    connection.makeConnection(Transport())
+    lines = "".join(f"h{n:x}:\r\n" for n in range(800))
+    head = f"GET /v1/readyz HTTP/1.1\r\nHost: m\r\n{lines}\r\n".encode()
+    held = allocated_by(lambda: connection.dataReceived(head))
+    assert connection.transport.value().startswith(b"HTTP/1.1 431")
+    assert held <= 4 * len(head)
--- a/tests/test_held_memory_processes.py
+++ b/tests/test_held_memory_processes.py
@@ -1,5 +1,7 @@
 """Greedy peers of a real process with a memory limit: it stays within it and answers the usual caller."""
 
+from tempfile import TemporaryDirectory
+
 import pytest
 from support import greedy_peers as greedy
 
@@ -62,3 +64,33 @@
 def test_incomplete_messages_on_all_connections(memory_mb, sockets, attack):
     """Guards against a kill for memory by messages that are never completed."""
     assert play_attack(memory_mb, sockets, attack).in_time
+
+
+@pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
+def test_setups_of_the_longest_patience_that_are_taken_back(memory_mb, sockets):
+    """Guards against timers that stay when their calls are gone."""
+    assert play_attack(memory_mb, sockets, greedy.cancelled_setups).in_time
+
+
+def test_a_call_on_each_of_a_thousand_connections():
+    """Guards against established calls that hold the connections of their set-ups."""
+    assert play_attack(32, 256, greedy.calls_on_new_connections).in_time
+
+
+def test_engines_that_release_unknown_calls_and_read_nothing():
+    """Guards against what an engine can have the process write to it."""
+    assert play_attack(32, 256, greedy.unknown_releases).in_time
+
+
+def test_a_replacement_among_setups_with_long_answers():
+    """Guards against two processes that each take the memory of one."""
+
+    def attack(play):
+        greedy.silent_open_setups(play, greedy.LONG_VIA, clients=16)
+        play.run(1.0)
+        play.start_second_process()
+        play.run(2.0)
+        greedy.open_setups(play, greedy.LONG_VIA, clients=16)
+
+    with TemporaryDirectory() as directory:
+        play_attack(64, 512, attack, env={"TMPDIR": directory})
