--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -177,7 +177,6 @@
         self.clearLineBuffer()
         self.message = SipMessage()
         self.body = bytearray()
-        self.owner.unprocessed_changed(self, 0)
 
     def _record_unprocessed(self) -> None:
         """Records how much of the received data is held: of an incomplete message, or of deferred ones."""
--- a/softswitch/net/sip_connection_table.py
+++ b/softswitch/net/sip_connection_table.py
@@ -35,7 +35,6 @@
         self.idle: ConnectionTimes = {}  # no pending call, and none was ever established
         self.idle_callers: ConnectionTimes = {}  # no pending call, but one was established before
         self.deferred: dict[SipConnection, None] = {}  # with data to process in a later turn; in order
-        self.paused: dict[SipConnection, None] = {}  # not read until the memory suffices; the oldest first
         # Closed by the softswitch, not yet by the caller; the oldest first.
         self.closing: dict[SipConnection, None] = {}
 
@@ -63,7 +62,6 @@
         self.all.pop(connection, None)
         self.closing.pop(connection, None)
         self.deferred.pop(connection, None)
-        self.paused.pop(connection, None)
         self.untrack(connection)
 
     def untrack(self, connection: SipConnection) -> None:
@@ -90,7 +88,6 @@
         """
         self.untrack(connection)
         self.deferred.pop(connection, None)
-        self.paused.pop(connection, None)
         if lingering:
             self.closing[connection] = None
 
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -12,6 +12,7 @@
 from softswitch.core.lifecycle import DRAIN_KEEPS_CONNECTION_FOR, NEW_CONNECTION_TIMEOUT, Phase
 from softswitch.core.memory_budget import Holder
 from softswitch.core.switch import Switch
+from softswitch.net.received_data import ReceivedData
 from softswitch.net.release_sender import ReleaseSender
 from softswitch.net.sip_calls import SipCalls
 from softswitch.net.sip_codec import SipMessage, SipParseError, SipRequest
@@ -23,8 +24,6 @@
 SWEEP_INTERVAL = 250.0  # ms between two checks of the connections
 CLOSE_TIMEOUT = 1_000.0  # ms from the start of a close to an abort
 CONNECTION_BYTES = 4_096  # of memory that a connection without data holds
-# Fraction of the limit on held memory that incomplete messages take before reading is paused.
-RECEIVED_DIVISOR = 6
 UNREAD_TIMEOUT = 5_000.0  # ms that a caller may leave its responses unread
 
 
@@ -39,6 +38,7 @@
         self.wheel = switch.wheel
         self.port: Any = None  # the Twisted port on which callers connect
         self.connections = ConnectionTable(max_connections)
+        self.received = ReceivedData(switch)
         self.releases = ReleaseSender(name, switch)
         self.calls = SipCalls(switch, self.releases, self)
         self._opened_count = 0  # connections since the start
@@ -102,19 +102,14 @@
     def connection_lost(self, connection: SipConnection) -> None:
         """Removes an ended connection and abandons the calls pending on it."""
         self.connections.remove(connection)
-        self._release_memory(connection)
+        self.received.forget(connection)
+        self.switch.unsent.forget(connection)
         self.switch.memory.change(Holder.CONNECTIONS, -CONNECTION_BYTES)
         if self.switch.history:
             self.switch.history.note(CONNECTIONS, "caller's connection over", connection.name)
         self.releases.connection_closed(connection)
         self.calls.connection_ended(connection)
 
-    def _release_memory(self, connection: SipConnection) -> None:
-        """Records that a connection holds no received data any more, and no unsent data."""
-        self.switch.memory.change(Holder.RECEIVED, -connection.unprocessed)
-        connection.unprocessed = 0
-        self.switch.unsent.forget(connection)
-
     def is_open(self, connection: SipConnection) -> bool:
         """Whether the connection is still established."""
         return connection in self.connections
@@ -191,37 +186,11 @@
 
     def is_paused(self, connection: SipConnection) -> bool:
         """Whether the connection is not read because the memory does not suffice."""
-        return connection in self.connections.paused
+        return connection in self.received.paused
 
     def unprocessed_changed(self, connection: SipConnection, size: int) -> None:
-        """Records the unprocessed data of a connection, and stops reading if it holds more than is left.
-
-        So those that hold most are paused first. A message that is not completed in time ends the pause.
-        """
-        memory = self.switch.memory
-        memory.change(Holder.RECEIVED, size - connection.unprocessed)
-        connection.unprocessed = size
-        if self._may_hold(size) or self.is_deferred(connection) or self.is_paused(connection):
-            return
-        self.switch.counters[Count.CONNECTIONS_PAUSED] += 1
-        connection.transport.pauseProducing()
-        if not self.connections.paused:
-            self.wheel.call_after(self.switch.settings.tick, self._resume_paused)
-        self.connections.paused[connection] = None
-
-    def _may_hold(self, size: int) -> bool:
-        """Whether a connection may go on receiving while it holds `size` bytes of unprocessed data."""
-        memory = self.switch.memory
-        left = memory.limit // RECEIVED_DIVISOR - memory.held[Holder.RECEIVED]
-        return size <= min(left, memory.available)
-
-    def _resume_paused(self) -> None:
-        for connection in list(self.connections.paused):
-            if self._may_hold(connection.unprocessed):
-                del self.connections.paused[connection]
-                connection.resume_paused()
-        if self.connections.paused:
-            self.wheel.call_after(self.switch.settings.tick, self._resume_paused)
+        """Records the unprocessed data of a connection."""
+        self.received.update(connection, size, may_pause=not self.is_deferred(connection))
 
     # idle connections
 
@@ -294,6 +263,7 @@
         self.calls.fail_calls_of(connection)
         self.connections.start_closing(connection, lingering)
         connection.clear_received()
+        self.received.forget(connection)
         connection.transport.unregisterProducer()
         if lingering:
             connection.transport.loseWriteConnection()
