Hot path: holders are plain strings, response headers are built in one pass

Holders are plain strings like the counters' names, status lines are encoded once, and stored bytes are summed only where a message is incomplete after a read.

--- a/softswitch/core/call_table.py
+++ b/softswitch/core/call_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import replace
 from math import inf
 from typing import Protocol
@@ -36,7 +35,7 @@
         self.max_calls = MAX_CALLS
         self.memory = memory
         self.unanswered = 0
-        self.open_bytes: Counter[Connection] = Counter()  # of the unanswered calls, by their connection
+        self.open_bytes: dict[Connection, int] = {}  # of the unanswered calls, by their connection
         self.observer: CallTableObserver | None = None
 
     def has_capacity_for(self, request: SetupRequest, connection: Connection, answer_bytes: int) -> bool:
@@ -47,14 +46,15 @@
         if len(self) >= self.max_calls:
             return False
         needed = open_call_bytes(request, answer_bytes) + CALL_TIMER_BYTES
-        return self.memory.allows(self.open_bytes[connection], needed)
+        return self.memory.allows(self.open_bytes.get(connection, 0), needed)
 
     def add(self, call: Call) -> None:
         """Adds an accepted call."""
         self[call.id] = call
         self.unanswered += 1
         call.held_bytes = open_call_bytes(call.request, call.answer_bytes)
-        self.open_bytes[call.connection] += call.held_bytes
+        connection = call.connection
+        self.open_bytes[connection] = self.open_bytes.get(connection, 0) + call.held_bytes
         self.memory.change(Holder.CALLS, call.held_bytes)
         self.memory.change(Holder.TIMERS, CALL_TIMER_BYTES)
         if self.observer is not None:
@@ -75,8 +75,10 @@
 
     def _answered(self, call: Call) -> None:
         self.unanswered -= 1
-        self.open_bytes[call.connection] -= call.held_bytes
-        if not self.open_bytes[call.connection]:
+        left = self.open_bytes[call.connection] - call.held_bytes
+        if left:
+            self.open_bytes[call.connection] = left
+        else:
             del self.open_bytes[call.connection]
 
     def remove(self, call: Call) -> None:
--- a/softswitch/core/memory_budget.py
+++ b/softswitch/core/memory_budget.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from typing import Final
 
 MB = 1 << 20  # bytes
 DEFAULT_MEMORY_BYTES = 1_000 * MB  # if the configuration names no limit
@@ -23,15 +23,28 @@
 MIN_LIMIT = 3 * MB // 2  # bytes
 
 
-class Holder(StrEnum):
-    """What holds memory for peers. The counters publish the values."""
+class Holder:
+    """What holds memory for peers, by its name in the counters.
 
-    CONNECTIONS = "held by connections"
-    CALLS = "held by calls"
-    TIMERS = "held by timers"
-    RECEIVED = "held by incomplete messages"
-    UNSENT = "held by unread messages"
-    EVENTS = "held by events for watchers"
+    Plain strings, since enum members are too slow to look up here.
+    """
+
+    CONNECTIONS: Final = "held by connections"
+    CALLS: Final = "held by calls"
+    TIMERS: Final = "held by timers"
+    RECEIVED: Final = "held by incomplete messages"
+    UNSENT: Final = "held by unread messages"
+    EVENTS: Final = "held by events for watchers"
+
+
+HOLDERS = (
+    Holder.CONNECTIONS,
+    Holder.CALLS,
+    Holder.TIMERS,
+    Holder.RECEIVED,
+    Holder.UNSENT,
+    Holder.EVENTS,
+)
 
 
 def sole_limit(memory_bytes: int) -> int:
@@ -58,7 +71,7 @@
     """Counts the held bytes by holder, and decides what fits into the limit."""
 
     def __init__(self) -> None:
-        self.held = dict.fromkeys(Holder, 0)
+        self.held = dict.fromkeys(HOLDERS, 0)
         self.total = 0
         self.configure(DEFAULT_MEMORY_BYTES)
 
@@ -71,7 +84,7 @@
         """Applies the limit of one of two processes, or of the only one."""
         self.limit = shared_limit(self._memory_bytes) if shared else sole_limit(self._memory_bytes)
 
-    def change(self, holder: Holder, difference: int) -> None:
+    def change(self, holder: str, difference: int) -> None:
         """Records that `holder` holds more bytes than before, or less if the difference is negative."""
         self.held[holder] += difference
         self.total += difference
@@ -87,4 +100,4 @@
 
     def gauges(self) -> dict[str, int]:
         """Returns the held bytes by holder, for the counters."""
-        return {str(holder): held for holder, held in self.held.items()}
+        return dict(self.held)
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -135,7 +135,7 @@
             self.switch.reject_unaccepted(setup)
             connection.answer(503, request.message, retry_after=self.switch.settings.max_retry_after)
             return
-        echoed_headers = request.message.echoed_headers()
+        echoed_headers = bytes(request.message.echoed_headers())
         self.pending[setup.call] = PendingSetup(connection, echoed_headers, setup.number)
         connection.pending_calls.add(setup.call)
         self.idle_tracker.update_idle(connection)
--- a/softswitch/net/sip_codec.py
+++ b/softswitch/net/sip_codec.py
@@ -40,6 +40,7 @@
     503: "Service Unavailable",
     513: "Message Too Large",
 }
+STATUS_LINES = {code: f"SIP/2.0 {code} {phrase}\r\n".encode() for code, phrase in REASON_PHRASES.items()}
 CALLED_NUMBER = re.compile(r"sips?:([^@\s]+)@", re.I)
 # Stricter than float(), which also accepts nan, 1_0, 1e99 and non-ASCII digits.
 DECIMAL = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,9})?\Z")
@@ -63,7 +64,7 @@
 class SipMessage:
     """A SIP message whose head is complete or still arriving."""
 
-    __slots__ = ("headers", "size", "start_line", "stored_bytes", "vias")
+    __slots__ = ("headers", "size", "start_line", "vias")
 
     def __init__(self) -> None:
         self.start_line = ""
@@ -71,7 +72,6 @@
         self.headers: dict[str, str] = {}
         self.vias = bytearray()  # Via header lines, as a response repeats them
         self.size = 0  # bytes of the head received so far
-        self.stored_bytes = 0  # of the stored headers
 
     @property
     def call_id(self) -> str:
@@ -90,8 +90,6 @@
             raise SipParseError("header line without a colon")
         name = COMMON_SPELLINGS.get(name) or normalized_name(name)
         value = value.strip()
-        if name == "via" or name in STORED_HEADERS:
-            self.stored_bytes += len(header)
         if name == "via":
             self.vias += f"Via: {value}\r\n".encode("latin-1")
         elif name in STORED_HEADERS:
@@ -109,14 +107,22 @@
             raise SipParseError("message longer than 16 KiB", 513)  # rejected before the body is read
         return length
 
-    def echoed_headers(self) -> bytes:
+    def echoed_headers(self) -> bytes | bytearray:
         """Returns the header lines that every response to this request repeats.
 
         This is all that has to be retained of a request until it is answered.
         """
-        headers = self.headers
-        lines = (f"{title}: {headers[name]}\r\n" for name, title in ECHOED_HEADERS.items() if name in headers)
-        return bytes(self.vias) + "".join(lines).encode("latin-1")
+        text = ""
+        for name, title in ECHOED_HEADERS.items():
+            value = self.headers.get(name)
+            if value is not None:
+                text += f"{title}: {value}\r\n"
+        return self.vias + text.encode("latin-1")
+
+    def stored_bytes(self) -> int:
+        """Returns how many bytes of the message are stored."""
+        values = sum(len(value) for value in self.headers.values())
+        return len(self.start_line) + len(self.vias) + values
 
 
 @dataclass(slots=True)
@@ -183,20 +189,16 @@
     )
 
 
-def encode_response(code: int, echoed_headers: bytes, body: bytes = b"", retry_after: float = 0.0) -> bytes:
+def encode_response(
+    code: int, echoed_headers: bytes | bytearray, body: bytes = b"", retry_after: float = 0.0
+) -> bytes:
     """Encodes the response to a request from its `SipMessage.echoed_headers`.
 
     `retry_after` is in ms; 0 omits the header.
     """
-    status_line = f"SIP/2.0 {code} {REASON_PHRASES[code]}\r\n".encode("latin-1")
     retry_header = b"X-Later-Ms: %.0f\r\n" % retry_after if retry_after > 0 else b""
-    return b"%b%b%bContent-Length: %d\r\n\r\n%b" % (
-        status_line,
-        echoed_headers,
-        retry_header,
-        len(body),
-        body,
-    )
+    end = b"Content-Length: %d\r\n\r\n" % len(body)
+    return b"".join((STATUS_LINES[code], echoed_headers, retry_header, end, body))
 
 
 def encode_bye(call: str, number: str, cause: int, via: str) -> bytes:
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -180,11 +180,14 @@
 
     def _record_unprocessed(self) -> None:
         """Records how much of the received data is held: of an incomplete message, or of deferred ones."""
-        size = unparsed_bytes(self) + self.message.stored_bytes + len(self.body)
+        incomplete_line = unparsed_bytes(self)
+        if not incomplete_line and not self.message.start_line and not self.unprocessed:
+            return  # between messages
+        size = incomplete_line + self.message.stored_bytes() + len(self.body)
         if size == self.unprocessed or self.is_closing:
             return
         self.owner.unprocessed_changed(self, size)
-        if self.message_started_at is None and unparsed_bytes(self):
+        if self.message_started_at is None and incomplete_line:
             self.message_started_at = self.wheel.now
 
     def _read_ahead(self) -> None:
@@ -266,18 +269,14 @@
                 self._add_start_line(text.strip())
             elif text:
                 message.add_header(text)
-                self._header_added()
+                self.header_lines += 1
+                if self.header_lines % LINES_PER_CHECK == 0:
+                    self._defer_if_over_budget()
             else:
                 self._head_complete()
         except SipParseError as e:
             self.owner.message_unreadable(self, e)
 
-    def _header_added(self) -> None:
-        """Limits the time for a head of thousands of lines, like that for many messages."""
-        self.header_lines += 1
-        if self.header_lines % LINES_PER_CHECK == 0:
-            self._defer_if_over_budget()
-
     @staticmethod
     def _raise_too_long() -> None:
         raise SipParseError("message longer than 16 KiB", 513)
@@ -334,7 +333,9 @@
         """Writes the response to a request."""
         self.respond(code, request.echoed_headers(), body, retry_after)
 
-    def respond(self, code: int, echoed_headers: bytes, body: bytes = b"", retry_after: float = 0.0) -> None:
+    def respond(
+        self, code: int, echoed_headers: bytes | bytearray, body: bytes = b"", retry_after: float = 0.0
+    ) -> None:
         """Writes the response to the request that had these headers."""
         self.write(encode_response(code, echoed_headers, body, retry_after))
 
