Unsent data of an ended connection is not counted again

A write after the end of a connection that had been backpressured would have counted as unsent for good: read in the last look over the change, not seen.

--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -158,7 +158,8 @@
 
     def unsent_changed(self, connection: SipConnection, size: int) -> None:
         """Records how much is unsent on a connection that is not read."""
-        self.switch.unsent.update(self.wheel.now, connection, size)
+        if connection in self.connections:  # what is written after its end is dropped with it
+            self.switch.unsent.update(self.wheel.now, connection, size)
 
     # deferred reading
 
