--- a/review/standins_2/stage.py
+++ b/review/standins_2/stage.py
@@ -674,9 +674,15 @@
         # The platform's folder: empty and private at each start, but for a process that replaces another.
         self.folder = folder or Path(tempfile.mkdtemp(prefix="node-", dir=stage.folder))
         self.config = stage.folder / f"{name}-{len(stage.processes)}.json"
+        self.keeps_config = False
         self.process: asyncio.subprocess.Process | None = None
         stage.processes.append(self)
 
+    def same_config_as(self, other: Softswitch) -> None:
+        """Starts with the file of another process as it is, as a process that replaces it does."""
+        self.keeps_config = True
+        self.config.write_bytes(other.config.read_bytes())
+
     def write_config(self) -> None:
         """Writes the configuration, as of now."""
         document = {
@@ -694,7 +700,8 @@
 
     async def start(self, ready_within: float = 10.0) -> float:
         """Starts the process, and waits until it passes a test; returns the time of the start."""
-        self.write_config()
+        if not self.keeps_config:
+            self.write_config()
         started_at = time.time()
         log = self.config.with_suffix(".log").open("ab")
         run_command = tomllib.loads(DEPLOY.read_text())["run"]
