--- a/review/standins_2/stage.py
+++ b/review/standins_2/stage.py
@@ -180,7 +180,6 @@
         self.address = ("127.0.0.1", 0)
         self.server: asyncio.Server | None = None
         self.beats: asyncio.Task[Any] | None = None
-        self.slow = 0.0  # seconds that a new watch waits in line until it is served
 
     async def open(self, host: str = "127.0.0.1") -> None:
         """Listens, and sends an empty frame each second from now on."""
@@ -198,12 +197,6 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def break_off(self) -> None:
-        """Ends all connections; the board goes on."""
-        self.stage.note(self.name, "breaks off")
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     def list(self, engine: Engine, state: int = READY, born_ms: int = 0) -> dict[str, Any]:
         """Sets an entry of the list, and returns it; no event is sent."""
         entry = {"engine": engine, "state": state, "born_ms": born_ms}
@@ -262,9 +255,6 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             after = int.from_bytes(await reader.readexactly(8), "big")
             self.stage.note(self.name, f"asked for what came after {after}")
-            await asyncio.sleep(self.slow)
-            if writer.transport.is_closing():
-                raise ConnectionResetError
             for event in self.events:
                 if event[0] > after:
                     self._write(writer, *event)
@@ -344,9 +334,7 @@
         self.again: dict[str, int] = {}  # releases to be sent on the next connection that is opened
         self.over: dict[str, float] = {}  # when calls that stood came to their end here
         self.opened = 0
-        self.is_cut_off = False
         self.gone_lines: list[EngineLine] = []  # open and silent for good
-        self.fillers: list[socket.socket] = []
         self.on_setup: Callable[[EngineCall], None] = self.answer_soon
 
     def note(self, what: str) -> None:
@@ -355,7 +343,7 @@
 
     async def open(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listens."""
-        self.server = await asyncio.start_server(self._serve, host, port, backlog=1)
+        self.server = await asyncio.start_server(self._serve, host, port)
         self.address = self.server.sockets[0].getsockname()[:2]
         self.stage.go(self._tell_state())
         self.note(f"listens at {self.address[0]}:{self.address[1]}")
@@ -391,38 +379,6 @@
             self.gone_lines.append(line)
         self.lines.clear()
 
-    def cut_off(self) -> None:
-        """Cuts the engine off: open connections stay open and silent, and new ones never come up.
-
-        The kernel answers no SYN once the queue of the listener is full, as nobody accepts.
-        """
-        self.note(f"cut off, {len(self.calls)} calls stand")
-        self.is_cut_off = True
-        for line in list(self.lines):
-            line.writer.transport.pause_reading()
-        assert self.server is not None
-        listener = self.server.sockets[0]
-        asyncio.get_running_loop().remove_reader(listener.fileno())
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.address)
-            self.fillers.append(filler)
-
-    async def back(self) -> None:
-        """Ends the cut: what was sent meanwhile arrives, and new connections come up."""
-        self.note("back")
-        self.is_cut_off = False
-        for filler in self.fillers:
-            filler.close()
-        self.fillers.clear()
-        assert self.server is not None
-        address = self.address
-        self.server.close()
-        self.server = await asyncio.start_server(self._serve, *address, backlog=1)
-        for line in list(self.lines):
-            line.writer.transport.resume_reading()
-
     def report(self) -> tuple[int, bytes]:
         """The report of the group's state."""
         return wire.REPORT, b"x0:%d;x1:1000;qps:40.0" % (1000 - len(self.calls))
@@ -430,8 +386,6 @@
     async def _tell_state(self) -> None:
         while True:
             await asyncio.sleep(STATE_EVERY)
-            if self.is_cut_off:
-                continue
             for line in list(self.lines)[:4]:
                 line.send(wire.STATE, wire.NO_CALL, self.report())
 
@@ -623,13 +577,6 @@
         if await self.call(call, **more) != 200:
             raise CouldNotRunError(f"call {call} does not stand")
 
-    async def options(self, seconds: float = 1.0) -> int:
-        """Sends a test; returns the code of its answer, 0 for none."""
-        call = self.stage.new_call()
-        self.write(wire.request("OPTIONS", "sip:ping@net", {"Call-ID": call, "CSeq": "1 OPTIONS"}))
-        answers = await self.wait_for(lambda: self.answers(call, "OPTIONS"), seconds)
-        return answers[0][1].code if answers else 0
-
 
 # softswitches
 
