Calls end with the process of their engine, however its removal is told

Cause: only an entry that names an engine as removed released its calls; one that a complete list omits was marked and forgotten, and its link reopened the address, where the new engine answered. Now the directory turns each removal and each new start time into one event, IncarnationEnded. Calls are released unless their own connection is still open; then they end with it.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 from softswitch import interface as i
+from softswitch.core.endpoint_directory import IncarnationEnded
 
 MAX_TEXT_BYTES = (
     16_200  # total size of the texts of a call setup; with headers they fit into a 16 KiB message
@@ -121,6 +122,7 @@
 
 
 Connection = Hashable  # a caller's connection, compared by identity; its type is known to the front alone
+NO_CONNECTION = 0  # number of no connection to an engine
 ENDED_CONNECTION: Connection = "ended"  # stands for the connection of an established call that has ended
 
 
@@ -155,6 +157,13 @@
     def endpoint_unavailable(self, server: str) -> None:
         """Stops sending setups to an engine. Setups not yet written are returned as unreachable."""
 
+    def incarnation_ended(self, ended: IncarnationEnded) -> int:
+        """Drops what was meant for an ended process of an engine.
+
+        Returns the number of the connection that is still open, to the process that listens at the engine's
+        address; NO_CONNECTION if there is none.
+        """
+
 
 class CallObserver(Protocol):
     """Observer of all calls, for the traffic record."""
@@ -204,6 +213,8 @@
     state: CallState = CallState.ACCEPTED
     attempt: int = -1  # number of the last attempt, from 0; -1: none yet
     server: str | None = None  # engine of the attempt in flight or of the established call
+    # Number of the connection to the engine on which the last attempt was written; unique in this process.
+    engine_connection: int = NO_CONNECTION
     sent_at: float = 0.0  # time of the last attempt
     written: bool = False  # whether an attempt was written to an engine; until then none can have run
     retry_at: float = 0.0  # earliest time of the next attempt, set by retry_delay
--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -49,6 +49,7 @@
     DUPLICATE_ENDPOINT_UPDATES: Final = "repeated notices"
     ENDPOINT_UPDATES_REQUESTED: Final = "notices asked again"
     WATCH_CONNECTIONS_LOST: Final = "board connections lost"
+    ENGINE_INCARNATIONS_ENDED: Final = "engine processes ended by the list"
     # links to engines
     ENGINE_CONNECTIONS_LOST: Final = "engine connections lost"
     ENGINE_CONNECTIONS_CORRUPT: Final = "engine links spoilt"
--- a/softswitch/core/endpoint_directory.py
+++ b/softswitch/core/endpoint_directory.py
@@ -2,9 +2,26 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from math import inf
+
 from softswitch import interface as i
 
 
+@dataclass(frozen=True, slots=True)
+class IncarnationEnded:
+    """The process of an engine has ended, as an update of the endpoint list shows."""
+
+    server: str
+    # Start of the process that has replaced it under the same name; inf: the engine was removed.
+    replaced_at: float = inf
+
+    @property
+    def is_removal(self) -> bool:
+        """Whether the engine was removed, and no process has replaced this one."""
+        return self.replaced_at == inf
+
+
 class EndpointDirectory:
     """Stores the endpoint list. An entry is deleted once its engine is removed and has no calls left."""
 
@@ -29,22 +46,29 @@
         """Returns the servers that accept no new calls."""
         return [s for s, state in self.states.items() if state is not i.EndpointState.READY]
 
-    def restarted(self, endpoint: i.Endpoint) -> bool:
-        """Whether the entry shows a new process at a known server: its start time has changed."""
-        return self.started_at.get(endpoint.server, endpoint.started_at) != endpoint.started_at
-
-    def mark_unlisted(self, update: i.EndpointsChanged) -> None:
-        """Marks the servers as removed that a complete list does not contain."""
-        for server in update.unlisted(self.states):
-            self.states[server] = i.EndpointState.REMOVED
-
-    def update(self, endpoint: i.Endpoint) -> None:
-        """Stores one entry of the list. A removed server that is unknown is not stored."""
-        if endpoint.state is i.EndpointState.REMOVED and endpoint.server not in self.states:
-            return
-        self.states[endpoint.server] = endpoint.state
-        self.started_at[endpoint.server] = endpoint.started_at
-        self.cells[endpoint.server] = endpoint.cell
+    def apply(self, update: i.EndpointsChanged) -> list[IncarnationEnded]:
+        """Stores an update of the list. Returns the processes of engines that have ended with it.
+
+        An engine may be removed by name or be absent from a complete list, and an entry with another start
+        time names a new process.
+        """
+        ended = [self._remove(server) for server in update.unlisted(self.listed())]
+        for endpoint in update.endpoints:
+            known_state = self.states.get(endpoint.server)
+            if endpoint.state is i.EndpointState.REMOVED:
+                if known_state not in (None, i.EndpointState.REMOVED):
+                    ended.append(self._remove(endpoint.server))
+                continue
+            if self.started_at.get(endpoint.server, endpoint.started_at) != endpoint.started_at:
+                ended.append(IncarnationEnded(endpoint.server, endpoint.started_at))
+            self.states[endpoint.server] = endpoint.state
+            self.started_at[endpoint.server] = endpoint.started_at
+            self.cells[endpoint.server] = endpoint.cell
+        return ended
+
+    def _remove(self, server: str) -> IncarnationEnded:
+        self.states[server] = i.EndpointState.REMOVED
+        return IncarnationEnded(server)
 
     def forget(self, server: str) -> None:
         """Deletes a removed server that has no calls left."""
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from math import inf
 
 from softswitch import interface as i
 from softswitch.core.call import (
     ENDED_CONNECTION,
+    NO_CONNECTION,
     Call,
     Caller,
     CallResult,
@@ -26,6 +26,7 @@
     SetupRequest,
 )
 from softswitch.core.counters import Count, CountFamily, Duration
+from softswitch.core.endpoint_directory import IncarnationEnded
 from softswitch.core.lifecycle import Lifecycle
 from softswitch.core.policy_executor import PROCESSOR_FULL_NOTE, PolicyExecutor, Report
 from softswitch.core.timer_wheel import TimerWheel
@@ -406,17 +407,28 @@
         if call is not None and call.state is CallState.ATTEMPTING and call.server == server:
             self._attempt_ended(call, outcome)
 
-    def attempt_written(self, call_id: str) -> None:
-        """Records that an attempt of this call was written completely to its engine."""
+    def attempt_written(self, call_id: str, connection: int = NO_CONNECTION) -> None:
+        """Records that an attempt was written completely on a connection to its engine, given by number."""
         call = self.calls.get(call_id)
         if call is not None:
             call.written = True
+            call.engine_connection = connection
             self.figures.for_class(call.request.call_class).relayed += 1
 
-    def engine_died(self, server: str, before: float = inf) -> None:
-        """Releases the calls established (before a time) at an engine that is down or silent for too long."""
-        for call in self.calls.established_at(server, before):
-            self.released_by_engine(server, call.id, ReleaseCause.RECOVERY_ERROR)
+    def engine_died(self, server: str) -> None:
+        """Releases the calls established at an engine that is down or silent for too long."""
+        self._release_lost(self.calls.established_at(server))
+
+    def connection_to_removed_engine_ended(self, server: str, connection: int) -> None:
+        """Releases the calls that were set up on the last connection to the process of a removed engine."""
+        calls = self.calls.established_at(server)
+        self._release_lost(call for call in calls if call.engine_connection == connection)
+
+    def _release_lost(self, calls: Iterable[Call]) -> None:
+        """Releases calls that were lost with the process of their engine, which sends no release."""
+        for call in calls:
+            if call.server is not None:
+                self.released_by_engine(call.server, call.id, ReleaseCause.RECOVERY_ERROR)
 
     def load_reported(self, server: str, healthy: bool, report: Report) -> None:
         """Passes on a load report that an engine sent unrequested or in answer to a probe."""
@@ -427,18 +439,33 @@
     def endpoints_changed(self, update: i.EndpointsChanged) -> None:
         """Applies an update of the endpoint list, complete or incremental."""
         self.counters[Count.ENDPOINT_UPDATES] += 1
-        self.endpoints.mark_unlisted(update)
-        for endpoint in update.endpoints:
-            if self.endpoints.restarted(endpoint):
-                # The calls of the engine's old process are lost.
-                self.engine_died(endpoint.server, endpoint.started_at)
-            self.endpoints.update(endpoint)
+        ended = self.endpoints.apply(update)
+        # The module learns of the lost calls while it still knows the old process of the engine, so that they
+        # do not count against the new one. A removed engine gets no calls, so it has to learn of that first.
+        for incarnation in ended:
+            if not incarnation.is_removal:
+                self._incarnation_ended(incarnation)
         self._feed(update)
         for server in self.endpoints.not_ready():
             self.engines.endpoint_unavailable(server)
-        for endpoint in update.endpoints:
-            if endpoint.state is i.EndpointState.REMOVED:
-                self.engine_died(endpoint.server)
+        for incarnation in ended:
+            if incarnation.is_removal:
+                self._incarnation_ended(incarnation)
+
+    def _incarnation_ended(self, ended: IncarnationEnded) -> None:
+        """Releases the calls that were established at a process of an engine that has ended.
+
+        The address of the engine may belong to another process by now, which answers there. So calls are
+        retained only if their connection is still open: its process has them, whatever its name.
+        """
+        self.counters[Count.ENGINE_INCARNATIONS_ENDED] += 1
+        open_connection = self.engines.incarnation_ended(ended)
+        calls = self.calls.established_at(ended.server, ended.replaced_at)
+        self._release_lost(
+            call
+            for call in calls
+            if call.engine_connection == NO_CONNECTION or call.engine_connection != open_connection
+        )
 
     # the end of this process
 
--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import count
 from typing import Any, Protocol
 
 from loguru import logger
@@ -10,9 +11,10 @@
 from twisted.internet.protocol import ClientFactory
 
 from softswitch import interface as i
-from softswitch.core.call import Call
+from softswitch.core.call import NO_CONNECTION, Call
 from softswitch.core.call_history import CONNECTIONS
 from softswitch.core.counters import Count
+from softswitch.core.endpoint_directory import IncarnationEnded
 from softswitch.core.switch import Switch
 from softswitch.net.engine_codec import (
     NO_CALL,
@@ -37,6 +39,7 @@
 ANY_STATE = b"\0"  # value of the cause parameter of a probe
 
 Report = tuple[float, ...]
+_connection_numbers = count(NO_CONNECTION + 1)  # of the main connections of all links
 
 
 @dataclass(slots=True)
@@ -94,7 +97,11 @@
         self.server = server
         self.address = address
         self.connection: EngineConnection | None = None
-        self.is_closing = False
+        self.connection_number = NO_CONNECTION  # of the last connection
+        self.is_closing = False  # opens no further connection
+        # The engine was removed from the list. Another process may listen at its address, so the established
+        # calls are lost with the connection that is still open.
+        self.is_removed = False
         # Queued messages by call id. Releases are written first: the release of an abandoned attempt may be
         # queued together with a new attempt of the same call, which must neither replace nor overtake it.
         self.queued_releases: dict[str, Release] = {}
@@ -162,6 +169,7 @@
             connection.transport.abortConnection()
             return
         self.connection = connection
+        self.connection_number = next(_connection_numbers)
         self._is_connecting = False
         self._backpressured = False
         self.heartbeat.connection_up(self.switch.wheel.now)
@@ -189,6 +197,9 @@
         # side, the engine may not have detected the end, and may write releases to the dead connection.
         if connection.is_given_up:
             self.missed_releases.connection_given_up()
+        if self.is_removed:
+            self.switch.connection_to_removed_engine_ended(self.server, self.connection_number)
+            return
         self._expire_unacknowledged(now)
         self._requeue_unacknowledged()
         if now - connection.opened_at < STABLE_AFTER:
@@ -202,9 +213,32 @@
         """Closes the link, because the engine was removed or has a new address."""
         self.is_closing = True
         self.return_queued_setups()
-        if self.connection is not None:
+        if self.connection is None:
+            return
+        if self.is_removed:  # its peer may be gone, and never take the data that is still unsent
+            self.connection.transport.abortConnection()
+        else:
             self.connection.transport.loseConnection()
 
+    def incarnation_ended(self, ended: IncarnationEnded) -> int:
+        """Drops what was meant for an ended process. Implements `core.call.Engines`, for this engine.
+
+        Returns the number of the connection that is still open.
+        """
+        if ended.is_removal:
+            self.is_closing = self.is_removed = True
+            if self.connection is None:
+                self.queued_releases.clear()
+        elif self.connection is not None and self.connection.opened_at < ended.replaced_at:
+            self.unacknowledged.clear()
+            self.connection.give_up("its process was replaced")
+        return NO_CONNECTION if self.connection is None else self.connection_number
+
+    def listed_again(self) -> None:
+        """Called when a removed engine is listed again at the same address, or at each mention of it."""
+        self.is_closing = self.is_removed = False
+        self.open()
+
     @property
     def is_reading(self) -> bool:
         """Whether data from the engine is read."""
@@ -292,7 +326,7 @@
         self.in_flight.add(call.id)
         if self.switch.history:
             self._note(call.id, "set-up written")
-        self.switch.attempt_written(call.id)
+        self.switch.attempt_written(call.id, self.connection_number)
         self._write(encode_setup(call, self.switch.wheel.now))
 
     def _write_release(self, release: Release) -> None:
--- a/softswitch/net/engine_pool.py
+++ b/softswitch/net/engine_pool.py
@@ -7,7 +7,8 @@
 from twisted.internet.protocol import ClientFactory
 
 from softswitch import interface as i
-from softswitch.core.call import Call
+from softswitch.core.call import NO_CONNECTION, Call
+from softswitch.core.endpoint_directory import IncarnationEnded
 from softswitch.core.switch import Switch
 from softswitch.net.engine_codec import Release
 from softswitch.net.engine_link import EngineLink
@@ -73,15 +74,21 @@
         """
         current = self.links.get(server)
         if current is not None and current.address == address:
-            current.open()
+            current.listed_again()
             return
         link = EngineLink(self, self.switch, server, address)
         self.links[server] = link
         if current is not None:
             current.close()
-            link.take_over_queue(current)
+            if not current.is_removed:
+                link.take_over_queue(current)
         link.open()
 
+    def incarnation_ended(self, ended: IncarnationEnded) -> int:
+        """Drops what was meant for an ended process of an engine; see `core.call.Engines`."""
+        link = self.links.get(ended.server)
+        return NO_CONNECTION if link is None else link.incarnation_ended(ended)
+
     def send_setup(self, server: str, call: Call) -> None:
         """Sends the setup of a call to an engine."""
         link = self.links.get(server)
--- a/tests/support/switch_bench.py
+++ b/tests/support/switch_bench.py
@@ -1,7 +1,7 @@
 """Test bench for the switch without a network: a manual clock, and a caller and engines that record calls."""
 
 from softswitch import interface as i
-from softswitch.core.call import FailureReason, SetupRequest
+from softswitch.core.call import NO_CONNECTION, FailureReason, SetupRequest
 from softswitch.core.switch import Switch
 from softswitch.core.timer_wheel import TimerWheel
 from support.policy_driver import settings
@@ -39,6 +39,10 @@
         self.records.append(("send_setup", server))
         self.switch.attempt_written(call.id)
 
+    def incarnation_ended(self, ended):
+        """Returns that no connection is open."""
+        return NO_CONNECTION
+
     def endpoint_unavailable(self, server):
         """Does nothing: no setup waits to be written."""
 
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -10,6 +10,7 @@
 import time
 
 import pytest
+from support.endpoint_events import endpoint_record, list_changes
 from support.harness import INFO, ROOT, Sip, Stage, call_id, format_address
 
 from softswitch.standin.addresses import own_host
@@ -625,26 +626,12 @@
         assert call_id(50) in answers[-1]
 
 
-def endpoint_record(stage, engine_id, listener_name, state, cell):
-    """Returns an entry of the endpoint list, in hex: an engine id at the address of a stage's listener."""
-    port = stage.listeners[listener_name].getsockname()[1]
-    return struct.pack(
-        ">I4sHBBBHIQ", engine_id, socket.inet_aton(stage.host), port, state, 0, 0, cell, 1000, 0
-    ).hex()
-
-
-def list_changes(stage, revision, *records):
-    """Returns the scenario line that sends an event with these changed entries of the endpoint list."""
-    body = struct.pack(">QB", revision, 2).hex() + "".join(records)
-    return f"b send raw - {len(body) // 2:08x}{body}"
-
-
 def test_a_new_engine_at_the_address_of_a_removed_one_serves_under_its_own_id():
     with Stage(engines=1) as s:
         s.play(
             "c0 send INVITE 1\ne0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*INVITE\n"
             "b expect after 3\n"
-            + list_changes(s, 4, endpoint_record(s, 0, "e0", 2, 0), endpoint_record(s, 7, "e0", 0, 0))
+            + list_changes(4, endpoint_record(s, 0, "e0", 2, 0), endpoint_record(s, 7, "e0", 0, 0))
         )
         s.play("c0 expect BYE.*{1}.*cause=41")  # the call ended with the old engine
         s.play(
@@ -660,7 +647,6 @@
             "b expect after 3\nb send 4 gone e2\ne2 expect end\nc0 send INVITE 1\ne0 expect SET_UP {1}\n"
             "e0 send RELEASE 1 31=41\n"
             + list_changes(
-                s,
                 5,
                 endpoint_record(s, 0, "e0", 1, 0),
                 endpoint_record(s, 1, "e1", 2, 1),
