A release that its engine refuses is sent three times at most

Callers saw 503 without end: each connection to an engine was closed by it within milliseconds. Now a pending release counts its transmissions; after three it is dropped and counted. Both new tests fail without the limit.

--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -35,6 +35,9 @@
 MAX_BACKLOG = 1 << 20  # bytes buffered for an engine that does not read
 PIECE_TIMEOUT = 300.0  # max ms between two pieces of a message
 ACKNOWLEDGE_TIMEOUT = 1_000.0  # ms after which a written release counts as received
+# Of one release, each on another connection. An engine that cannot read a message closes the connection, and
+# all call setups behind the message are lost with it.
+MAX_RELEASE_TRANSMISSIONS = 3
 STABLE_AFTER = 1_000.0  # ms; a connection that lasted this long is reopened without backoff
 MIN_BACKOFF, MAX_BACKOFF = 50.0, 400.0  # ms between connection attempts
 ANY_STATE = b"\0"  # value of the cause parameter of a probe
@@ -44,11 +47,12 @@
 
 
 @dataclass(slots=True)
-class SentRelease:
-    """A release that was written and not acknowledged yet."""
+class PendingRelease:
+    """A release that is queued, or that was written and is not acknowledged yet."""
 
     release: Release
-    sent_at: float
+    transmissions: int = 0
+    sent_at: float = 0.0  # of the last transmission
 
 
 class Connector(Protocol):
@@ -105,12 +109,12 @@
         self.is_removed = False
         # Queued messages by call id. Releases are written first: the release of an abandoned attempt may be
         # queued together with a new attempt of the same call, which must neither replace nor overtake it.
-        self.queued_releases: dict[str, Release] = {}
+        self.queued_releases: dict[CallId, PendingRelease] = {}
         self.queued_setups: dict[CallId, Call] = {}  # not written yet, so they can still be withdrawn
         self.in_flight: set[CallId] = set()  # setups written to the current connection, unanswered
         # Releases of established calls, oldest first. A reset of the connection may lose them, and nothing
         # else notifies the engine, so they are written again on the next connection.
-        self.unacknowledged: dict[str, SentRelease] = {}
+        self.unacknowledged: dict[CallId, PendingRelease] = {}
         self.heartbeat = Heartbeat(switch.wheel.now, pool.settings.may_probe)
         self.missed_releases = MissedReleases(self)
         self._is_connecting = False
@@ -290,7 +294,7 @@
         if self._queue_length >= MAX_QUEUED:  # the call stays established until the engine ends it
             self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
             return
-        self.queued_releases[release.call] = release
+        self.queued_releases[release.call] = PendingRelease(release)
         self._flush_or_open()
 
     def _flush_or_open(self) -> None:
@@ -330,12 +334,15 @@
         self.switch.attempt_written(call.id, self.connection_number)
         self._write(encode_setup(call, self.switch.wheel.now))
 
-    def _write_release(self, release: Release) -> None:
+    def _write_release(self, pending: PendingRelease) -> None:
+        release = pending.release
         if release.call in self.in_flight:
             # Not repeated on the next connection: the engine drops the attempts of a connection that ends.
             self.in_flight.discard(release.call)
         else:
-            self.unacknowledged[release.call] = SentRelease(release, self.switch.wheel.now)
+            pending.transmissions += 1
+            pending.sent_at = self.switch.wheel.now
+            self.unacknowledged[release.call] = pending
         if self.switch.history:
             self._note(release.call, "release written")
         self._write(release.encode())
@@ -362,9 +369,12 @@
             del self.unacknowledged[call]
 
     def _requeue_unacknowledged(self) -> None:
-        for call, sent in self.unacknowledged.items():
+        for call, pending in self.unacknowledged.items():
+            if pending.transmissions >= MAX_RELEASE_TRANSMISSIONS:
+                self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
+                continue
             self.switch.counters[Count.ENGINE_RELEASES_RESENT] += 1
-            self.queued_releases.setdefault(call, sent.release)
+            self.queued_releases.setdefault(call, pending)
         self.unacknowledged.clear()
 
     # messages from the engine
--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -1,13 +1,19 @@
 """Engine links: queued messages, unacknowledged releases, and listening connections for missed releases."""
 
 import pytest
+from support.harness import Stage, call_id
 from support.switch_bench import CONNECTION, A, Bench
 
 from softswitch.core.call import SetupRequest
 from softswitch.core.counters import Count
 from softswitch.net import listening_connection
 from softswitch.net.engine_codec import NO_CALL, MessageType, Release, decode_message, encode_message
-from softswitch.net.engine_link import ACKNOWLEDGE_TIMEOUT, MAX_QUEUED, EngineLink
+from softswitch.net.engine_link import (
+    ACKNOWLEDGE_TIMEOUT,
+    MAX_QUEUED,
+    MAX_RELEASE_TRANSMISSIONS,
+    EngineLink,
+)
 
 ONE, TWO = f"{1:016x}", f"{2:016x}"
 CANCELLED = 16
@@ -144,6 +150,44 @@
     assert bench.switch.counters[Count.ENGINE_RELEASES_RESENT] == resent
 
 
+def test_a_release_on_which_each_connection_ends_is_dropped_and_setups_go_through():
+    """Guards against a message that its engine refuses, and that is written first for ever (review/6)."""
+    bench = LinkBench()
+    bench.link.send_release(Release(ONE, CANCELLED))
+    bench.link.send_release(Release(f"{3:016x}", CANCELLED))
+    for _ in range(MAX_RELEASE_TRANSMISSIONS):
+        connection = bench.connect_link()
+        assert connection.written[0] == ("RELEASE", ONE)
+        bench.link.connection_down(connection)
+        bench.run(100.0)
+    bench.link.send_release(Release(ONE, CANCELLED))  # another one is a message of its own
+    call = bench.requested_call(2)
+    bench.link.send_setup(call)
+    assert bench.connect_link().written == [("RELEASE", ONE), ("SETUP", TWO)]
+    assert bench.switch.counters[Count.ENGINE_RELEASES_DROPPED] == 2
+    assert bench.switch.counters[Count.ENGINE_RELEASES_RESENT] == 4
+
+
+def test_calls_are_set_up_at_an_engine_that_closes_the_connection_at_a_release():
+    """Guards against a message that its engine refuses, and that is written first for ever (review/6)."""
+    with Stage(engines=1) as s:
+
+        def refuse_releases(name, message):
+            if message.startswith("RELEASE") and name in s.parties:
+                s.parties[name].sock.close()
+                s.parties.pop(name)
+            elif message.startswith("SET_UP") and name in s.parties:
+                s.parties[name].send(f"ANSWER {message.split()[1]} 33=d")
+            elif message.startswith("SIP/2.0 200"):
+                established.append(message)
+
+        established, s.hook = [], refuse_releases
+        s.play("c0 send INVITE 1\nc0 wait 300")
+        assert len(established) == 1
+        s.play("c0 send BYE 1\nc0 wait 1500\nc0 send INVITE 2\nc0 wait 500")
+        assert call_id(2) in established[-1]
+
+
 def test_only_releases_older_than_the_timeout_count_as_received():
     bench = LinkBench()
     first = bench.connect_link()
