An event of the endpoint list that is unreadable twice is skipped

Callers were sent to engines that had drained or ended, as no event after the unreadable one was ever received: the watch reconnected and requested the same event first, for ever. Cause: an event that raises an error closes the connection, which is right for damaged data alone. Now the same number unreadable on a second connection is skipped, logged and counted. The new test fails before: the engine told gone by the next event keeps its link.

--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -48,6 +48,7 @@
     ENDPOINT_UPDATES: Final = "notices"
     DUPLICATE_ENDPOINT_UPDATES: Final = "repeated notices"
     ENDPOINT_UPDATES_REQUESTED: Final = "notices asked again"
+    ENDPOINT_UPDATES_SKIPPED: Final = "notices skipped"
     WATCH_CONNECTIONS_LOST: Final = "board connections lost"
     ENGINE_INCARNATIONS_ENDED: Final = "engine processes ended by the list"
     # links to engines
--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -25,6 +25,7 @@
 EVENT_HEADER = Struct(">QB")  # number and type of an event
 NO_CHANGE, COMPLETE, CHANGES = 0, 1, 2  # event types
 MAX_FRAME = 1 << 20  # bytes
+MAX_SKIPPED = 1_000  # events at once; a higher number is taken to be damaged itself
 REVISION_SIZE = 8  # bytes of the revision that the client sends
 WEIGHT_UNIT = 1000  # weight in a record of an endpoint of weight 1
 # State of an endpoint, by its code in a record.
@@ -112,12 +113,12 @@
         """Called by Twisted for each complete frame."""
         if self is not self.factory.connection:
             return  # frames after a bad one, or from a connection that was replaced
+        number = 0
         try:
             number, type_ = EVENT_HEADER.unpack_from(frame)
             self.factory.event_received(number, type_, frame[EVENT_HEADER.size :])
         except Exception as e:
-            logger.warning("endpoint watch: bad frame, connection closed: {!r}", e)
-            self.factory.reconnect()
+            self.factory.event_unreadable(number, e)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Called by Twisted when a frame is longer than MAX_LENGTH."""
@@ -144,6 +145,7 @@
         self.connection: WatchConnection | None = None
         self.last_frame_at = switch.wheel.now
         self.requested_after = 0  # revision after which missing events were last requested
+        self.unreadable = 0  # number of the last event that could not be read
 
     def parse(self, config: dict[str, Any]) -> KnownEvents:
         """Parses the events that a configuration contains, without applying them."""
@@ -222,6 +224,22 @@
         self._apply(kind, decode_endpoints(payload, self.to_clock))
         self.revision = number
 
+    def event_unreadable(self, number: int, error: Exception) -> None:
+        """Requests an event that cannot be read again; one that still cannot be read is skipped.
+
+        The data may have been damaged on its way. If it was not, the server sends the same event first on
+        each connection, and the events after it would never be received. `number` is 0 if it is unreadable.
+        """
+        may_skip = self.revision < number <= self.revision + MAX_SKIPPED
+        if not may_skip or number != self.unreadable:
+            self.unreadable = number
+            logger.warning("endpoint watch: bad frame, connection closed: {!r}", error)
+            self.reconnect()
+            return
+        self.switch.counters[Count.ENDPOINT_UPDATES_SKIPPED] += 1
+        logger.error("endpoint watch: event {} cannot be read, skipped: {!r}", number, error)
+        self.revision = max(self.revision, number)
+
     def _has_gap_before(self, number: int, type_: int) -> bool:
         """Whether events between the last applied one and this one are missing."""
         next_number = self.revision + (1 if type_ == CHANGES else 0)
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -709,6 +709,25 @@
         assert s.log_text().count("connection closed") == 1
 
 
+def test_an_event_that_cannot_be_read_twice_is_skipped_and_the_next_ones_are_applied():
+    """Guards against an event that is requested for ever, and keeps all later ones from being heard."""
+    with Stage() as s:
+        frame = "0000000c" + "0000000000000004" + "02" + "010203"  # an incomplete record
+        s.play(
+            f"b expect after 3\nb send raw - {frame}\nb expect end\nb expect after 3\nb send raw - {frame}\n"
+            "b send 5 gone e0\ne0 expect end\nc0 send INVITE 1\ne1 expect SET_UP {1}"
+        )
+        assert "event 4 cannot be read, skipped" in s.log_text()
+        s.play("b close\nb expect after 5")
+
+
+def test_a_damaged_number_never_has_the_events_before_it_skipped():
+    with Stage() as s:
+        frame = "0000000c" + "0000000100000004" + "02" + "010203"
+        s.play("b expect after 3\n" + f"b send raw - {frame}\nb expect end\nb expect after 3\n" * 3)
+        s.play("b send 4 gone e0\ne0 expect end")
+
+
 def test_a_new_watch_connection_that_is_silent_is_closed_too():
     with Stage() as s:
         silent = []
