What a caller does is no evidence against an engine

Usual callers got 503 for over a second beside a client that writes 400 set-ups and closes 20 ms later: 18 of 23 usual calls rejected, on SIP and WebSocket alike. Cause: an attempt that was cancelled or timed out unanswered counted as a failure of its endpoint, however short it was out; two of them eject it. The caller decides both, by leaving and by X-Patience.

--- a/softswitch/interface.py
+++ b/softswitch/interface.py
@@ -133,6 +133,11 @@
         """Longest latency objective of all classes, in ms."""
         return max(c.latency_objective for c in self.classes)
 
+    @property
+    def min_objective(self) -> float:
+        """Shortest latency objective of all classes, in ms."""
+        return min(c.latency_objective for c in self.classes)
+
     @property
     def mean_holding_time(self) -> float:
         """Holding time averaged over the classes, in ms; the longest objective if all are unknown."""
--- a/softswitch/policy/endpoints.py
+++ b/softswitch/policy/endpoints.py
@@ -21,6 +21,7 @@
 # Fraction of overload_window after which an unused permit of the pacer expires during slow start.
 SLOW_START_LIFETIME = 0.25
 MIN_USED = 0.1  # minimum fraction of its circuits that an endpoint is assumed to fill, without observations
+MIN_SILENCE = 0.5  # fraction of the shortest objective that an endpoint may leave an attempt unanswered
 MAX_REMOVED_GATES = 8  # retained: the circuits used in their cells indicate the capacity of replacements
 
 
@@ -47,13 +48,24 @@
             enter_slow_start(state, gate, now)  # the process died: it may restart before the list shows it
             gate.failures = 0.0  # slow start sends few calls, which serve as probes
     elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED):
-        if sent_at is not None and gate.answered_at < sent_at:
+        if sent_at is not None and gate.answered_at < sent_at and _was_silent(state, now - sent_at, event):
             gate.observe(now, max(gate.estimate.delay, now - sent_at))
             count_failure(state, gate)
     elif outcome is not i.Outcome.NOT_SENT:
         _answered(state, now, gate, sent_at, event)
 
 
+def _was_silent(state: State, elapsed: float, event: i.AttemptEvent) -> bool:
+    """Whether an attempt that ended unanswered shows that its endpoint is silent.
+
+    A caller that leaves early, or whose timeout is short, shows nothing about the endpoint. The attempts that
+    this module cancels were unanswered for as long as it tolerates.
+    """
+    call = state.calls.get(event.call)
+    cancelled_here = call is not None and call.cancelling
+    return cancelled_here or elapsed >= MIN_SILENCE * state.min_objective
+
+
 def _answered(state: State, now: float, gate: Gate, sent_at: float | None, event: i.AttemptEvent) -> None:
     """Updates the gate after a message of its endpoint: an answer, rejection, error or end of a call."""
     if gate.answered_at > LONG_AGO:
--- a/softswitch/policy/state.py
+++ b/softswitch/policy/state.py
@@ -156,7 +156,8 @@
         """Applies new settings; the state of the gates is retained."""
         self.settings, self.classes = settings, {c.name: c for c in settings.classes}
         self.max_weight, self.min_weight = settings.max_weight, settings.min_weight
-        self.max_objective, self.holding_time = settings.max_objective, settings.mean_holding_time
+        self.max_objective, self.min_objective = settings.max_objective, settings.min_objective
+        self.holding_time = settings.mean_holding_time
         self.window = min(SMOOTHING, self.max_objective / 2)  # shorter for short objectives
         for gate in self.gates.values():
             gate.estimate.window, gate.capacity_at = self.window, LONG_AGO
--- a/tests/test_admission_gate.py
+++ b/tests/test_admission_gate.py
@@ -218,6 +218,32 @@
     assert c.gates["a"].failures < 1.5
 
 
+@pytest.mark.parametrize(("timeout", "outcome"), [(3000.0, i.Outcome.CANCELLED), (20.0, i.Outcome.TIMEOUT)])
+def test_callers_that_leave_early_or_wait_briefly_eject_no_endpoint(timeout, outcome):
+    """Guards against endpoints that are ejected for 400 set-ups whose caller left after 20 ms."""
+    c = start_controller(("a",))
+    for k in range(400):
+        call(c, 10.0, f"x{k}", timeout=timeout)
+    for k in range(400):
+        if outcome is i.Outcome.CANCELLED:
+            c.handle(30.0, i.CallerAbandoned(f"x{k}"))
+        end_attempt(c, 30.0, f"x{k}", "a", outcome, call_over=True)
+    assert c.gates["a"].failures == 0
+    assert sent_attempts(call(c, 31.0, "usual")) == [i.SendAttempt("usual", "a")]
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.CANCELLED, i.Outcome.TIMEOUT])
+def test_an_endpoint_that_is_silent_for_half_an_objective_is_ejected_whoever_ends_the_attempts(outcome):
+    c = start_controller(("a",))
+    for k in range(2):
+        call(c, 10.0 + k, f"x{k}")
+    run_sweeps(c, 760.0)
+    for k in range(2):
+        c.handle(760.0 + k, i.CallerAbandoned(f"x{k}"))
+        end_attempt(c, 760.0 + k, f"x{k}", "a", outcome, call_over=True)
+    assert c.gates["a"].failures == 2
+
+
 def test_invalid_calls_close_no_gate_and_are_rejected_at_the_second_error():
     # Guards against callers of invalid calls, whose errors close the gates for all other callers.
     for servers in (("a", "b", "c"), ("a",)):
