Set-ups that are unread when their caller leaves are never sent

Usual callers were rejected while engines worked on set-ups of a client that had closed its connection. Cause: the end of a connection is read behind all its data, and what one read held was set up at once. Now the kernel is asked whether the peer has closed; then its open calls are given up and its unread set-ups dropped, while releases and cancels are carried out. Where a read was full, calls are routed after the rest is read, for 250 ms at most. The same on WebSockets.

--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -111,12 +111,16 @@
         self.switch.memory.change(Holder.CONNECTIONS, -CLIENT_CONNECTION_BYTES)
         self.accepted.pop(connection, None)
         self.connecting.pop(connection, None)
-        for call in list(connection.pending):
-            self._abandon(connection, call)
+        self.client_left(connection)
         self.switch.connection_ended(connection, connection.watched)
         for call in list(connection.watched):
             self._stop_watching(connection, call)
 
+    def client_left(self, connection: ClientConnection) -> None:
+        """Abandons the pending call setups of a client that has closed its connection."""
+        for call in list(connection.pending):
+            self._abandon(connection, call)
+
     # client requests
 
     def message_received(self, connection: ClientConnection, text: str) -> None:
@@ -147,6 +151,9 @@
 
     def _place(self, connection: ClientConnection, call: CallId, message: Message) -> None:
         setup = read_setup(call, message)
+        if connection.has_left:  # nobody waits for the answer
+            self.switch.counters[Count.SETUPS_OF_CALLERS_THAT_LEFT] += 1
+            return
         if call in self.calls or call in self.ended:
             connection.send_error(CODES[FailureReason.DUPLICATE], "this id was placed before", call)
             return
--- a/softswitch/net/control_connection.py
+++ b/softswitch/net/control_connection.py
@@ -27,7 +27,7 @@
 from softswitch.core.switch import Switch
 from softswitch.interface import CallId
 from softswitch.net.control_messages import VERSION, Message
-from softswitch.net.twisted_internals import unwritten_bytes
+from softswitch.net.twisted_internals import peer_has_closed, unwritten_bytes
 
 PATH = "/v1/calls"
 MAX_MESSAGE = 24_576  # characters: room for a description of 16 KiB in base64
@@ -47,6 +47,9 @@
     def connection_lost(self, connection: ClientConnection) -> None:
         """Called when the connection has ended."""
 
+    def client_left(self, connection: ClientConnection) -> None:
+        """Called when the client has closed the connection, although what it wrote may not be read yet."""
+
     def message_received(self, connection: ClientConnection, text: str) -> None:
         """Called for each complete text message."""
 
@@ -59,6 +62,7 @@
         self.websocket = WSConnection(ConnectionType.SERVER)
         self.is_accepted = False  # whether the handshake is complete
         self.is_over = False
+        self.has_left = False  # the client has closed; what it wrote before may still be unread
         self.opened_at = self.last_data_at = server.switch.wheel.now
         self.pending: set[CallId] = set()  # ids of the client's call setups that are not answered yet
         self.watched: set[CallId] = set()  # ids of the calls whose events the client receives
@@ -145,6 +149,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when data is received."""
         self.last_data_at = self.server.switch.wheel.now
+        self._detect_leaving()
         try:
             self.websocket.receive_data(data)
             for event in self.websocket.events():
@@ -157,6 +162,11 @@
                 self._write(e.event_hint)
             self._disconnect()
 
+    def _detect_leaving(self) -> None:
+        if not self.has_left and peer_has_closed(self.transport):
+            self.has_left = True
+            self.server.client_left(self)
+
     def _handle(self, event: Event) -> None:
         match event:
             case Request():
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -126,6 +126,9 @@
         except (ValueError, OverflowError) as e:
             self._reject_invalid(connection, request, e)
             return
+        if connection.caller_left:  # nobody waits for the answer
+            self.switch.counters[Count.SETUPS_OF_CALLERS_THAT_LEFT] += 1
+            return
         if self.switch.has_call(setup.call):
             self._duplicate_invite(connection, request, setup)
             return
@@ -144,7 +147,7 @@
         if reason is not None:
             self.call_failed(setup.call, reason, self._retry_after(reason))
         else:
-            connection.unrouted_calls.append(setup.call)
+            connection.call_accepted(setup.call)
         if setup.call_class not in self.switch.controller.classes:
             connection.penalize(LIGHT_PENALTY)
 
@@ -234,8 +237,8 @@
         for call in list(connection.pending_calls):
             self.switch.fail_call(call, self)
 
-    def _abandon_calls_of(self, connection: SipConnection) -> None:
-        """Abandons the call setups pending on a connection that has ended."""
+    def abandon_calls_of(self, connection: SipConnection) -> None:
+        """Abandons the call setups pending on a connection that its caller has closed."""
         for call in list(connection.pending_calls):
             self.pending.pop(call, None)
             self.switch.abandon_call(call, self, connection)
@@ -243,7 +246,7 @@
 
     def connection_ended(self, connection: SipConnection) -> None:
         """Abandons the pending calls of an ended connection, and drops it from the established ones."""
-        self._abandon_calls_of(connection)
+        self.abandon_calls_of(connection)
         for call in connection.established_calls:
             self.established[call].connection = None
         self.switch.connection_ended(connection, connection.established_calls)
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -16,7 +16,7 @@
     encode_response,
     parse_request,
 )
-from softswitch.net.twisted_internals import read_now, unparsed_bytes, unwritten_bytes
+from softswitch.net.twisted_internals import peer_has_closed, read_now, unparsed_bytes, unwritten_bytes
 
 CRLF = b"\r\n"
 CRLF_SIZE = len(CRLF)
@@ -32,6 +32,9 @@
 # Data that waited unread for more ms than this is stale: its caller may have given up in the meantime. Call
 # setups in it are routed only after the rest of the data from the caller has been read.
 STALE_AFTER = 100.0
+# Ms for which the call setups of a caller that has written more than was read wait for the rest to be read:
+# it may have closed the connection behind that.
+MAX_UNROUTED_TIME = 250.0
 
 
 class ConnectionOwner(Protocol):
@@ -45,6 +48,9 @@
     def connection_lost(self, connection: SipConnection) -> None:
         """Called when the connection has ended."""
 
+    def caller_left(self, connection: SipConnection) -> None:
+        """Called when the caller has closed the connection, although what it wrote may not be read yet."""
+
     def is_open(self, connection: SipConnection) -> bool:
         """Whether the connection is still established."""
 
@@ -110,7 +116,9 @@
         self.read_count = 0  # reads that returned data
         self.more_unread = False  # more data may have been waiting behind the last read
         self.reading_ahead = False
+        self.caller_left = False  # the caller has closed; what it wrote before may still be unread
         self.unrouted_calls: list[CallId] = []  # call setups accepted but not routed yet
+        self.unrouted_since: float | None = None  # when the first of them was accepted
         self.unprocessed = 0  # bytes received and not processed: incomplete or deferred messages
         self._start_message()
 
@@ -151,17 +159,38 @@
             return
         if data:
             self._record_read(len(data))
+        self._detect_leaving()
         if self.is_new:
             self.owner.first_message_data(self)
         super().dataReceived(data)
         self._record_unprocessed()
         if self.reading_ahead:
             return  # called from `_read_ahead`, which continues
-        if self.unrouted_calls and self.wheel.now - self.received_at > STALE_AFTER:
-            self._read_ahead()
-            if self.owner.is_deferred(self):
-                return  # the calls are routed once the deferred data is processed
-        self._route_calls()
+        if not self.unrouted_calls:
+            return
+        self._read_before_routing()
+        if not self.owner.is_deferred(self):  # else the calls are routed once the deferred data is processed
+            self._route_calls()
+
+    def _read_before_routing(self) -> None:
+        """Reads what the caller has written since: it may have taken call setups back, or have left."""
+        if not self.more_unread and self.wheel.now - self.received_at <= STALE_AFTER:
+            return
+        self._read_ahead()
+        if self._waits_for_unread() and not self.owner.is_deferred(self):
+            self._defer()
+
+    def _waits_for_unread(self) -> bool:
+        """Whether the routing of call setups waits until more data is read, in a later turn."""
+        is_ending = self.is_closing or not self.owner.is_open(self)
+        if is_ending or not self.more_unread or self.unrouted_since is None:
+            return False
+        return self.wheel.now - self.unrouted_since <= MAX_UNROUTED_TIME
+
+    def _detect_leaving(self) -> None:
+        if not self.caller_left and peer_has_closed(self.transport):
+            self.caller_left = True
+            self.owner.caller_left(self)
 
     def _record_read(self, size: int) -> None:
         """Records a read of `size` bytes, and estimates when these bytes arrived (`received_at`)."""
@@ -195,12 +224,16 @@
         """Reads on after stale data: the caller may have sent more since, such as a CANCEL."""
         self.reading_ahead = True
         for _ in range(MAX_READS_AHEAD):
-            if self.owner.is_deferred(self) or self.read_pending():
+            if self.owner.is_deferred(self):
+                break
+            if self.read_pending():
+                self.more_unread = not self._may_read  # else nothing was waiting
                 break
         self.reading_ahead = False
 
     def _route_calls(self) -> None:
         calls, self.unrouted_calls = self.unrouted_calls, []
+        self.unrouted_since = None
         if calls:
             self.owner.route_calls(calls)
 
@@ -212,11 +245,14 @@
         if self.owner.is_deferred(self):
             return False
         reads = self.read_count
-        may_read = self.backpressured_at is None and not self.owner.is_paused(self)
-        if may_read and not read_now(self.transport):
+        if self._may_read and not read_now(self.transport):
             return False
         return self.read_count == reads
 
+    @property
+    def _may_read(self) -> bool:
+        return self.backpressured_at is None and not self.owner.is_paused(self)
+
     def resume_paused(self) -> None:
         """Resumes reading after a pause for memory. What is read next may have waited in it."""
         self.more_unread = True
@@ -229,6 +265,8 @@
         self.last_read_at = self.wheel.now
         if self.backpressured_at is None and not self.is_closing and self.owner.is_open(self):
             super().resumeProducing()
+        elif self._waits_for_unread():
+            self.owner.defer(self)
         else:
             self._route_calls()
 
@@ -326,9 +364,18 @@
     def _defer_if_over_budget(self) -> None:
         """Leaves the remaining data to a later turn if the callers' budget of this turn is used up."""
         if self.closing_started_at is None and self.wheel.elapsed_in_turn() > TURN_BUDGET:
-            self.more_unread = True  # data that arrives while deferred waits unread
-            self.owner.defer(self)
-            super().pauseProducing()
+            self._defer()
+
+    def _defer(self) -> None:
+        self.more_unread = True  # data that arrives while deferred waits unread
+        self.owner.defer(self)
+        super().pauseProducing()
+
+    def call_accepted(self, call: CallId) -> None:
+        """Adds a call setup that is to be routed."""
+        self.unrouted_calls.append(call)
+        if self.unrouted_since is None:
+            self.unrouted_since = self.wheel.now
 
     def answer(self, code: int, request: SipMessage, body: bytes = b"", retry_after: float = 0.0) -> None:
         """Writes the response to a request."""
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -111,6 +111,10 @@
         self.releases.connection_closed(connection)
         self.calls.connection_ended(connection)
 
+    def caller_left(self, connection: SipConnection) -> None:
+        """Abandons the calls pending on a connection that its caller has closed."""
+        self.calls.abandon_calls_of(connection)
+
     def is_open(self, connection: SipConnection) -> bool:
         """Whether the connection is still established."""
         return connection in self.connections
--- a/softswitch/net/twisted_internals.py
+++ b/softswitch/net/twisted_internals.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
 from twisted.python.failure import Failure
 
+TCP_CLOSE_WAIT = 8  # state of a TCP socket in the first byte of TCP_INFO, of Linux: the peer has closed
+
 
 def unwritten_bytes(transport: Any) -> int:
     """Returns how many bytes that were written to a TCP transport it still buffers.
@@ -33,6 +36,20 @@
     return reason is None
 
 
+def peer_has_closed(transport: Any) -> bool:
+    """Whether the peer of a TCP transport has closed its side, although data may still be unread.
+
+    A reading reactor notices the end of a connection only behind all data that came before it.
+    """
+    sock = getattr(transport, "socket", None)
+    if sock is None:  # closed here, or a transport without a socket
+        return False
+    try:
+        return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT)
+    except OSError:
+        return True
+
+
 class WakeNotifier:
     """Wraps the reactor's epoll object, and calls back when it returns with events."""
 
--- a/tests/test_read_scheduling.py
+++ b/tests/test_read_scheduling.py
@@ -22,6 +22,9 @@
     def setTcpNoDelay(self, on):
         pass
 
+    def doRead(self):
+        """Reads nothing: no more data waits."""
+
 
 class SlowServer(SipServer):
     """A server for which each request takes REQUEST_COST; records the order of the calls."""
