An id that was sent to an engine is not set up again after its call has ended

Engines got one call twice: a client left or took its set-up back and came again with the same id, on the same front, another one or at the other process of a replacement, also within the retry delay. Cause: an id counted as new as soon as its call was removed from the table.

--- a/softswitch/core/call_table.py
+++ b/softswitch/core/call_table.py
@@ -24,8 +24,8 @@
     def call_added(self, call: CallId) -> None:
         """Called when a call was added."""
 
-    def call_removed(self, call: CallId) -> None:
-        """Called when a call was removed."""
+    def call_removed(self, call: CallId, written: bool) -> None:
+        """Called when a call was removed. `written`: an attempt of it was written to an engine."""
 
 
 class CallTable(dict[CallId, Call]):
@@ -90,7 +90,7 @@
         self.memory.change(Holder.CALLS, -call.held_bytes)
         call.transition(CallState.OVER)
         if self.observer is not None:
-            self.observer.call_removed(call.id)
+            self.observer.call_removed(call.id, call.written)
 
     def established_at(self, server: str, before: float = inf) -> list[Call]:
         """Returns the calls at a server that were established before a time."""
--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -30,6 +30,7 @@
 from softswitch.core.figures import Figures
 from softswitch.core.memory_budget import MemoryBudget
 from softswitch.core.predecessor import PredecessorCalls
+from softswitch.core.recent_calls import RecentCalls
 from softswitch.core.timer_wheel import TimerWheel
 from softswitch.core.unsent_data import UnsentData
 from softswitch.interface import CallId
@@ -56,6 +57,7 @@
         self.calls = CallTable(self.memory)
         self.endpoints = EndpointDirectory()
         self.predecessor = PredecessorCalls(wheel.now)
+        self.recent_calls = RecentCalls()
         self.counters = Counters()
         self.slow_start_share = 1.0  # see `interface.Settings`
         self.settings = self._adapted(settings)
@@ -268,6 +270,8 @@
     def _remove(self, call: Call) -> None:
         self.calls.remove(call)
         self.predecessor.call_ended(self.wheel.now, call.id)
+        if call.written:
+            self.recent_calls.add(self.wheel.now, call.id)
 
     def _answer_overdue(self, call_id: CallId) -> None:
         """Answers a call that the decision module has not answered in time."""
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -69,8 +69,11 @@
         return reason
 
     def has_call(self, call_id: CallId) -> bool:
-        """Whether this process, or the peer process, has an open or established call with this id."""
-        if call_id in self.calls:
+        """Whether this process, or the peer process, has or had a call with this id.
+
+        A call that ended counts for a while, unless no attempt of it was written to an engine.
+        """
+        if call_id in self.calls or self.recent_calls.has(self.wheel.now, call_id):
             return True
         return self.peer_process is not None and self.peer_process.has_call(call_id)
 
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -389,13 +389,17 @@
     def _share_calls(self, channel: Channel, message: Message) -> None:
         """Reports the calls of this process to the peer, if `message` says that the peer understands it."""
         if message.get("shares_calls"):
-            self.peer_calls.start(channel)
+            self.peer_calls.start(channel, self.switch.recent_calls)
 
     def _peer_calls_added(self, channel: Channel, message: Message) -> None:
         self.peer_calls.peer_added(_read_call_ids(message))
 
     def _peer_calls_removed(self, channel: Channel, message: Message) -> None:
-        self.peer_calls.peer_removed(_read_call_ids(message))
+        ids = _read_call_ids(message)
+        self.peer_calls.peer_removed(ids)
+        if message.get("written"):
+            for call in ids:
+                self.switch.recent_calls.add(self.switch.wheel.now, call)
 
     # implementation of `core.call.PeerProcess`: forwards releases of calls of the peer process
 
--- a/softswitch/net/peer_calls.py
+++ b/softswitch/net/peer_calls.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any, Protocol
 
 from softswitch.core.call_table import MAX_CALLS, CallTable
+from softswitch.core.recent_calls import RecentCalls
 from softswitch.interface import CallId
 
 # Message types; the field `ids` is a list of call ids.
@@ -18,6 +20,12 @@
 IDS_PER_MESSAGE = 48  # of 16 hex digits: the message stays below the limit of the channel
 
 
+def _pieces(ids: list[CallId]) -> Iterator[list[CallId]]:
+    """Divides ids into lists that fit into a message each."""
+    for start in range(0, len(ids), IDS_PER_MESSAGE):
+        yield ids[start : start + IDS_PER_MESSAGE]
+
+
 class MessageSender(Protocol):
     """The channel to the peer process."""
 
@@ -40,13 +48,17 @@
         """Whether the peer process has a call with this id."""
         return call in self._ids
 
-    def start(self, channel: MessageSender) -> None:
-        """Reports all calls of this process, and from now on each one that is added or removed."""
+    def start(self, channel: MessageSender, ended: RecentCalls) -> None:
+        """Reports all calls of this process, and from now on each one that is added or removed.
+
+        `ended`: the calls that ended lately.
+        """
         self._channel = channel
         self._calls.observer = self
-        own = list(self._calls)
-        for start in range(0, len(own), IDS_PER_MESSAGE):
-            channel.send(ADDED, ids=own[start : start + IDS_PER_MESSAGE])
+        for ids in _pieces(list(self._calls)):
+            channel.send(ADDED, ids=ids)
+        for ids in _pieces(ended.ids()):
+            channel.send(REMOVED, ids=ids, written=True)
 
     def stop(self) -> None:
         """Stops reporting and forgets the peer process's calls: the channel is closed."""
@@ -71,7 +83,7 @@
         if self._channel is not None:
             self._channel.send(ADDED, ids=[call])
 
-    def call_removed(self, call: CallId) -> None:
-        """Reports a call of this process that has ended."""
+    def call_removed(self, call: CallId, written: bool) -> None:
+        """Reports a call of this process that has ended. The peer must not set it up if it was written."""
         if self._channel is not None:
-            self._channel.send(REMOVED, ids=[call])
+            self._channel.send(REMOVED, ids=[call], written=written)
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -4,6 +4,7 @@
 from support.switch_bench import CONNECTION, Bench
 
 from softswitch.core.call_table import MAX_CALLS
+from softswitch.core.recent_calls import MAX_RETAINED, RecentCalls
 from softswitch.net import handover
 from softswitch.net.peer_calls import ADDED, REMOVED, PeerCalls
 
@@ -24,7 +25,7 @@
     b, channel = Bench(), Channel()
     peer_calls = PeerCalls(b.switch.calls)
     b.call(1)
-    peer_calls.start(channel)
+    peer_calls.start(channel, RecentCalls())
     b.call(2)
     b.switch.abandon_call(ONE, b, CONNECTION)
     peer_calls.stop()
@@ -32,7 +33,7 @@
     assert channel.messages == [
         {"do": ADDED, "ids": [ONE]},
         {"do": ADDED, "ids": [f"{2:016x}"]},
-        {"do": REMOVED, "ids": [ONE]},
+        {"do": REMOVED, "ids": [ONE], "written": True},
     ]
 
 
@@ -50,8 +51,11 @@
     # A longer message, or more unread bytes, would end the channel and with it the replacement.
     b, channel = Bench(), Channel()
     b.switch.calls.update({f"{n:016x}": None for n in range(MAX_CALLS)})
-    PeerCalls(b.switch.calls).start(channel)
+    ended = RecentCalls()
+    for n in range(MAX_CALLS, MAX_CALLS + MAX_RETAINED):
+        ended.add(0.0, f"{n:016x}")
+    PeerCalls(b.switch.calls).start(channel, ended)
     lines = [orjson.dumps(message) + b"\n" for message in channel.messages]
-    assert sum(len(message["ids"]) for message in channel.messages) == MAX_CALLS
+    assert sum(len(message["ids"]) for message in channel.messages) == MAX_CALLS + MAX_RETAINED
     assert max(map(len, lines)) <= handover.MAX_MESSAGE
     assert sum(map(len, lines)) <= handover.MAX_UNREAD
