All fronts share the callers' budget of a turn

Cause: the budget of a turn was the SIP listener's; a WebSocket handled all frames of 64 KiB in one go. And a connection with nothing left to do was put behind all greedy ones if the budget was used up. Set-ups over a WebSocket wait for unread data as those over SIP do.

--- a/softswitch/core/policy_executor.py
+++ b/softswitch/core/policy_executor.py
@@ -32,6 +32,7 @@
 from softswitch.core.predecessor import PredecessorCalls
 from softswitch.core.recent_calls import RecentCalls
 from softswitch.core.timer_wheel import TimerWheel
+from softswitch.core.turn_scheduler import TurnScheduler
 from softswitch.core.unsent_data import UnsentData
 from softswitch.interface import CallId
 from softswitch.limits.call_limits import CallLimits
@@ -54,6 +55,7 @@
         self.engines = engines
         self.memory = MemoryBudget()
         self.unsent = UnsentData(self.memory)
+        self.turns = TurnScheduler(wheel)
         self.calls = CallTable(self.memory)
         self.endpoints = EndpointDirectory()
         self.predecessor = PredecessorCalls(wheel.now)
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -121,6 +121,11 @@
         for call in list(connection.pending):
             self._abandon(connection, call)
 
+    def route_calls(self, calls: list[CallId]) -> None:
+        """Routes accepted calls."""
+        for call in calls:
+            self.switch.route_call(call)
+
     # client requests
 
     def message_received(self, connection: ClientConnection, text: str) -> None:
@@ -165,8 +170,10 @@
         self._start_watching(connection, call, placed)
         connection.pending.add(call)
         self._notify(call, {"event": "setting_up"})
-        reason = self.switch.request_setup(setup, self, connection, answer_bytes=PLACED_CALL_BYTES)
-        if reason is not None:
+        reason = self.switch.accept_call(setup, self, connection, answer_bytes=PLACED_CALL_BYTES)
+        if reason is None:
+            connection.unrouted.add(call)
+        else:
             self._stop_watching(connection, call)
             del self.calls[call]
             connection.pending.discard(call)
--- a/softswitch/net/control_connection.py
+++ b/softswitch/net/control_connection.py
@@ -27,9 +27,11 @@
 from softswitch.core.switch import Switch
 from softswitch.interface import CallId
 from softswitch.net.control_messages import VERSION, Message
-from softswitch.net.twisted_internals import peer_has_closed, unwritten_bytes
+from softswitch.net.twisted_internals import peer_has_closed, read_now, unwritten_bytes
+from softswitch.net.unrouted_calls import UnroutedCalls
 
 PATH = "/v1/calls"
+READ_SIZE = 16_384  # max bytes of one read
 MAX_MESSAGE = 24_576  # characters: room for a description of 16 KiB in base64
 MAX_UNREAD = 262_144  # max bytes queued for a client that does not read
 # Close codes of RFC 6455.
@@ -53,6 +55,9 @@
     def message_received(self, connection: ClientConnection, text: str) -> None:
         """Called for each complete text message."""
 
+    def route_calls(self, calls: list[CallId]) -> None:
+        """Routes accepted calls, after what the client has written is read."""
+
 
 class ClientConnection(protocol.Protocol):
     """The WebSocket connection of one client."""
@@ -67,17 +72,23 @@
         self.pending: set[CallId] = set()  # ids of the client's call setups that are not answered yet
         self.watched: set[CallId] = set()  # ids of the calls whose events the client receives
         self._backpressured = False
+        self._turns = server.switch.turns
+        self._held_event: Event | None = None  # the next event, while the connection is deferred
+        self._more_unread = False  # more data may have been waiting behind the last read
+        self.unrouted = UnroutedCalls(server.switch.wheel)
         self._text = ""  # received part of an incomplete message
         self._text_bytes = 0  # of memory that it holds
 
     def connectionMade(self) -> None:
         """Called by Twisted when the connection is established."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_SIZE
         self.transport.registerProducer(self, True)
 
     def connectionLost(self, reason: object = None) -> None:
         """Called by Twisted when the connection has ended."""
         self.is_over = True
+        self._turns.forget(self)
         self._text = ""
         self._record_text()
         self.server.switch.unsent.forget(self)
@@ -94,7 +105,8 @@
         """Called by Twisted when the client reads again."""
         self._backpressured = False
         self.server.switch.unsent.forget(self)
-        self.transport.resumeProducing()
+        if not self._turns.is_deferred(self):
+            self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
         """Called by Twisted when the connection has ended."""
@@ -150,12 +162,38 @@
         """Called by Twisted when data is received."""
         self.last_data_at = self.server.switch.wheel.now
         self._detect_leaving()
+        self._more_unread = len(data) >= READ_SIZE
+        self._process(data)
+
+    def resume_deferred(self) -> None:
+        """Processes the received data that an earlier turn had no time for, then reads on."""
+        self._detect_leaving()
+        if self._held_event is None and not self._backpressured:
+            self._more_unread = False  # unless the read below is full again
+            read_now(self.transport)
+        self._process(b"")
+        if not self.is_over and not self._backpressured and not self._turns.is_deferred(self):
+            self.transport.resumeProducing()
+
+    def _process(self, data: bytes) -> None:
+        """Handles received data, then routes the accepted calls unless data is left for a later turn."""
+        self._parse(data)
+        if self.is_over or self._turns.is_deferred(self):
+            return
+        if self._more_unread and self.unrouted.may_wait:
+            self._defer()
+        elif self.unrouted:
+            self.server.route_calls(self.unrouted.take())
+
+    def _defer(self) -> None:
+        self.transport.pauseProducing()
+        self._turns.defer(self)
+
+    def _parse(self, data: bytes) -> None:
         try:
-            self.websocket.receive_data(data)
-            for event in self.websocket.events():
-                if self.is_over:
-                    return
-                self._handle(event)
+            if data:
+                self.websocket.receive_data(data)
+            self._handle_events()
         except RemoteProtocolError as e:
             logger.warning("control client: WebSocket protocol error, connection closed: {}", e)
             if e.event_hint is not None:
@@ -167,6 +205,22 @@
             self.has_left = True
             self.server.client_left(self)
 
+    def _handle_events(self) -> None:
+        """Handles the received events, as far as the turn's budget allows. The rest stays in the parser."""
+        held_event, self._held_event = self._held_event, None
+        if held_event is not None:
+            self._handle(held_event)
+        is_first = held_event is None
+        for event in self.websocket.events():
+            if self.is_over:
+                return
+            if self._turns.is_over_budget and not is_first:
+                self._held_event = event
+                self._defer()
+                return
+            is_first = False
+            self._handle(event)
+
     def _handle(self, event: Event) -> None:
         match event:
             case Request():
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -147,7 +147,7 @@
         if reason is not None:
             self.call_failed(setup.call, reason, self._retry_after(reason))
         else:
-            connection.call_accepted(setup.call)
+            connection.unrouted.add(setup.call)
         if setup.call_class not in self.switch.controller.classes:
             connection.penalize(LIGHT_PENALTY)
 
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -7,6 +7,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from softswitch.core.timer_wheel import TimerWheel
+from softswitch.core.turn_scheduler import TURN_BUDGET, TurnScheduler
 from softswitch.interface import CallId
 from softswitch.net.sip_codec import (
     MAX_MESSAGE,
@@ -17,14 +18,13 @@
     parse_request,
 )
 from softswitch.net.twisted_internals import peer_has_closed, read_now, unparsed_bytes, unwritten_bytes
+from softswitch.net.unrouted_calls import UnroutedCalls
 
 CRLF = b"\r\n"
 CRLF_SIZE = len(CRLF)
 # Penalty points since the last established call at which a connection is closed: 16 unusable messages, or 64
 # call setups of an unknown class.
 MAX_PENALTY = 16.0
-# Ms of one turn of the event loop in which callers are served; the rest is left for engines and operators.
-TURN_BUDGET = 40.0
 LINES_PER_CHECK = 64  # header lines between two checks of the budget; an ordinary head has fewer
 READ_SIZE = 16_384  # max bytes of one read; smaller ones would hide how long data has waited
 MAX_UNREAD_TIME = 500.0  # max ms that data behind a full read is assumed to have waited
@@ -32,15 +32,13 @@
 # Data that waited unread for more ms than this is stale: its caller may have given up in the meantime. Call
 # setups in it are routed only after the rest of the data from the caller has been read.
 STALE_AFTER = 100.0
-# Ms for which the call setups of a caller that has written more than was read wait for the rest to be read:
-# it may have closed the connection behind that.
-MAX_UNROUTED_TIME = 250.0
 
 
 class ConnectionOwner(Protocol):
     """The server that owns a connection, as the connection uses it."""
 
     wheel: TimerWheel
+    turns: TurnScheduler
 
     def connection_opened(self, connection: SipConnection) -> None:
         """Called when the connection is established."""
@@ -57,12 +55,6 @@
     def first_message_data(self, connection: SipConnection) -> None:
         """Called when data of a connection's first message is received."""
 
-    def is_deferred(self, connection: SipConnection) -> bool:
-        """Whether the remaining received data waits for a later turn of the event loop."""
-
-    def defer(self, connection: SipConnection) -> None:
-        """Postpones the remaining data to a later turn: the callers' budget of this turn is used up."""
-
     def unprocessed_changed(self, connection: SipConnection, size: int) -> None:
         """Called when the connection holds `size` bytes of received data that is not processed."""
 
@@ -117,8 +109,7 @@
         self.more_unread = False  # more data may have been waiting behind the last read
         self.reading_ahead = False
         self.caller_left = False  # the caller has closed; what it wrote before may still be unread
-        self.unrouted_calls: list[CallId] = []  # call setups accepted but not routed yet
-        self.unrouted_since: float | None = None  # when the first of them was accepted
+        self.unrouted = UnroutedCalls(self.wheel)
         self.unprocessed = 0  # bytes received and not processed: incomplete or deferred messages
         self._start_message()
 
@@ -166,10 +157,10 @@
         self._record_unprocessed()
         if self.reading_ahead:
             return  # called from `_read_ahead`, which continues
-        if not self.unrouted_calls:
+        if not self.unrouted:
             return
         self._read_before_routing()
-        if not self.owner.is_deferred(self):  # else the calls are routed once the deferred data is processed
+        if not self.owner.turns.is_deferred(self):  # else they are routed after the deferred data
             self._route_calls()
 
     def _read_before_routing(self) -> None:
@@ -177,15 +168,13 @@
         if not self.more_unread and self.wheel.now - self.received_at <= STALE_AFTER:
             return
         self._read_ahead()
-        if self._waits_for_unread() and not self.owner.is_deferred(self):
+        if self._waits_for_unread() and not self.owner.turns.is_deferred(self):
             self._defer()
 
     def _waits_for_unread(self) -> bool:
         """Whether the routing of call setups waits until more data is read, in a later turn."""
         is_ending = self.is_closing or not self.owner.is_open(self)
-        if is_ending or not self.more_unread or self.unrouted_since is None:
-            return False
-        return self.wheel.now - self.unrouted_since <= MAX_UNROUTED_TIME
+        return not is_ending and self.more_unread and self.unrouted.may_wait
 
     def _detect_leaving(self) -> None:
         if not self.caller_left and peer_has_closed(self.transport):
@@ -224,7 +213,7 @@
         """Reads on after stale data: the caller may have sent more since, such as a CANCEL."""
         self.reading_ahead = True
         for _ in range(MAX_READS_AHEAD):
-            if self.owner.is_deferred(self):
+            if self.owner.turns.is_deferred(self):
                 break
             if self.read_pending():
                 self.more_unread = not self._may_read  # else nothing was waiting
@@ -232,8 +221,7 @@
         self.reading_ahead = False
 
     def _route_calls(self) -> None:
-        calls, self.unrouted_calls = self.unrouted_calls, []
-        self.unrouted_since = None
+        calls = self.unrouted.take()
         if calls:
             self.owner.route_calls(calls)
 
@@ -242,7 +230,7 @@
 
         False: data was read or is deferred, or the connection has ended.
         """
-        if self.owner.is_deferred(self):
+        if self.owner.turns.is_deferred(self):
             return False
         reads = self.read_count
         if self._may_read and not read_now(self.transport):
@@ -266,7 +254,7 @@
         if self.backpressured_at is None and not self.is_closing and self.owner.is_open(self):
             super().resumeProducing()
         elif self._waits_for_unread():
-            self.owner.defer(self)
+            self.owner.turns.defer(self)
         else:
             self._route_calls()
 
@@ -282,7 +270,7 @@
         """Called by Twisted when the caller reads again."""
         self.backpressured_at = None
         self.owner.backpressure_changed(self, False)
-        if not self.owner.is_deferred(self) and not self.owner.is_paused(self):
+        if not self.owner.turns.is_deferred(self) and not self.owner.is_paused(self):
             super().resumeProducing()
 
     def stopProducing(self) -> None:
@@ -350,7 +338,9 @@
             self.owner.message_unreadable(self, e)
         if self.closing_started_at is None:
             self.setLineMode()
-            super().dataReceived(rest)
+            if rest:
+                self._defer_if_over_budget()
+            super().dataReceived(rest)  # only stored if the connection is deferred
 
     def _message_complete(self, body: bytes) -> None:
         message = self.message
@@ -359,24 +349,19 @@
             self.owner.response_received(self, message)
             return
         self.owner.request_received(self, parse_request(message, body))
-        self._defer_if_over_budget()
+        if unparsed_bytes(self):  # a connection without further data has taken no more than its share
+            self._defer_if_over_budget()
 
     def _defer_if_over_budget(self) -> None:
         """Leaves the remaining data to a later turn if the callers' budget of this turn is used up."""
-        if self.closing_started_at is None and self.wheel.elapsed_in_turn() > TURN_BUDGET:
+        if self.closing_started_at is None and self.owner.turns.is_over_budget:
             self._defer()
 
     def _defer(self) -> None:
         self.more_unread = True  # data that arrives while deferred waits unread
-        self.owner.defer(self)
+        self.owner.turns.defer(self)
         super().pauseProducing()
 
-    def call_accepted(self, call: CallId) -> None:
-        """Adds a call setup that is to be routed."""
-        self.unrouted_calls.append(call)
-        if self.unrouted_since is None:
-            self.unrouted_since = self.wheel.now
-
     def answer(self, code: int, request: SipMessage, body: bytes = b"", retry_after: float = 0.0) -> None:
         """Writes the response to a request."""
         self.respond(code, request.echoed_headers(), body, retry_after)
--- a/softswitch/net/sip_connection_table.py
+++ b/softswitch/net/sip_connection_table.py
@@ -34,7 +34,6 @@
         self.in_first_message: ConnectionTimes = {}  # the first message is arriving; time of its last data
         self.idle: ConnectionTimes = {}  # no pending call, and none was ever established
         self.idle_callers: ConnectionTimes = {}  # no pending call, but one was established before
-        self.deferred: dict[SipConnection, None] = {}  # with data to process in a later turn; in order
         # Closed by the softswitch, not yet by the caller; the oldest first.
         self.closing: dict[SipConnection, None] = {}
 
@@ -61,7 +60,6 @@
         """Removes a connection that has ended."""
         self.all.pop(connection, None)
         self.closing.pop(connection, None)
-        self.deferred.pop(connection, None)
         self.untrack(connection)
 
     def untrack(self, connection: SipConnection) -> None:
@@ -87,7 +85,6 @@
         `lingering`: it is read until the caller closes too.
         """
         self.untrack(connection)
-        self.deferred.pop(connection, None)
         if lingering:
             self.closing[connection] = None
 
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -17,7 +17,7 @@
 from softswitch.net.release_sender import ReleaseSender
 from softswitch.net.sip_calls import SipCalls
 from softswitch.net.sip_codec import SipMessage, SipParseError, SipRequest
-from softswitch.net.sip_connection import TURN_BUDGET, SipConnection
+from softswitch.net.sip_connection import SipConnection
 from softswitch.net.sip_connection_table import MESSAGE_TIMEOUT, ConnectionTable
 
 ACCEPTS_PER_TURN = 8  # connections accepted in one turn of the event loop; Twisted may add up to 20
@@ -37,6 +37,7 @@
         self.name = name
         self.switch = switch
         self.wheel = switch.wheel
+        self.turns = switch.turns
         self.port: Any = None  # the Twisted port on which callers connect
         self.connections = ConnectionTable(max_connections)
         self.received = ReceivedData(switch)
@@ -103,6 +104,7 @@
     def connection_lost(self, connection: SipConnection) -> None:
         """Removes an ended connection and abandons the calls pending on it."""
         self.connections.remove(connection)
+        self.turns.forget(connection)
         self.received.forget(connection)
         self.switch.unsent.forget(connection)
         self.switch.memory.change(Holder.CONNECTIONS, -CONNECTION_BYTES)
@@ -166,28 +168,6 @@
         if connection in self.connections:  # what is written after its end is dropped with it
             self.switch.unsent.update(self.wheel.now, connection, size)
 
-    # deferred reading
-
-    def is_deferred(self, connection: SipConnection) -> bool:
-        """Whether the connection's remaining data waits for a later turn of the event loop."""
-        return connection in self.connections.deferred
-
-    def defer(self, connection: SipConnection) -> None:
-        """Postpones the connection's remaining data to a later turn: this turn's budget is used up."""
-        if not self.connections.deferred:
-            self.wheel.call_at(self.wheel.now, self._resume_deferred)
-        self.connections.deferred[connection] = None
-
-    def _resume_deferred(self) -> None:
-        waiting, self.connections.deferred = self.connections.deferred, {}
-        while waiting and self.wheel.elapsed_in_turn() <= TURN_BUDGET / 2:
-            connection = next(iter(waiting))
-            del waiting[connection]
-            connection.resume_deferred()
-        if waiting and not self.connections.deferred:
-            self.wheel.call_at(self.wheel.now, self._resume_deferred)
-        self.connections.deferred = waiting | self.connections.deferred
-
     # memory
 
     def is_paused(self, connection: SipConnection) -> bool:
@@ -196,7 +176,7 @@
 
     def unprocessed_changed(self, connection: SipConnection, size: int) -> None:
         """Records the unprocessed data of a connection."""
-        self.received.update(connection, size, may_pause=not self.is_deferred(connection))
+        self.received.update(connection, size, may_pause=not self.turns.is_deferred(connection))
 
     # idle connections
 
@@ -231,7 +211,7 @@
     def _is_in_use(self, connection: SipConnection) -> bool:
         if connection not in self.connections or connection.pending_calls:
             return True
-        return connection.message_started_at is not None or self.is_deferred(connection)
+        return connection.message_started_at is not None or self.turns.is_deferred(connection)
 
     def _is_last_release_path(self, connection: SipConnection) -> bool:
         """Whether releases of established calls can go out on this connection alone."""
@@ -268,6 +248,7 @@
         self.releases.connection_closed(connection)
         self.calls.fail_calls_of(connection)
         self.connections.start_closing(connection, lingering)
+        self.turns.forget(connection)
         connection.clear_received()
         self.received.forget(connection)
         connection.transport.unregisterProducer()
--- a/tests/test_control_memory.py
+++ b/tests/test_control_memory.py
@@ -10,8 +10,11 @@
 class Client:
     """A client's connection that records the events it is sent."""
 
+    has_left = False
+
     def __init__(self):
         self.pending, self.watched, self.sent, self.errors = set(), set(), [], []
+        self.unrouted = set()
 
     def send(self, message):
         self.sent.append(message)
@@ -31,6 +34,8 @@
     def request(self, client, action, n, **fields):
         message = '{"v":1,"do":"%s","id":"%016x","class":"plain","number":"7","patience_ms":3000}'
         self.api.message_received(client, message % (action, n))
+        self.api.route_calls(client.unrouted)
+        client.unrouted.clear()
 
     def establish(self, client, n, description=b"d"):
         self.request(client, "place", n)
--- a/tests/test_read_scheduling.py
+++ b/tests/test_read_scheduling.py
@@ -8,7 +8,8 @@
 from support.switch_bench import Bench
 from twisted.internet.testing import StringTransport
 
-from softswitch.net.sip_connection import MAX_UNREAD_TIME, READ_SIZE, TURN_BUDGET
+from softswitch.core.turn_scheduler import TURN_BUDGET
+from softswitch.net.sip_connection import MAX_UNREAD_TIME, READ_SIZE
 from softswitch.net.sip_server import ACCEPTS_PER_TURN, SipServer
 
 INVITE = (
@@ -58,7 +59,7 @@
         b.run(5.0)
     assert [n for n in server.processed if n < 100] == list(range(1, 11))
     assert first.transport.producerState == "producing"
-    assert not server.connections.deferred
+    assert not b.switch.turns.deferred
 
 
 def test_time_spent_unread_counts_against_the_callers_timeout():
