A management request is read before its connection makes room for others

Cause: 16 connections are open at most and one more displaced the oldest, while up to 100 were accepted in a turn before any was read. An answered one was aborted with its response still unsent.

--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -80,6 +80,7 @@
     CONTROL_SOCKETS_REFUSED: Final = "control sockets turned away"
     # management requests
     MANAGEMENT_SHED: Final = "mgmt shed"
+    MANAGEMENT_REFUSED: Final = "mgmt turned away"
     # the peer process and optional components
     PASSED_TO_PEER_PROCESS: Final = "passed to the other process"
     RECORD_INTERVALS: Final = "record intervals"
--- a/softswitch/net/management.py
+++ b/softswitch/net/management.py
@@ -21,10 +21,12 @@
 from softswitch.core.counters import Count, CountFamily
 from softswitch.core.lifecycle import Phase
 from softswitch.core.switch import Switch
+from softswitch.net.twisted_internals import read_now, unwritten_bytes
 
-MAX_CONNECTIONS = 16  # at once; one more sheds an answered one, or else the oldest
+MAX_CONNECTIONS = 16  # at once; one more sheds another one
 MAX_HEAD, MAX_BODY = 8_192, 4_096  # bytes of a request's head and body
 MAX_HEADERS = 64  # header lines of a request
+ACCEPTS_PER_TURN = 4  # connections accepted in one turn of the event loop; fewer than may be open
 REQUEST_TIMEOUT = 3_500.0  # ms from connecting to a complete request
 CLOSE_TIMEOUT = 500.0  # ms that a client may take to close after the response
 SWEEP_INTERVAL = 100.0  # ms between two checks of the connections
@@ -65,6 +67,15 @@
         """Called by Twisted when the connection has ended."""
         self.server.connections.pop(self, None)
 
+    def read_pending(self) -> None:
+        """Reads what the client has written so far."""
+        read_now(self.transport)
+
+    @property
+    def is_response_sent(self) -> bool:
+        """Whether the response has been passed to the operating system completely."""
+        return self.answered_at is not None and unwritten_bytes(self.transport) == 0
+
     def readConnectionLost(self) -> None:
         """Called by Twisted when the client has closed its sending side."""
         if self.answered_at is None:
@@ -161,11 +172,24 @@
         self.component_routes: dict[str, ManagementRoute] = {}
         self.components: dict[str, Component] = {}  # their figures are part of the metrics
         self._sweep_scheduled = False  # only while there are connections
+        self.port: Any = None  # the Twisted port on which clients connect
+
+    def attach(self, port: Any) -> None:
+        """Sets the Twisted port on which clients connect.
 
-    def buildProtocol(self, addr: object) -> ManagementConnection:
+        It accepts few connections in a turn: the request on a new one is read before further ones can
+        displace it.
+        """
+        self.port = port
+        port.numberAccepts = ACCEPTS_PER_TURN
+
+    def buildProtocol(self, addr: object) -> ManagementConnection | None:
         """Called by Twisted when a client connects."""
-        if len(self.connections) >= MAX_CONNECTIONS:
-            self._shed_one()
+        if self.port is not None:
+            self.port.numberAccepts = ACCEPTS_PER_TURN  # Twisted raises it whenever all are used
+        if len(self.connections) >= MAX_CONNECTIONS and not self._shed_one():
+            self.switch.counters[Count.MANAGEMENT_REFUSED] += 1
+            return None
         connection = ManagementConnection(self)
         self.connections[connection] = None
         if not self._sweep_scheduled:
@@ -173,13 +197,23 @@
             self.switch.wheel.call_after(SWEEP_INTERVAL, self._sweep)
         return connection
 
-    def _shed_one(self) -> None:
-        """Aborts an answered connection, or else the oldest, so that silent clients never block others."""
-        answered = (c for c in self.connections if c.answered_at is not None)
-        victim = next(answered, None) or next(iter(self.connections))
+    def _shed_one(self) -> bool:
+        """Aborts one connection, so that silent clients never block others; False if there is none to abort.
+
+        One whose response has been sent goes first, then the oldest whose request is incomplete, after all
+        that was written meanwhile is read. A response that is not sent yet would be lost.
+        """
+        for connection in list(self.connections):
+            if connection.answered_at is None:
+                connection.read_pending()
+        unanswered = (c for c in self.connections if c.answered_at is None)
+        victim = next((c for c in self.connections if c.is_response_sent), None) or next(unanswered, None)
+        if victim is None:
+            return False
         self.switch.counters[Count.MANAGEMENT_SHED] += 1
         self.connections.pop(victim)
         victim.transport.abortConnection()
+        return True
 
     def handle_request(self, method: str, target: str) -> ManagementResponse:
         """Returns the status and the content of the response to a request."""
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -178,9 +178,10 @@
         if self.management is None or address is None:
             return
         try:
-            self.reactor.listenTCP(
+            port = self.reactor.listenTCP(
                 address.port, self.management, backlog=MANAGEMENT_BACKLOG, interface=address.host
             )
+            self.management.attach(port)
         except CannotListenError as e:
             raise ConfigurationError(f"mgmt: {e}") from None
         logger.info("management server listens at {}:{}", *address.pair)
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -12,6 +12,7 @@
 import pytest
 from support.endpoint_events import endpoint_record, list_changes
 from support.harness import INFO, ROOT, Sip, Stage, call_id, format_address
+from support.paused import Paused
 
 from softswitch.standin.addresses import own_host
 
@@ -41,21 +42,6 @@
     return received
 
 
-class Paused:
-    """Pauses the program within the block: all events of the block precede its resumption."""
-
-    def __init__(self, stage):
-        self.program = stage.program
-
-    def __enter__(self):
-        self.program.send_signal(signal.SIGSTOP)
-        while open(f"/proc/{self.program.pid}/stat").read().split(")")[1].split()[0] != "T":
-            time.sleep(0.001)
-
-    def __exit__(self, *_):
-        self.program.send_signal(signal.SIGCONT)
-
-
 # SIGTERM
 
 
--- a/tests/test_callers_that_left.py
+++ b/tests/test_callers_that_left.py
@@ -1,31 +1,16 @@
 """Callers that leave while what they wrote is unread: none of it is set up, and the rest is carried out."""
 
-import signal
 import time
 
 import pytest
 from support.harness import Stage, call_id
+from support.paused import Paused
 from support.sip_bench import invite
 from support.unfair_clients import place
 
 SETUPS = 1_200  # more than is read at once
 
 
-class Paused:
-    """Pauses the process within the block, so that all of it precedes the next read."""
-
-    def __init__(self, stage):
-        self.program = stage.program
-
-    def __enter__(self):
-        self.program.send_signal(signal.SIGSTOP)
-        while open(f"/proc/{self.program.pid}/stat").read().split(")")[1].split()[0] != "T":
-            time.sleep(0.001)
-
-    def __exit__(self, *_):
-        self.program.send_signal(signal.SIGCONT)
-
-
 def setups_received(stage, name="e0"):
     return [m for m in stage.parties[name].received if m.startswith("SET_UP")]
 
