An engine whose address belongs to a later started one has ended

The new engine at an address got set-ups in the name of the old one too, and that one's calls were not released, for as long as the list named both. Cause: two entries with one address were taken for two engines, each with a link of its own. Now the one that started last has the address; the others are removed, as the event of any removal.

--- a/softswitch/core/endpoint_directory.py
+++ b/softswitch/core/endpoint_directory.py
@@ -66,6 +66,18 @@
             self.cells[endpoint.server] = endpoint.cell
         return ended
 
+    def listed_after(self, update: i.EndpointsChanged) -> dict[str, i.Endpoint]:
+        """Returns the entries that are not removed, by server, as they will be after an update."""
+        unlisted = set(update.unlisted(self.states))
+        listed = {
+            server: i.Endpoint(server, self.cells[server], self.states[server], self.started_at[server])
+            for server in self.listed()
+            if server not in unlisted
+        }
+        for endpoint in update.endpoints:
+            listed[endpoint.server] = endpoint
+        return {s: e for s, e in listed.items() if e.state is not i.EndpointState.REMOVED}
+
     def _remove(self, server: str) -> IncarnationEnded:
         self.states[server] = i.EndpointState.REMOVED
         return IncarnationEnded(server)
--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from struct import Struct
 from typing import Any
 
@@ -19,6 +19,7 @@
 from softswitch import interface as i
 from softswitch.core.counters import Count
 from softswitch.core.switch import Switch
+from softswitch.net.displaced_endpoints import displaced_endpoints
 from softswitch.net.engine_pool import EnginePool
 
 ENDPOINT_RECORD = Struct(">I4sHBBBHIQ")  # id, address, port, state, zone, kind, cell, weight, started
@@ -268,7 +269,13 @@
         for entry in located:
             if entry.endpoint.state is not i.EndpointState.REMOVED:
                 self.engines.add_endpoint(entry.endpoint.server, entry.address)
-        self.switch.endpoints_changed(i.EndpointsChanged(kind, tuple(entry.endpoint for entry in located)))
+        update = i.EndpointsChanged(kind, tuple(entry.endpoint for entry in located))
+        displaced = displaced_endpoints(self.switch.endpoints.listed_after(update), self.engines.addresses())
+        for endpoint in displaced:
+            logger.info(
+                "endpoint watch: {} has ended, its address belongs to another engine", endpoint.server
+            )
+        self.switch.endpoints_changed(replace(update, endpoints=update.endpoints + displaced))
 
     def _sweep(self) -> None:
         """Reconnects if the server is silent.
--- a/softswitch/net/engine_pool.py
+++ b/softswitch/net/engine_pool.py
@@ -85,6 +85,10 @@
                 link.take_over_queue(current)
         link.open()
 
+    def addresses(self) -> dict[str, Address]:
+        """Returns the addresses of all engines with a link."""
+        return {server: link.address for server, link in self.links.items()}
+
     def incarnation_ended(self, ended: IncarnationEnded) -> int:
         """Drops what was meant for an ended process of an engine; see `core.call.Engines`."""
         link = self.links.get(ended.server)
--- a/tests/test_engine_incarnations.py
+++ b/tests/test_engine_incarnations.py
@@ -3,12 +3,13 @@
 import time
 
 import pytest
-from support.endpoint_events import GONE, READY, complete_list, endpoint_record, list_changes
+from support.endpoint_events import DRAINING, GONE, READY, complete_list, endpoint_record, list_changes
 from support.harness import Stage
 from support.switch_bench import A, B, Bench
 
 from softswitch import interface as i
 from softswitch.core.endpoint_directory import IncarnationEnded
+from softswitch.net.displaced_endpoints import displaced_endpoints
 
 ONE, TWO = f"{1:016x}", f"{2:016x}"
 READY_STATE, REMOVED = i.EndpointState.READY, i.EndpointState.REMOVED
@@ -167,3 +168,46 @@
             list_changes(4, started) + "e0 expect SET_UP {1}\ne0 send ANSWER 1 33=d\nc0 expect 200 OK.*{1}"
         )
         old.sock.close()
+
+
+# another engine at the address
+
+
+def entry(server, started_at=0.0, state=READY_STATE):
+    return i.Endpoint(server, 0, state, started_at)
+
+
+X, Y = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+@pytest.mark.parametrize(
+    ("listed", "addresses", "displaced"),
+    [
+        ([entry(A), entry(B, 5.0)], {A: X, B: X}, [A]),
+        ([entry(A, 5.0), entry(B)], {A: X, B: X}, [B]),
+        ([entry(A, 4.0), entry(B, 5.0)], {A: X, B: X}, [A]),
+        ([entry(A, -4.0), entry(B, 5.0)], {A: X, B: X}, [A]),  # a start before the clock's origin
+        ([entry(A), entry(B)], {A: X, B: X}, []),  # nothing tells which one is right
+        ([entry(A), entry(B, 5.0)], {A: X, B: Y}, []),
+        ([entry(A), entry(B, 5.0)], {B: X}, []),
+        ([], {A: X}, []),
+    ],
+)
+def test_the_engine_that_started_last_has_the_address(listed, addresses, displaced):
+    removed = displaced_endpoints({e.server: e for e in listed}, addresses)
+    assert [e.server for e in removed] == displaced
+    assert all(e.state is REMOVED for e in removed)
+
+
+def test_an_engine_whose_address_a_new_one_has_has_ended_before_the_list_says_so():
+    """Guards against work for an engine that is gone, sent to the one that has its address (picture d)."""
+    with Stage(engines=2) as s:
+        s.play(ESTABLISHED)
+        reopened_at_another_process(s)
+        new = endpoint_record(s, 7, "e0", READY, 0, born_ms=int(1000 * time.time()))
+        s.play(list_changes(4, new) + "c0 expect BYE.*{1}.*cause=41")
+        assert "s-00000000 has ended, its address belongs to another engine" in s.log_text()
+        s.play(list_changes(5, endpoint_record(s, 0, "e0", DRAINING, 0)) + "b wait 50")
+        s.play(list_changes(6, endpoint_record(s, 0, "e0", GONE, 0)) + "b wait 50")
+        s.play("c0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\nc0 expect 200 .*{2}")
+        s.play("c0 expect nothing 300")
