A release passed on by the peer process counts for the engine that sent it alone

Callers were told that their call was over while it stood: during a replacement, an engine's release of an earlier attempt came to the other process and was passed on without the engine's name, and the receiver took it for a release by the engine where the call is now. Now the message names the engine, and one by another engine is late. Without a name, from an older version, it is taken as before. The new test fails before for another engine. release_from_peer is two methods, one for callers' releases and one for engines'.

--- a/softswitch/core/call.py
+++ b/softswitch/core/call.py
@@ -185,7 +185,7 @@
     def caller_released(self, call: CallId, cause: int) -> None:
         """Passes on a caller's release of a call that is unknown in this process."""
 
-    def engine_released(self, call: CallId, cause: int) -> None:
+    def engine_released(self, server: str, call: CallId, cause: int) -> None:
         """Passes on an engine's release of a call that is unknown in this process."""
 
     def release_undeliverable(self, call: CallId, cause: int) -> None:
--- a/softswitch/core/switch.py
+++ b/softswitch/core/switch.py
@@ -254,37 +254,47 @@
 
     # from the peer process
 
-    def release_from_peer(self, call_id: CallId, cause: int, by_caller: bool) -> None:
-        """Handles a release that a caller or an engine sent to the peer process.
+    def caller_release_from_peer(self, call_id: CallId, cause: int) -> None:
+        """Handles a release that a caller sent to the peer process.
 
         A caller's release ends only calls that callers identify by their id alone, because the peer process
         does not know the front of a call. Within one process, no front ends the calls of another either.
         """
         call = self.calls.get(call_id)
         if call is None:
-            self._release_unknown_to_both(call_id, cause, by_caller)
-        elif not call.established or call.server is None:
+            # An earlier process may have set it up. The peer process takes no further action.
+            if not self._release_at_every_engine(call_id, cause):
+                self.counters[Count.LATE_RELEASES] += 1
+        elif not call.established:
             self.counters[Count.LATE_RELEASES] += 1
-        elif not by_caller:
-            self.released_by_engine(call.server, call_id, cause)
         elif call.caller.calls_survive:
             self.release_call(call_id, cause, call.caller)
         else:
             self.counters[Count.UNKNOWN_RELEASED] += 1
 
-    def _release_unknown_to_both(self, call_id: CallId, cause: int, by_caller: bool) -> None:
+    def engine_release_from_peer(self, call_id: CallId, cause: int, server: str | None) -> None:
+        """Handles a release that an engine sent to the peer process.
+
+        `server`: the engine; None if the peer process, of an older version, does not name it. An engine may
+        still release an attempt of a call that another one has established since.
+        """
+        call = self.calls.get(call_id)
+        if call is None:
+            self._engine_release_unknown_to_both(call_id, cause)
+        elif not call.established or call.server is None or server not in (None, call.server):
+            self.counters[Count.LATE_RELEASES] += 1
+        else:
+            self.released_by_engine(call.server, call_id, cause)
+
+    def _engine_release_unknown_to_both(self, call_id: CallId, cause: int) -> None:
         """Handles a release of a call that neither process has; an earlier process may have set it up.
 
         The peer process takes no further action after passing the release on, so this process has to.
         """
-        if by_caller:
-            passed_on = self._release_at_every_engine(call_id, cause)
-        else:
-            passed_on = self._notify_predecessor_callers(call_id, cause)
-            if passed_on and self.peer_process is not None:  # the caller may be connected to the peer
-                self.peer_process.release_undeliverable(call_id, cause)
-        if not passed_on:
+        if not self._notify_predecessor_callers(call_id, cause):
             self.counters[Count.LATE_RELEASES] += 1
+        elif self.peer_process is not None:  # the caller may be connected to the peer
+            self.peer_process.release_undeliverable(call_id, cause)
 
     # from the quote engines
 
@@ -326,7 +336,7 @@
         call = self.calls.get(call_id)
         if self.history:
             self.history.note(call_id, "release heard", f"{server} {cause} {note}")
-        if call is None and self._pass_on_release(call_id, cause):
+        if call is None and self._pass_on_release(server, call_id, cause):
             return
         if call is None or call.server != server:
             self.counters[Count.LATE_RELEASES] += 1  # for example a retransmission on the next connection
@@ -337,13 +347,13 @@
         else:
             self._attempt_released(call, cause, note, report, retry_after)
 
-    def _pass_on_release(self, call_id: CallId, cause: int) -> bool:
+    def _pass_on_release(self, server: str, call_id: CallId, cause: int) -> bool:
         """Passes on an engine's release of a call that the peer process or the predecessor may have.
 
         Returns False if neither can have the call.
         """
         if self.peer_process and call_id not in self.predecessor.ended:
-            self.peer_process.engine_released(call_id, cause)
+            self.peer_process.engine_released(server, call_id, cause)
             return True
         return self._notify_predecessor_callers(call_id, cause)
 
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -411,23 +411,26 @@
         """Forwards the release by a caller of a call unknown to this process."""
         self._forward("release", call, cause)
 
-    def engine_released(self, call: CallId, cause: int) -> None:
+    def engine_released(self, server: str, call: CallId, cause: int) -> None:
         """Forwards the release by an engine of a call unknown to this process."""
-        self._forward("cleared", call, cause)
+        self._forward("cleared", call, cause, server=server)
 
     def release_undeliverable(self, call: CallId, cause: int) -> None:
         """Forwards the release of a call whose caller is not connected to this process."""
         self._forward("released", call, cause)
 
-    def _forward(self, do: str, call: CallId, cause: int) -> None:
+    def _forward(self, do: str, call: CallId, cause: int, **more: str) -> None:
         self.switch.counters[Count.PASSED_TO_PEER_PROCESS] += 1
         if self.channel is not None:
-            self.channel.send(do, id=call, cause=cause)
+            self.channel.send(do, id=call, cause=cause, **more)
 
     def _release_received(self, channel: Channel, message: Message) -> None:
         call, cause = parse_call_id(message["id"]), int(message["cause"])
         if message["do"] == "released":
             self.sip.calls.call_released(call, cause)
+            return
+        if message["do"] == "release":
+            self.switch.caller_release_from_peer(call, cause)
         else:
-            self.switch.release_from_peer(call, cause, by_caller=message["do"] == "release")
-            self.sip.calls.forget_ended(call)
+            self.switch.engine_release_from_peer(call, cause, message.get("server"))
+        self.sip.calls.forget_ended(call)
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -6,9 +6,13 @@
 import socket
 import time
 
+import orjson
 import pytest
 from support.harness import Stage, call_id, format_address
 from support.settings import INFO
+from support.sip_bench import SipBench
+
+from softswitch.net.handover import Channel, Handover
 
 NO_CANCEL = {
     "limits": INFO["limits"] | {"may_cancel": False}
@@ -293,6 +297,28 @@
         s.play("c1 send INVITE 1\nc1 expect SIP/2.0 482\ne1 expect nothing 100")
 
 
+@pytest.mark.parametrize(("server", "ends"), [("s-0000000a", True), (None, True), ("s-0000000b", False)])
+def test_an_engines_release_through_the_other_process_ends_a_call_at_that_engine_alone(server, ends):
+    """Guards against a release of an earlier attempt that ends the call where it stands since."""
+    b = SipBench()
+    b.calls_survive = True
+    b.call(1)
+    b.switch.answered_by_engine("s-0000000a", call_id(1), b"d")
+    handover = Handover(None, b.switch, b.sip, "")
+    message = {"do": "cleared", "id": call_id(1), "cause": 16} | ({"server": server} if server else {})
+    Channel(handover).lineReceived(orjson.dumps(message))
+    assert bool(b.records_of("call_released")) == ends
+
+
+def test_an_engine_is_named_in_the_releases_that_are_passed_to_the_other_process():
+    b, sent = SipBench(), []
+    handover = b.switch.peer_process = Handover(None, b.switch, b.sip, "")
+    handover.channel = Channel(handover)
+    handover.channel.sendLine = sent.append
+    b.switch.released_by_engine("s-0000000a", call_id(1), 16)
+    assert orjson.loads(sent[0]) == {"do": "cleared", "id": call_id(1), "cause": 16, "server": "s-0000000a"}
+
+
 @pytest.mark.parametrize(("placed_on", "own", "other"), [("old", "w0", "c1"), ("new", "w1", "c0")])
 def test_a_sip_bye_to_the_other_process_never_ends_a_call_placed_over_a_websocket(placed_on, own, other):
     """Guards against established calls that ended without a word to the clients that watch them."""
