A process being replaced passes its endpoint list to its successor

Cause: the new process went on with the list of its configuration, as old as the first start; the hand-over carried nothing of the list. Now each process sends its list with its revision, before the listeners and after each change, to a peer that says it understands it.

--- a/softswitch/core/endpoint_directory.py
+++ b/softswitch/core/endpoint_directory.py
@@ -29,6 +29,7 @@
         self.states: dict[str, i.EndpointState] = {}
         self.started_at: dict[str, float] = {}
         self.cells: dict[str, int] = {}
+        self.weights: dict[str, float] = {}
 
     def state_of(self, server: str) -> i.EndpointState | None:
         """Returns the state of a server in the list; None if the server is unknown."""
@@ -64,16 +65,18 @@
             self.states[endpoint.server] = endpoint.state
             self.started_at[endpoint.server] = endpoint.started_at
             self.cells[endpoint.server] = endpoint.cell
+            self.weights[endpoint.server] = endpoint.weight
         return ended
 
+    def entry_of(self, server: str) -> i.Endpoint:
+        """Returns the entry of a known server."""
+        started_at, weight = self.started_at[server], self.weights[server]
+        return i.Endpoint(server, self.cells[server], self.states[server], started_at, weight)
+
     def listed_after(self, update: i.EndpointsChanged) -> dict[str, i.Endpoint]:
         """Returns the entries that are not removed, by server, as they will be after an update."""
         unlisted = set(update.unlisted(self.states))
-        listed = {
-            server: i.Endpoint(server, self.cells[server], self.states[server], self.started_at[server])
-            for server in self.listed()
-            if server not in unlisted
-        }
+        listed = {server: self.entry_of(server) for server in self.listed() if server not in unlisted}
         for endpoint in update.endpoints:
             listed[endpoint.server] = endpoint
         return {s: e for s, e in listed.items() if e.state is not i.EndpointState.REMOVED}
@@ -87,3 +90,4 @@
         self.states.pop(server, None)
         self.started_at.pop(server, None)
         self.cells.pop(server, None)
+        self.weights.pop(server, None)
--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -20,6 +20,7 @@
 from softswitch.core.counters import Count
 from softswitch.core.switch import Switch
 from softswitch.net.displaced_endpoints import displaced_endpoints
+from softswitch.net.endpoint_snapshot import EndpointSnapshot, LocatedEndpoint
 from softswitch.net.engine_pool import EnginePool
 
 ENDPOINT_RECORD = Struct(">I4sHBBBHIQ")  # id, address, port, state, zone, kind, cell, weight, started
@@ -46,14 +47,6 @@
 ToClock = Callable[[int], float]  # converts Unix ms to the clock of the timer wheel; 0 stays 0
 
 
-@dataclass(frozen=True, slots=True)
-class LocatedEndpoint:
-    """An entry of the endpoint list and the address to connect to."""
-
-    endpoint: i.Endpoint
-    address: Address
-
-
 @dataclass(frozen=True, slots=True)
 class ListEvent:
     """A numbered event with a complete list or changes to it."""
@@ -167,6 +160,22 @@
                 self.revision = max(self.revision, event.revision)
         self.revision = max(self.revision, final_revision)
 
+    def snapshot(self) -> EndpointSnapshot:
+        """Returns the endpoint list as it is known now."""
+        addresses = self.engines.addresses()
+        directory = self.switch.endpoints
+        listed = [server for server in directory.listed() if server in addresses]
+        entries = tuple(LocatedEndpoint(directory.entry_of(s), addresses[s]) for s in listed)
+        return EndpointSnapshot(self.revision, entries)
+
+    def apply_snapshot(self, snapshot: EndpointSnapshot) -> None:
+        """Applies the list of the other process if it is newer; the server's next events continue from it."""
+        if snapshot.revision <= self.revision:
+            return
+        logger.info("endpoint watch: list {} taken from the other process", snapshot.revision)
+        self._apply(i.UpdateKind.COMPLETE, list(snapshot.entries))
+        self.revision = snapshot.revision
+
     def start(self) -> None:
         """Opens the first connection."""
         self._connect()
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -8,7 +8,8 @@
 
 The channel carries one JSON object per line: `do` is the message type, a key of `Handover.handlers`, and
 `id` is a call id. The names are the same in every version, because different versions hand over to each
-other. A process sends ids of its calls only to a peer that has said `shares_calls`: others do not know them.
+other. A process sends ids of its calls only to a peer that has said `shares_calls`, and the endpoint list to
+one that has said `shares_endpoints`: others do not know them.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 import socket
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 from loguru import logger
@@ -33,6 +34,7 @@
 from softswitch.core.switch import Switch
 from softswitch.interface import CallId
 from softswitch.net import peer_calls
+from softswitch.net.endpoint_snapshot import EndpointSnapshot, SnapshotReader, encode_snapshot
 from softswitch.net.sip_server import SipServer
 
 VERSION = 1  # of the channel's messages
@@ -56,6 +58,20 @@
 Address = tuple[str, int]
 Descriptors = dict[str, int]  # descriptors of listening sockets, by name
 Message = dict[str, Any]  # a decoded line of the channel
+# What a process tells its peer to understand; the peer sends it nothing else that older versions do not know.
+SHARED = {"shares_calls": True, "shares_endpoints": True}
+
+
+class EndpointList(Protocol):
+    """The endpoint list of this process."""
+
+    revision: int
+
+    def snapshot(self) -> EndpointSnapshot:
+        """Returns the list as it is known now."""
+
+    def apply_snapshot(self, snapshot: EndpointSnapshot) -> None:
+        """Applies the list of the peer process if it is newer."""
 
 
 def open_listener(address: Address, backlog: int, shared: bool = False) -> socket.socket:
@@ -217,6 +233,9 @@
         self.peer_calls = peer_calls.PeerCalls(switch.calls)
         self.reported_connections = -1  # last number of connections reported to the successor
         self.on_predecessor_ended: Callable[[], None] | None = None
+        self.endpoint_list: EndpointList | None = None
+        self.sent_revision = 0  # of the endpoint list that was last sent to the peer
+        self.received_list = SnapshotReader()
         # Set during the search for the predecessor; called once, with the received descriptors.
         self.on_search_end: Callable[[Descriptors | None], None] | None = None
         self.handlers: dict[str, Callable[[Channel, Message], None]] = {
@@ -224,6 +243,7 @@
             "given": self._listeners_given,
             "holds": self._connections_reported,
             "serving": self._successor_serves,
+            "endpoints": self._endpoints_received,
             peer_calls.ADDED: self._peer_calls_added,
             peer_calls.REMOVED: self._peer_calls_removed,
             # A release by a caller, a release by an engine, and a release to deliver to a caller.
@@ -280,6 +300,7 @@
         self.switch.peer_process = self
         self.switch.memory.share_with_peer_process(True)
         self._share_calls(channel, message)
+        self._share_endpoints(message)
         self.switch.apply_slow_start_share(FRACTION_PER_PROCESS)
         self._connections_reported(channel, message)
         self.search_ended(given)
@@ -309,7 +330,7 @@
         """Called when the channel is open; a successor then requests the listeners."""
         self.channel = channel
         if self.on_search_end is not None:
-            channel.send("take", v=VERSION, shares_calls=True)
+            channel.send("take", v=VERSION, **SHARED)
 
     def _listeners_requested(self, channel: Channel, message: Message) -> None:
         if message["v"] != VERSION or self.on_search_end is not None:
@@ -320,10 +341,12 @@
         self.is_predecessor = True
         self.switch.peer_process = self
         self.switch.memory.share_with_peer_process(True)
-        self._share_calls(channel, message)  # before the successor has the listeners
+        # Before the successor has the listeners:
+        self._share_calls(channel, message)
+        self._share_endpoints(message)
         for port in self.ports.values():
             channel.transport.sendFileDescriptor(port.fileno())
-        channel.send("given", ports=list(self.ports), lines=len(self.sip.connections), shares_calls=True)
+        channel.send("given", ports=list(self.ports), lines=len(self.sip.connections), **SHARED)
         self.switch.apply_slow_start_share(FRACTION_PER_PROCESS)
         self._report_connections()
         logger.info("handover: listeners given to the next process")
@@ -384,6 +407,29 @@
         if self.switch.peer_process is None:
             self.switch.apply_slow_start_share(1.0)
 
+    # the endpoint list
+
+    def _share_endpoints(self, message: Message) -> None:
+        """Sends the endpoint list, now and after each change, if the peer has said that it understands it."""
+        if message.get("shares_endpoints") and self.endpoint_list is not None:
+            self.sent_revision = 0
+            self._send_endpoints()
+
+    def _send_endpoints(self) -> None:
+        if self.channel is None or self.endpoint_list is None:
+            return
+        if self.endpoint_list.revision > self.sent_revision:
+            snapshot = self.endpoint_list.snapshot()
+            for fields in encode_snapshot(snapshot):
+                self.channel.send("endpoints", **fields)
+            self.sent_revision = snapshot.revision
+        self.switch.wheel.call_after(REPORT_INTERVAL, self._send_endpoints)
+
+    def _endpoints_received(self, channel: Channel, message: Message) -> None:
+        snapshot = self.received_list.read(message)
+        if snapshot is not None and self.endpoint_list is not None:
+            self.endpoint_list.apply_snapshot(snapshot)
+
     # ids of calls
 
     def _share_calls(self, channel: Channel, message: Message) -> None:
--- a/softswitch/process/application.py
+++ b/softswitch/process/application.py
@@ -117,6 +117,8 @@
         )
         self.known_events = self.watch.parse(configuration.known_events)
         handover = self._build_handover(shared)
+        if handover is not None:
+            handover.endpoint_list = self.watch
         self.listeners = Listeners(self.reactor, self.switch, self.sip, self.watch, handover, shared)
         self.listeners.on_failure = self._fail
         if control_settings.listen:
