--- a/softswitch/core/counters.py
+++ b/softswitch/core/counters.py
@@ -69,7 +69,7 @@
     CONNECTIONS_PAUSED: Final = "connections paused for memory"
     CONNECTIONS_UNREAD: Final = "connections ended for unread answers"
     TOO_MANY_ON_CONNECTION: Final = "too many on a connection"
-    SETUPS_OF_CALLERS_THAT_LEFT: Final = "set-ups of callers that left"
+    SETUPS_AFTER_DISCONNECT: Final = "set-ups of callers that left"
     BAD_MESSAGES: Final = "bad messages"
     CALLER_RELEASES_SENT: Final = "releases sent to callers"
     CALLER_RELEASES_RETRIED: Final = "releases sent again"
--- a/softswitch/net/call_control.py
+++ b/softswitch/net/call_control.py
@@ -111,12 +111,12 @@
         self.switch.memory.change(Holder.CONNECTIONS, -CLIENT_CONNECTION_BYTES)
         self.accepted.pop(connection, None)
         self.connecting.pop(connection, None)
-        self.client_left(connection)
+        self.client_disconnected(connection)
         self.switch.connection_ended(connection, connection.watched)
         for call in list(connection.watched):
             self._stop_watching(connection, call)
 
-    def client_left(self, connection: ClientConnection) -> None:
+    def client_disconnected(self, connection: ClientConnection) -> None:
         """Abandons the pending call setups of a client that has closed its connection."""
         for call in list(connection.pending):
             self._abandon(connection, call)
@@ -156,8 +156,8 @@
 
     def _place(self, connection: ClientConnection, call: CallId, message: Message) -> None:
         setup = read_setup(call, message)
-        if connection.has_left:  # nobody waits for the answer
-            self.switch.counters[Count.SETUPS_OF_CALLERS_THAT_LEFT] += 1
+        if connection.is_disconnected:  # nobody waits for the answer
+            self.switch.counters[Count.SETUPS_AFTER_DISCONNECT] += 1
             return
         if call in self.calls or call in self.ended:
             connection.send_error(CODES[FailureReason.DUPLICATE], "this id was placed before", call)
--- a/softswitch/net/control_connection.py
+++ b/softswitch/net/control_connection.py
@@ -49,7 +49,7 @@
     def connection_lost(self, connection: ClientConnection) -> None:
         """Called when the connection has ended."""
 
-    def client_left(self, connection: ClientConnection) -> None:
+    def client_disconnected(self, connection: ClientConnection) -> None:
         """Called when the client has closed the connection, although what it wrote may not be read yet."""
 
     def message_received(self, connection: ClientConnection, text: str) -> None:
@@ -67,7 +67,7 @@
         self.websocket = WSConnection(ConnectionType.SERVER)
         self.is_accepted = False  # whether the handshake is complete
         self.is_over = False
-        self.has_left = False  # the client has closed; what it wrote before may still be unread
+        self.is_disconnected = False  # the client has closed; what it wrote before may still be unread
         self.opened_at = self.last_data_at = server.switch.wheel.now
         self.pending: set[CallId] = set()  # ids of the client's call setups that are not answered yet
         self.watched: set[CallId] = set()  # ids of the calls whose events the client receives
@@ -161,13 +161,13 @@
     def dataReceived(self, data: bytes) -> None:
         """Called by Twisted when data is received."""
         self.last_data_at = self.server.switch.wheel.now
-        self._detect_leaving()
+        self._detect_disconnect()
         self._more_unread = len(data) >= READ_SIZE
         self._process(data)
 
     def resume_deferred(self) -> None:
         """Processes the received data that an earlier turn had no time for, then reads on."""
-        self._detect_leaving()
+        self._detect_disconnect()
         if self._held_event is None and not self._backpressured:
             self._more_unread = False  # unless the read below is full again
             read_now(self.transport)
@@ -200,10 +200,10 @@
                 self._write(e.event_hint)
             self._disconnect()
 
-    def _detect_leaving(self) -> None:
-        if not self.has_left and peer_has_closed(self.transport):
-            self.has_left = True
-            self.server.client_left(self)
+    def _detect_disconnect(self) -> None:
+        if not self.is_disconnected and peer_has_closed(self.transport):
+            self.is_disconnected = True
+            self.server.client_disconnected(self)
 
     def _handle_events(self) -> None:
         """Handles the received events, as far as the turn's budget allows. The rest stays in the parser."""
--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -239,7 +239,7 @@
             self.connection.give_up("its process was replaced")
         return NO_CONNECTION if self.connection is None else self.connection_number
 
-    def listed_again(self) -> None:
+    def relisted(self) -> None:
         """Called when a removed engine is listed again at the same address, or at each mention of it."""
         self.is_closing = self.is_removed = False
         self.open()
--- a/softswitch/net/engine_pool.py
+++ b/softswitch/net/engine_pool.py
@@ -75,7 +75,7 @@
         """
         current = self.links.get(server)
         if current is not None and current.address == address:
-            current.listed_again()
+            current.relisted()
             return
         link = EngineLink(self, self.switch, server, address)
         self.links[server] = link
--- a/softswitch/net/handover.py
+++ b/softswitch/net/handover.py
@@ -16,7 +16,6 @@
 
 import errno
 import os
-import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
@@ -35,13 +34,13 @@
 from softswitch.interface import CallId
 from softswitch.net import peer_calls
 from softswitch.net.endpoint_snapshot import EndpointSnapshot, SnapshotReader, encode_snapshot
+from softswitch.net.handover_sockets import Address, Descriptors, SocketDirectory
 from softswitch.net.sip_server import SipServer
 
 VERSION = 1  # of the channel's messages
 SOCKET_PREFIX = "willowhitch"  # of the Unix sockets' file names, the same in every version
 MAX_SOCKETS_TRIED = 4  # including stale socket files
 MAX_LISTENERS = 4  # listening sockets received on one channel
-MAX_ADDRESS = 107  # bytes in the address of a Unix socket
 MAX_MESSAGE = 1_024  # bytes of one line of the channel
 MAX_UNREAD = 512 << 10  # bytes queued for a peer that does not read: the ids of a full call table fit
 ANSWER_TIMEOUT = 1.5  # s for the predecessor to hand over
@@ -55,8 +54,6 @@
 MIN_CONNECTIONS = 16  # limit of the successor, however many connections the predecessor still has
 STALE_SOCKET_ERRORS = (errno.ECONNREFUSED, errno.ENOENT)
 
-Address = tuple[str, int]
-Descriptors = dict[str, int]  # descriptors of listening sockets, by name
 Message = dict[str, Any]  # a decoded line of the channel
 # What a process tells its peer to understand; the peer sends it nothing else that older versions do not know.
 SHARED = {"shares_calls": True, "shares_endpoints": True}
@@ -74,44 +71,6 @@
         """Applies the list of the peer process if it is newer."""
 
 
-def open_listener(address: Address, backlog: int, shared: bool = False) -> socket.socket:
-    """Opens a listening socket.
-
-    `shared`: other sockets of this user may listen on the address too (SO_REUSEPORT). Each has its own accept
-    queue, which is lost when the socket is closed.
-    """
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if shared:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        listener.bind(address)
-        listener.listen(backlog)
-        listener.setblocking(False)
-    except OSError:
-        listener.close()
-        raise
-    return listener
-
-
-class SocketDirectory:
-    """The directory of the Unix sockets. Its path may be longer than a Unix socket address."""
-
-    def __init__(self, path: Path) -> None:
-        self.path = path
-        self._descriptor: int | None = None  # of the directory; opened once a path is too long
-
-    def address_of(self, name: str) -> str:
-        """The address of the socket with this file name."""
-        path = self.path / name
-        if len(os.fsencode(path)) <= MAX_ADDRESS:
-            return str(path)
-        # A long TMPDIR must not prevent the handover. The path through the directory's descriptor is short.
-        if self._descriptor is None:
-            self._descriptor = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
-        return f"/proc/self/fd/{self._descriptor}/{name}"
-
-
 def _read_call_ids(message: Message) -> list[CallId]:
     """Returns the ids of a report of calls; raises InvalidCallIdError if one is invalid."""
     return [parse_call_id(id_) for id_ in message["ids"]]
--- a/softswitch/net/sip_calls.py
+++ b/softswitch/net/sip_calls.py
@@ -126,8 +126,8 @@
         except (ValueError, OverflowError) as e:
             self._reject_invalid(connection, request, e)
             return
-        if connection.caller_left:  # nobody waits for the answer
-            self.switch.counters[Count.SETUPS_OF_CALLERS_THAT_LEFT] += 1
+        if connection.caller_disconnected:  # nobody waits for the answer
+            self.switch.counters[Count.SETUPS_AFTER_DISCONNECT] += 1
             return
         if self.switch.has_call(setup.call):
             self._duplicate_invite(connection, request, setup)
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -46,7 +46,7 @@
     def connection_lost(self, connection: SipConnection) -> None:
         """Called when the connection has ended."""
 
-    def caller_left(self, connection: SipConnection) -> None:
+    def caller_disconnected(self, connection: SipConnection) -> None:
         """Called when the caller has closed the connection, although what it wrote may not be read yet."""
 
     def is_open(self, connection: SipConnection) -> bool:
@@ -108,7 +108,7 @@
         self.read_count = 0  # reads that returned data
         self.more_unread = False  # more data may have been waiting behind the last read
         self.reading_ahead = False
-        self.caller_left = False  # the caller has closed; what it wrote before may still be unread
+        self.caller_disconnected = False  # the caller has closed; what it wrote before may still be unread
         self.unrouted = UnroutedCalls(self.wheel)
         self.unprocessed = 0  # bytes received and not processed: incomplete or deferred messages
         self._start_message()
@@ -150,7 +150,7 @@
             return
         if data:
             self._record_read(len(data))
-        self._detect_leaving()
+        self._detect_disconnect()
         if self.is_new:
             self.owner.first_message_data(self)
         super().dataReceived(data)
@@ -176,10 +176,10 @@
         is_ending = self.is_closing or not self.owner.is_open(self)
         return not is_ending and self.more_unread and self.unrouted.may_wait
 
-    def _detect_leaving(self) -> None:
-        if not self.caller_left and peer_has_closed(self.transport):
-            self.caller_left = True
-            self.owner.caller_left(self)
+    def _detect_disconnect(self) -> None:
+        if not self.caller_disconnected and peer_has_closed(self.transport):
+            self.caller_disconnected = True
+            self.owner.caller_disconnected(self)
 
     def _record_read(self, size: int) -> None:
         """Records a read of `size` bytes, and estimates when these bytes arrived (`received_at`)."""
--- a/softswitch/net/sip_server.py
+++ b/softswitch/net/sip_server.py
@@ -113,7 +113,7 @@
         self.releases.connection_closed(connection)
         self.calls.connection_ended(connection)
 
-    def caller_left(self, connection: SipConnection) -> None:
+    def caller_disconnected(self, connection: SipConnection) -> None:
         """Abandons the calls pending on a connection that its caller has closed."""
         self.calls.abandon_calls_of(connection)
 
--- a/softswitch/process/listeners.py
+++ b/softswitch/process/listeners.py
@@ -13,7 +13,8 @@
 from softswitch.configuration import Address
 from softswitch.core.switch import Switch
 from softswitch.net.endpoint_watch import EndpointWatch
-from softswitch.net.handover import Handover, open_listener
+from softswitch.net.handover import Handover
+from softswitch.net.handover_sockets import open_listener
 from softswitch.net.sip_server import SipServer
 
 BACKLOG = 512  # connections waiting to be accepted
--- a/tests/test_control_memory.py
+++ b/tests/test_control_memory.py
@@ -10,7 +10,7 @@
 class Client:
     """A client's connection that records the events it is sent."""
 
-    has_left = False
+    is_disconnected = False
 
     def __init__(self):
         self.pending, self.watched, self.sent, self.errors = set(), set(), [], []
