A link whose engine is listed again during a connection attempt connects again

A connection that came up after its engine was removed was aborted, and the link went on to wait for it: an engine listed again in that time would never have been connected to. Tests for what an ended process leaves in its link.

--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -170,12 +170,12 @@
 
     def connection_up(self, connection: EngineConnection) -> None:
         """Called when the connection is established; writes the queued messages."""
+        self._is_connecting = False
         if self.is_closing:
             connection.transport.abortConnection()
             return
         self.connection = connection
         self.connection_number = next(_connection_numbers)
-        self._is_connecting = False
         self._backpressured = False
         self.heartbeat.connection_up(self.switch.wheel.now)
         if not self.is_reading:
--- a/tests/test_engine_link.py
+++ b/tests/test_engine_link.py
@@ -4,8 +4,9 @@
 from support.harness import Stage, call_id
 from support.switch_bench import CONNECTION, A, Bench
 
-from softswitch.core.call import SetupRequest
+from softswitch.core.call import NO_CONNECTION, SetupRequest
 from softswitch.core.counters import Count
+from softswitch.core.endpoint_directory import IncarnationEnded
 from softswitch.net import listening_connection
 from softswitch.net.engine_codec import NO_CALL, MessageType, Release, decode_message, encode_message
 from softswitch.net.engine_link import (
@@ -300,3 +301,36 @@
     bench.link.reading_changed()
     assert connection.is_read
     assert listening.is_read
+
+
+# the end of an engine's process
+
+
+def test_a_removed_engine_is_connected_to_again_if_it_is_listed_again_during_a_connection_attempt():
+    """Guards against a link that waits for a connection that was aborted as its engine was removed."""
+    bench = LinkBench()
+    bench.link.open()
+    bench.link.incarnation_ended(IncarnationEnded(A))
+    bench.link.connection_up(Connection(bench.now))  # comes up too late, and is aborted
+    assert bench.link.connection is None
+    bench.link.relisted()
+    assert len(bench.opened) == 2
+
+
+def test_releases_for_a_replaced_process_are_not_sent_to_the_one_that_replaced_it():
+    bench = LinkBench()
+    bench.run(100.0)
+    old = bench.connect_link()
+    old.give_up = lambda reason: bench.link.connection_down(old)
+    bench.link.send_release(Release(ONE, CANCELLED))
+    bench.run(100.0)
+    assert bench.link.incarnation_ended(IncarnationEnded(A, bench.now)) == NO_CONNECTION
+    assert bench.connect_link().written == []
+
+
+def test_queued_releases_of_a_removed_engine_are_dropped():
+    bench = LinkBench()
+    bench.link.send_release(Release(ONE, CANCELLED))
+    assert bench.link.incarnation_ended(IncarnationEnded(A)) == NO_CONNECTION
+    bench.link.relisted()
+    assert bench.connect_link().written == []
