--- a/softswitch/core/call_id.py
+++ b/softswitch/core/call_id.py
@@ -9,7 +9,7 @@
 
 from softswitch.interface import CallId
 
-CALL_ID_PATTERN = re.compile(r"[0-9a-f]{16}\Z")
+_is_call_id = re.compile(r"[0-9a-f]{16}\Z").match
 
 
 class InvalidCallIdError(ValueError):
@@ -21,14 +21,18 @@
 
 def parse_call_id(text: object) -> CallId:
     """Returns the id of a call; raises InvalidCallIdError if it is not 16 hex digits in lower case."""
-    if isinstance(text, str) and CALL_ID_PATTERN.match(text):
+    if isinstance(text, str) and _is_call_id(text):
         return CallId(text)
     raise InvalidCallIdError
 
 
 def parse_callers_id(text: object) -> CallId:
     """Returns the id of a call as callers may write it: the same, with hex digits of either case."""
-    return parse_call_id(text.lower() if isinstance(text, str) else text)
+    if isinstance(text, str):
+        lower = text.lower()
+        if _is_call_id(lower):  # not by parse_call_id: one call less for each message of a caller
+            return CallId(lower)
+    raise InvalidCallIdError
 
 
 def call_id_of_bytes(data: bytes) -> CallId:
--- a/softswitch/net/sip_connection.py
+++ b/softswitch/net/sip_connection.py
@@ -150,7 +150,9 @@
             return
         if data:
             self._record_read(len(data))
-        self._detect_disconnect()
+        if not self.caller_disconnected and peer_has_closed(self.transport):
+            self.caller_disconnected = True
+            self.owner.caller_disconnected(self)
         if self.is_new:
             self.owner.first_message_data(self)
         super().dataReceived(data)
@@ -176,11 +178,6 @@
         is_ending = self.is_closing or not self.owner.is_open(self)
         return not is_ending and self.more_unread and self.unrouted.may_wait
 
-    def _detect_disconnect(self) -> None:
-        if not self.caller_disconnected and peer_has_closed(self.transport):
-            self.caller_disconnected = True
-            self.owner.caller_disconnected(self)
-
     def _record_read(self, size: int) -> None:
         """Records a read of `size` bytes, and estimates when these bytes arrived (`received_at`)."""
         now, lag = self.wheel.now, self.wheel.lag
