--- a/softswitch/net/engine_link.py
+++ b/softswitch/net/engine_link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from itertools import count
 from typing import Any, Protocol
 
@@ -28,16 +27,12 @@
 )
 from softswitch.net.engine_connection import EngineConnection
 from softswitch.net.engine_heartbeat import Heartbeat, Verdict
+from softswitch.net.engine_queue import EngineQueue, PendingRelease
 from softswitch.net.listening_connection import MissedReleases
 from softswitch.settings import parse_report
 
-MAX_QUEUED = 4_096  # messages queued until a connection is established
 MAX_BACKLOG = 1 << 20  # bytes buffered for an engine that does not read
 PIECE_TIMEOUT = 300.0  # max ms between two pieces of a message
-ACKNOWLEDGE_TIMEOUT = 1_000.0  # ms after which a written release counts as received
-# Of one release, each on another connection. An engine that cannot read a message closes the connection, and
-# all call setups behind the message are lost with it.
-MAX_RELEASE_TRANSMISSIONS = 3
 STABLE_AFTER = 1_000.0  # ms; a connection that lasted this long is reopened without backoff
 MIN_BACKOFF, MAX_BACKOFF = 50.0, 400.0  # ms between connection attempts
 ANY_STATE = b"\0"  # value of the cause parameter of a probe
@@ -46,15 +41,6 @@
 _connection_numbers = count(NO_CONNECTION + 1)  # of the main connections of all links
 
 
-@dataclass(slots=True)
-class PendingRelease:
-    """A release that is queued, or that was written and is not acknowledged yet."""
-
-    release: Release
-    transmissions: int = 0
-    sent_at: float = 0.0  # of the last transmission
-
-
 class Connector(Protocol):
     """The interface of the engine pool that a link uses."""
 
@@ -107,14 +93,8 @@
         # The engine was removed from the list. Another process may listen at its address, so the established
         # calls are lost with the connection that is still open.
         self.is_removed = False
-        # Queued messages by call id. Releases are written first: the release of an abandoned attempt may be
-        # queued together with a new attempt of the same call, which must neither replace nor overtake it.
-        self.queued_releases: dict[CallId, PendingRelease] = {}
-        self.queued_setups: dict[CallId, Call] = {}  # not written yet, so they can still be withdrawn
+        self.queue = EngineQueue()
         self.in_flight: set[CallId] = set()  # setups written to the current connection, unanswered
-        # Releases of established calls, oldest first. A reset of the connection may lose them, and nothing
-        # else notifies the engine, so they are written again on the next connection.
-        self.unacknowledged: dict[CallId, PendingRelease] = {}
         self.heartbeat = Heartbeat(switch.wheel.now, pool.settings.may_probe)
         self.missed_releases = MissedReleases(self)
         self._is_connecting = False
@@ -149,7 +129,7 @@
             self.open()
 
     def _is_needed(self) -> bool:
-        return self._queue_length > 0 or self.pool.needs_connection(self.server)
+        return len(self.queue) > 0 or self.pool.needs_connection(self.server)
 
     def buildProtocol(self, addr: object) -> EngineConnection:
         """Called by Twisted."""
@@ -162,7 +142,7 @@
         if process_is_dead:
             # Cleared before the setups are returned: the switch may queue them here again at once, for the
             # engine's next process.
-            self.queued_releases.clear()
+            self.queue.releases.clear()
         self.return_queued_setups()
         if process_is_dead:
             self.switch.engine_died(self.server)
@@ -205,7 +185,7 @@
         if self.is_removed:
             self.switch.connection_to_removed_engine_ended(self.server, self.connection_number)
             return
-        self._expire_unacknowledged(now)
+        self.queue.expire_unacknowledged(now)
         self._requeue_unacknowledged()
         if now - connection.opened_at < STABLE_AFTER:
             # Prevents a tight reconnect loop with an engine that closes each new connection.
@@ -233,9 +213,9 @@
         if ended.is_removal:
             self.is_closing = self.is_removed = True
             if self.connection is None:
-                self.queued_releases.clear()
+                self.queue.releases.clear()
         elif self.connection is not None and self.connection.opened_at < ended.replaced_at:
-            self.unacknowledged.clear()
+            self.queue.unacknowledged.clear()
             self.connection.give_up("its process was replaced")
         return NO_CONNECTION if self.connection is None else self.connection_number
 
@@ -277,24 +257,20 @@
 
     # messages to the engine
 
-    @property
-    def _queue_length(self) -> int:
-        return len(self.queued_releases) + len(self.queued_setups)
-
     def send_setup(self, call: Call) -> None:
         """Queues a call setup; it is written once a connection is up and not backpressured."""
-        if self._queue_length >= MAX_QUEUED:
+        if self.queue.is_full:
             self.switch.attempt_unreachable(self.server, call.id)
             return
-        self.queued_setups[call.id] = call
+        self.queue.add_setup(call)
         self._flush_or_open()
 
     def send_release(self, release: Release) -> None:
         """Queues a release; it is written once a connection is up and not backpressured."""
-        if self._queue_length >= MAX_QUEUED:  # the call stays established until the engine ends it
+        if self.queue.is_full:  # the call stays established until the engine ends it
             self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
             return
-        self.queued_releases[release.call] = PendingRelease(release)
+        self.queue.add_release(release)
         self._flush_or_open()
 
     def _flush_or_open(self) -> None:
@@ -304,28 +280,27 @@
 
     def withdraw_setup(self, call: CallId) -> bool:
         """Removes a call setup from the queue. Returns whether it was still queued."""
-        return self.queued_setups.pop(call, None) is not None
+        return self.queue.withdraw_setup(call)
 
     def return_queued_setups(self) -> None:
         """Reports all queued call setups as unreachable, so that the switch retries or fails them."""
-        for call in list(self.queued_setups):
+        for call in list(self.queue.setups):
             if self.withdraw_setup(call):
                 self.switch.attempt_unreachable(self.server, call)
 
     def take_over_queue(self, predecessor: EngineLink) -> None:
         """Moves the queued messages here from the link to the engine's earlier address."""
-        self.queued_releases = predecessor.queued_releases | self.queued_releases
-        self.queued_setups = predecessor.queued_setups | self.queued_setups
-        predecessor.queued_releases = {}
-        predecessor.queued_setups = {}
+        self.queue.take_over(predecessor.queue)
 
     def _flush(self) -> None:
         """Writes queued messages until the queue is empty or the connection is backpressured."""
-        while self.connection is not None and not self._backpressured and self._queue_length:
-            if self.queued_releases:
-                self._write_release(self.queued_releases.pop(next(iter(self.queued_releases))))
+        while self.connection is not None and not self._backpressured:
+            if release := self.queue.pop_release():
+                self._write_release(release)
+            elif call := self.queue.pop_setup():
+                self._write_setup(call)
             else:
-                self._write_setup(self.queued_setups.pop(next(iter(self.queued_setups))))
+                return
 
     def _write_setup(self, call: Call) -> None:
         self.in_flight.add(call.id)
@@ -340,9 +315,7 @@
             # Not repeated on the next connection: the engine drops the attempts of a connection that ends.
             self.in_flight.discard(release.call)
         else:
-            pending.transmissions += 1
-            pending.sent_at = self.switch.wheel.now
-            self.unacknowledged[release.call] = pending
+            self.queue.release_written(self.switch.wheel.now, pending)
         if self.switch.history:
             self._note(release.call, "release written")
         self._write(release.encode())
@@ -360,22 +333,10 @@
         else:
             self.switch.unsent.update(self.switch.wheel.now, connection, size)
 
-    def _expire_unacknowledged(self, now: float) -> None:
-        """Removes releases older than ACKNOWLEDGE_TIMEOUT, which count as received."""
-        while self.unacknowledged:
-            call, sent = next(iter(self.unacknowledged.items()))
-            if now - sent.sent_at <= ACKNOWLEDGE_TIMEOUT:
-                return
-            del self.unacknowledged[call]
-
     def _requeue_unacknowledged(self) -> None:
-        for call, pending in self.unacknowledged.items():
-            if pending.transmissions >= MAX_RELEASE_TRANSMISSIONS:
-                self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += 1
-                continue
-            self.switch.counters[Count.ENGINE_RELEASES_RESENT] += 1
-            self.queued_releases.setdefault(call, pending)
-        self.unacknowledged.clear()
+        resent, dropped = self.queue.requeue_unacknowledged()
+        self.switch.counters[Count.ENGINE_RELEASES_RESENT] += resent
+        self.switch.counters[Count.ENGINE_RELEASES_DROPPED] += dropped
 
     # messages from the engine
 
@@ -396,7 +357,7 @@
         elif message.type == MessageType.PROBE_ANSWER:
             self.switch.load_reported(self.server, message.cause == PASSED, self._report(message))
         elif message.type == MessageType.ACKNOWLEDGE:
-            self.unacknowledged.pop(message.call, None)
+            self.queue.acknowledged(message.call)
         elif message.type != MessageType.PROGRESS:
             self.switch.counters[Count.ENGINE_UNKNOWN_MESSAGES] += 1
 
@@ -461,7 +422,7 @@
             connection.process_partial_release()
             connection.give_up("message cut short")
             return
-        self._expire_unacknowledged(now)
+        self.queue.expire_unacknowledged(now)
         draining = not self.in_flight and not self.switch.endpoints.is_ready(self.server)
         if self.heartbeat.missed(now, draining) and self._has_calls():
             self._check_heartbeat(now, draining)
--- a/tests/test_call_endings.py
+++ b/tests/test_call_endings.py
@@ -520,6 +520,7 @@
         s.play("c0 wait 100")
         for n in range(10):
             s.play(f"c0 send INVITE {100_000 + n}")  # these setups wait for the connection, too
+        s.play("c0 wait 50")  # until they are routed: behind a full read that takes longer
         for n in range(5_000):  # unknown calls, perhaps of a predecessor; 4,096 of the releases are sent
             s.party("c0").send(f"BYE {n}")
             s.pump(0.0)
