--- a/softswitch/core/recent_calls.py
+++ b/softswitch/core/recent_calls.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 from softswitch.interface import CallId
 
 RETAINED_FOR = 60_000.0  # ms after the end of a call
@@ -16,17 +18,18 @@
     """The ids of ended calls of which an attempt was written to an engine."""
 
     def __init__(self) -> None:
-        self._ended_at: dict[CallId, float] = {}  # the earliest end first
+        # The earliest end first. Of a plain dict, finding the first entry is slow once others were removed.
+        self._ended_at: OrderedDict[CallId, float] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._ended_at)
 
     def add(self, now: float, call: CallId) -> None:
         """Records the end of a call."""
-        self._ended_at.pop(call, None)
-        if len(self._ended_at) >= MAX_RETAINED:
-            del self._ended_at[next(iter(self._ended_at))]
         self._ended_at[call] = now
+        self._ended_at.move_to_end(call)
+        if len(self._ended_at) > MAX_RETAINED:
+            self._ended_at.popitem(last=False)
 
     def has(self, now: float, call: CallId) -> bool:
         """Whether a call of this id ended within RETAINED_FOR."""
--- a/softswitch/net/engine_queue.py
+++ b/softswitch/net/engine_queue.py
@@ -46,7 +46,7 @@
     @property
     def is_full(self) -> bool:
         """Whether no more messages may be queued."""
-        return len(self.releases) + len(self.setups) >= MAX_QUEUED
+        return len(self) >= MAX_QUEUED
 
     def add_setup(self, call: Call) -> None:
         """Queues a call setup."""
