No connection is opened in the name of an engine whose address another one has

Cause: an entry that still names the displaced engine got a link first and was removed in the same update, so a connection was opened and aborted. Now displaced entries get no link.

--- a/softswitch/net/endpoint_watch.py
+++ b/softswitch/net/endpoint_watch.py
@@ -274,17 +274,19 @@
             old_connection.transport.abortConnection()
 
     def _apply(self, kind: i.UpdateKind, located: list[LocatedEndpoint]) -> None:
+        update = i.EndpointsChanged(kind, tuple(entry.endpoint for entry in located))
+        addresses = self.engines.addresses() | {entry.endpoint.server: entry.address for entry in located}
+        displaced = displaced_endpoints(self.switch.endpoints.listed_after(update), addresses)
+        ended = {endpoint.server for endpoint in displaced}
+        for server in ended:
+            logger.info("endpoint watch: {} has ended, its address belongs to another engine", server)
         # The links are added first, because the update may send queued calls to a new engine at once.
         for entry in located:
-            if entry.endpoint.state is not i.EndpointState.REMOVED:
-                self.engines.add_endpoint(entry.endpoint.server, entry.address)
-        update = i.EndpointsChanged(kind, tuple(entry.endpoint for entry in located))
-        displaced = displaced_endpoints(self.switch.endpoints.listed_after(update), self.engines.addresses())
-        for endpoint in displaced:
-            logger.info(
-                "endpoint watch: {} has ended, its address belongs to another engine", endpoint.server
-            )
-        self.switch.endpoints_changed(replace(update, endpoints=update.endpoints + displaced))
+            server = entry.endpoint.server
+            if entry.endpoint.state is not i.EndpointState.REMOVED and server not in ended:
+                self.engines.add_endpoint(server, entry.address)
+        others = tuple(endpoint for endpoint in update.endpoints if endpoint.server not in ended)
+        self.switch.endpoints_changed(replace(update, endpoints=others + displaced))
 
     def _sweep(self) -> None:
         """Reconnects if the server is silent.
--- a/tests/test_engine_incarnations.py
+++ b/tests/test_engine_incarnations.py
@@ -207,7 +207,10 @@
         new = endpoint_record(s, 7, "e0", READY, 0, born_ms=int(1000 * time.time()))
         s.play(list_changes(4, new) + "c0 expect BYE.*{1}.*cause=41")
         assert "s-00000000 has ended, its address belongs to another engine" in s.log_text()
+        s.play("e0 wait 300")  # the link of the old engine is closed
+        connection = s.parties["e0"]
         s.play(list_changes(5, endpoint_record(s, 0, "e0", DRAINING, 0)) + "b wait 50")
+        assert s.parties["e0"] is connection  # none was opened in the old one's name
         s.play(list_changes(6, endpoint_record(s, 0, "e0", GONE, 0)) + "b wait 50")
         s.play("c0 send INVITE 2\ne0 expect SET_UP {2}\ne0 send ANSWER 2 33=d\nc0 expect 200 .*{2}")
         s.play("c0 expect nothing 300")
